Serve whole programs through three daemons, thin and end to end

Cause: nothing existed. Ruled out: detached coroutines (a loop that died unseen left a daemon that answered and did nothing) and lambdas as temporaries of co_await (g++ 12 destroys them twice; ASan showed a double free in door.cpp). Both are closed by spawn() and by runOn() taking a named task. Conclusion: the path stands; no promise is proved under failure yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# Thin front over CMake: `make demo` and `make test` are all a newcomer needs.
+JOBS ?= 8
+PRESET ?= release
+BUILD := build/$(PRESET)
+
+.PHONY: setup build test demo bench capacity format lint fuzz asan tsan clean
+
+setup:
+	@bash scripts/setup.sh
+
+build: setup
+	@cmake --preset $(PRESET) >/dev/null
+	@cmake --build $(BUILD) -j $(JOBS)
+
+test: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+demo: build
+	@bash scripts/demo.sh $(BUILD)
+
+format:
+	@git ls-files '*.h' '*.cpp' | xargs -r clang-format -i
+
+lint: build
+	@bash scripts/lint.sh $(BUILD)
+
+asan:
+	@$(MAKE) test PRESET=asan
+
+tsan:
+	@$(MAKE) test PRESET=tsan
+
+clean:
+	@rm -rf build
--- /dev/null
+++ b/src/core/log.cpp
@@ -0,0 +1,51 @@
+#include "core/log.h"
+
+#include "core/runtime_clock.h"
+
+#include <boost/json.hpp>
+#include <fmt/chrono.h>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <cstdio>
+
+namespace azurehill {
+
+namespace {
+
+std::atomic<log_level> lowestLevel{log_level::Info};
+
+std::string utcNow()
+{
+    const std::int64_t ms = unixMilliseconds();
+    const std::time_t whole = ms / 1000;
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(whole), ms % 1000);
+}
+
+boost::json::value toJson(const log_field &field)
+{
+    return std::visit([](const auto &v) { return boost::json::value(v); }, field.value);
+}
+
+} // namespace
+
+void setLogLevel(log_level lowest)
+{
+    lowestLevel = lowest;
+}
+
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (level < lowestLevel)
+        return;
+    boost::json::object line;
+    line["time"] = utcNow();
+    line["level"] = toName(level);
+    line["event"] = event;
+    for (const log_field &field : fields)
+        line[field.name] = toJson(field);
+    // One write a line, so that lines of several threads don't mix.
+    fmt::print(stderr, "{}\n", boost::json::serialize(line));
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/daemon/control.cpp
@@ -0,0 +1,29 @@
+#include "daemon/control.h"
+
+#include "core/log.h"
+
+namespace azurehill {
+
+namespace {
+
+constexpr duration platformTimeout = seconds(1);
+
+} // namespace
+
+control::control(asio::io_context &context, const settings &s, member self,
+                 std::function<void(running_call)> runCall)
+    : m_context(context), m_settings(s), m_runCall(std::move(runCall)),
+      m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
+      m_batcher(self.daemon, self.incarnation, {}), m_router(self.dataCentre),
+      m_commitTimer(context)
+{ }
+
+void control::start()
+{
+    spawn(m_context.get_executor(), "membershipLoop", membershipLoop());
+    spawn(m_context.get_executor(), "commitLoop", commitLoop());
+    spawn(m_context.get_executor(), "configLoop", configLoop());
+    spawn(m_context.get_executor(), "hostsLoop", hostsLoop());
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/daemon/control.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "config/config.h"
+#include "daemon/call_stream.h"
+#include "daemon/settings.h"
+#include "journal/journal.h"
+#include "ownership/ownership.h"
+#include "platform/platform.h"
+#include "program/programs.h"
+#include "runtime/runtime.h"
+#include "sched/sched.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace azurehill {
+
+/// \brief A call that a caller asks for, with what goes to the upstream.
+struct call_spec
+{
+    call_request request;
+    tenant_id tenant;
+    std::string service;
+    /// Model calls: the fields of the body other than the messages, and the new messages.
+    std::string bodyFields;
+    std::string newMessages;
+    /// Tool and plain calls: the request to pass on.
+    http_request passOn;
+};
+
+/// \brief A call that has begun, with all that its runner needs.
+struct running_call
+{
+    call_spec spec;
+    /// Messages of the turns before, as in program::history.
+    std::string history;
+    endpoint upstream;
+    upstream_id upstreamId;
+    service limits;
+    std::shared_ptr<call_stream> stream;
+};
+
+/// \brief What a caller's request leads to: following a running call, or a stored answer.
+using call_start = std::variant<std::shared_ptr<call_stream>, closed_call>;
+
+struct create_request
+{
+    tenant_id tenant;
+    std::string programClass;
+    program_id parent;
+    std::int64_t budgetTokens = 0;
+    std::int64_t deadlineMs = 0;
+};
+
+/// \brief The control state of a daemon. All of it is used on the control thread only.
+class control
+{
+public:
+    /// \param runCall starts the runner of a call on a traffic thread.
+    control(asio::io_context &context, const settings &s, member self,
+            std::function<void(running_call)> runCall);
+
+    /// \brief Starts the loops that follow the platform.
+    void start();
+    /// \brief Hands programs over and lets running calls end. \returns when nothing is left.
+    awaitable<void> drain();
+
+    awaitable<tl::expected<program_id, refusal>> createProgram(create_request request);
+    awaitable<tl::expected<void, refusal>> endProgram(program_id id, end_reason reason);
+    awaitable<tl::expected<call_start, refusal>> startCall(call_spec spec);
+    /// \brief Makes the end of a call durable. \returns whether it is.
+    awaitable<bool> finishCall(running_call call, journal_record end);
+
+    /// \returns the owner of \p id when that is another daemon.
+    std::optional<member> otherOwner(const program_id &id) const;
+    std::vector<member> lookUp(const std::optional<program_id> &id) const;
+    std::optional<program> inspect(const program_id &id) const;
+    std::vector<program_id> programIds() const;
+    std::shared_ptr<const configuration> config() const { return m_config; }
+    row_version configVersion() const { return m_configVersion; }
+    const cell_view &view() const { return m_membership.view(); }
+    std::vector<replica> replicas() const;
+    bool isReady() const;
+
+    /// \brief Stores a new configuration if the stored one still has version \p expected.
+    awaitable<tl::expected<row_version, platform_error>> storeConfig(std::string text,
+                                                                     row_version expected);
+
+private:
+    struct commit_wait
+    {
+        std::optional<commit_result> result;
+        notifier changed;
+    };
+
+    awaitable<void> membershipLoop();
+    awaitable<void> commitLoop();
+    awaitable<void> configLoop();
+    awaitable<void> hostsLoop();
+
+    awaitable<void> refreshView();
+    awaitable<void> refreshLeases();
+    awaitable<void> perform(membership_action action);
+    awaitable<bool> loadGained();
+    awaitable<void> readConfig();
+
+    awaitable<commit_result> commit(std::vector<journal_record> records);
+    awaitable<void> perform(commit_action action);
+    awaitable<batch_answer> writeBatch(journal_batch batch);
+    awaitable<batch_answer> readBack(journal_batch batch);
+    bool ownsAll(const journal_batch &batch) const;
+    void answerBatch(batch_answer answer);
+    void settleTickets(const commit_done &done);
+
+    bool owns(const program_id &id) const;
+    std::optional<refusal> whyNotServing(const program_id &id) const;
+    awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
+    awaitable<void> settleOrphans();
+
+    std::string viewKey() const { return "view/" + m_settings.cell; }
+    std::string leasePrefix() const { return "lease/" + m_settings.cell + "/"; }
+    std::string configKey() const { return "config/" + m_settings.cell; }
+
+    asio::io_context &m_context;
+    settings m_settings;
+    std::function<void(running_call)> m_runCall;
+    platform_client m_platform;
+    membership m_membership;
+    commit_batcher m_batcher;
+    program_book m_book;
+    router m_router;
+    std::shared_ptr<const configuration> m_config;
+    row_version m_configVersion = 0;
+    fencing_number m_loadedView = 0;
+    bool m_draining = false;
+    timer m_commitTimer;
+    std::vector<commit_action> m_commitActions;
+    std::unordered_map<commit_ticket, std::shared_ptr<commit_wait>> m_commitWaits;
+    std::unordered_map<program_id, std::shared_ptr<call_stream>> m_streams;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/daemon/control_calls.cpp
@@ -0,0 +1,219 @@
+#include "core/log.h"
+#include "daemon/control.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+constexpr duration retrySoon = seconds(1);
+
+refusal makeRefusal(refusal_reason reason, std::string detail,
+                    std::optional<duration> retryAfter = std::nullopt)
+{
+    return {reason, std::move(detail), retryAfter};
+}
+
+} // namespace
+
+bool control::owns(const program_id &id) const
+{
+    const member *owner = ownerOf(m_membership.view(), id);
+    return owner && owner->daemon == m_membership.self().daemon
+        && owner->incarnation == m_membership.self().incarnation;
+}
+
+bool control::isReady() const
+{
+    return m_config && !m_draining && m_membership.isActive(runtime_clock::now())
+        && m_loadedView == m_membership.view().number;
+}
+
+std::optional<member> control::otherOwner(const program_id &id) const
+{
+    const member *owner = ownerOf(m_membership.view(), id);
+    if (!owner || owner->daemon == m_membership.self().daemon)
+        return std::nullopt;
+    return *owner;
+}
+
+std::vector<member> control::lookUp(const std::optional<program_id> &id) const
+{
+    const program_id any{m_settings.name};
+    std::vector<member> result;
+    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any)))
+        result.push_back(*m);
+    return result;
+}
+
+std::optional<program> control::inspect(const program_id &id) const
+{
+    const program *p = m_book.find(id);
+    return p ? std::optional(*p) : std::nullopt;
+}
+
+std::vector<program_id> control::programIds() const
+{
+    std::vector<program_id> ids;
+    for (const auto &[id, p] : m_book.programs())
+        ids.push_back(id);
+    return ids;
+}
+
+std::optional<refusal> control::whyNotServing(const program_id &id) const
+{
+    if (!m_membership.isActive(runtime_clock::now())) {
+        return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
+                           retrySoon);
+    }
+    if (!owns(id) || m_loadedView != m_membership.view().number)
+        return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+    return std::nullopt;
+}
+
+awaitable<tl::expected<program_id, refusal>> control::createProgram(create_request request)
+{
+    if (!m_config || !isReady())
+        co_return tl::unexpected(makeRefusal(refusal_reason::Draining, "not ready", retrySoon));
+    const auto config = m_config;
+    const auto tenantRules = config->tenants.find(request.tenant.value);
+    const auto classRules = config->classes.find(request.programClass);
+    if (tenantRules == config->tenants.end() || classRules == config->classes.end())
+        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown class"));
+
+    program_created created;
+    created.program = makeProgramId(request.parent);
+    // A root program is named so that this daemon owns it: no hop for its calls.
+    while (request.parent.empty() && !owns(created.program))
+        created.program = makeProgramId();
+    if (const auto why = whyNotServing(created.program))
+        co_return tl::unexpected(*why);
+    if (!request.parent.empty() && !m_book.find(request.parent))
+        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
+    created.parent = request.parent;
+    created.tenant = request.tenant;
+    created.programClass = request.programClass;
+    const std::int64_t wanted
+        = request.budgetTokens > 0 ? request.budgetTokens : classRules->second.budgetTokens;
+    created.budgetTokens = std::min(wanted, tenantRules->second.maxBudgetTokens);
+    created.createdUnixMs = unixMilliseconds();
+    const std::int64_t longest = toMilliseconds(classRules->second.deadline);
+    const std::int64_t limit
+        = request.deadlineMs > 0 ? std::min(request.deadlineMs, longest) : longest;
+    created.deadlineUnixMs = created.createdUnixMs + limit;
+
+    const program_id id = created.program;
+    m_book.apply(created);
+    const commit_result result
+        = co_await commit(std::vector<journal_record>(1, journal_record(created)));
+    if (result == commit_result::Durable)
+        co_return id;
+    m_book.forget(id);
+    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+}
+
+awaitable<tl::expected<void, refusal>> control::endProgram(program_id id, end_reason reason)
+{
+    if (const auto why = whyNotServing(id))
+        co_return tl::unexpected(*why);
+    const program *p = m_book.find(id);
+    if (!p)
+        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, id.value));
+    if (p->ended)
+        co_return tl::expected<void, refusal>();
+    const program_ended ended{id, reason};
+    m_book.apply(ended);
+    if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
+        == commit_result::Durable)
+        co_return tl::expected<void, refusal>();
+    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+}
+
+awaitable<tl::expected<call_start, refusal>> control::startCall(call_spec spec)
+{
+    while (true) {
+        if (const auto why = whyNotServing(spec.request.program))
+            co_return tl::unexpected(*why);
+        const auto decision = m_book.decide(spec.request, unixMilliseconds());
+        if (!decision)
+            co_return tl::unexpected(decision.error());
+        if (const auto *begin = std::get_if<begin_call>(&*decision))
+            co_return co_await beginCall(std::move(spec), begin->record);
+        if (const auto *replay = std::get_if<replay_answer>(&*decision))
+            co_return call_start(replay->call);
+        const auto stream = m_streams.find(spec.request.program);
+        if (stream == m_streams.end()) {
+            co_return tl::unexpected(
+                makeRefusal(refusal_reason::NotOwner, "the call is being settled", retrySoon));
+        }
+        if (std::holds_alternative<attach_to_call>(*decision))
+            co_return call_start(stream->second);
+        // The call before this one is still under way.
+        const auto before = stream->second;
+        std::size_t read = 0;
+        for (bool ended = false; !ended;) {
+            const auto piece = co_await before->readFrom(read);
+            read += piece.events.size();
+            ended = piece.end.has_value();
+        }
+    }
+}
+
+awaitable<tl::expected<call_start, refusal>> control::beginCall(call_spec spec, call_begun record)
+{
+    const replica *target = m_router.choose(spec.service);
+    const auto rules = m_config->services.find(spec.service);
+    if (!target || rules == m_config->services.end()) {
+        co_return tl::unexpected(
+            makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
+    }
+    running_call call;
+    call.history = m_book.find(record.program)->history;
+    call.upstream = *parseEndpoint(target->address);
+    call.upstreamId = target->id;
+    call.limits = rules->second;
+    call.stream = std::make_shared<call_stream>(randomHex(6));
+    call.spec = std::move(spec);
+
+    m_book.apply(record);
+    m_streams[record.program] = call.stream;
+    m_router.onSent(call.upstreamId);
+    const commit_result result
+        = co_await commit(std::vector<journal_record>(1, journal_record(record)));
+    // The commit may have taken long: look at the lease again, immediately before the effect.
+    if (result == commit_result::Lost || !m_membership.isActive(runtime_clock::now())) {
+        m_router.onDone(call.upstreamId);
+        m_streams.erase(record.program);
+        if (result == commit_result::Lost)
+            m_book.forget(record.program);
+        co_return tl::unexpected(
+            makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    }
+    const auto stream = call.stream;
+    m_runCall(std::move(call));
+    co_return call_start(stream);
+}
+
+awaitable<bool> control::finishCall(running_call call, journal_record end)
+{
+    m_router.onDone(call.upstreamId);
+    const program_id id = call.spec.request.program;
+    const commit_result result = co_await commit(std::vector<journal_record>(1, end));
+    m_streams.erase(id);
+    if (result == commit_result::Durable)
+        m_book.apply(end);
+    else
+        m_book.forget(id);
+    co_return result == commit_result::Durable;
+}
+
+awaitable<void> control::drain()
+{
+    m_draining = true;
+    m_membership.drain();
+    while (!m_streams.empty() || !m_commitWaits.empty())
+        co_await sleepFor(milliseconds(20));
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,31 @@
+#include "daemon/daemon.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+
+void printFaults(const std::vector<azurehill::setting_fault> &faults)
+{
+    for (const azurehill::setting_fault &f : faults)
+        fmt::print(stderr, "azurehilld: {} \"{}\" {}\n", f.flag, f.value, f.reason);
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    const azurehill::command_line given = azurehill::readSettings(argc, argv);
+    if (given.versionOnly) {
+        fmt::print("azurehilld {}\n", AZUREHILL_VERSION);
+        return 0;
+    }
+    if (!given.faults.empty()) {
+        printFaults(given.faults);
+        return exitBadSettings;
+    }
+    return azurehill::runDaemon(given.values);
+}
--- /dev/null
+++ b/src/http/http_client.cpp
@@ -0,0 +1,188 @@
+#include "http/http_client.h"
+
+#include "runtime/deadline_guard.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace azurehill {
+
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t maxResponseBody = 64U << 20U;
+constexpr std::size_t maxResponseHeader = 64U << 10U;
+constexpr std::size_t pieceSize = 16U << 10U;
+
+http_error makeError(beast::error_code code, bool timedOut, outcome ran)
+{
+    if (timedOut)
+        return {http_error_kind::TimedOut, ran, "deadline passed"};
+    const bool malformed = code.category() == beast::http::make_error_code({}).category()
+        && code != beast::http::error::end_of_stream && code != beast::http::error::partial_message;
+    const auto kind = malformed ? http_error_kind::Malformed : http_error_kind::ConnectionLost;
+    return {kind, ran, code.message()};
+}
+
+} // namespace
+
+struct http_connection::state
+{
+    explicit state(const asio::any_io_executor &executor) : socket(executor), guard(executor) { }
+
+    tcp::socket socket;
+    deadline_guard guard;
+    beast::flat_buffer buffer;
+    std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
+    std::string host;
+    bool reusable = false;
+
+    /// Closes the socket at \p until, which ends the operation in progress.
+    void watch(time_point until)
+    {
+        guard.start(until, [this] {
+            beast::error_code ignored;
+            socket.close(ignored);
+        });
+    }
+    bool expired() const { return guard.expired(); }
+};
+
+http_connection::http_connection(const asio::any_io_executor &executor)
+    : m_state(std::make_unique<state>(executor))
+{ }
+http_connection::~http_connection() = default;
+http_connection::http_connection(http_connection &&) noexcept = default;
+http_connection &http_connection::operator=(http_connection &&) noexcept = default;
+
+bool http_connection::isReusable() const
+{
+    return m_state->reusable && m_state->socket.is_open();
+}
+
+void http_connection::close()
+{
+    beast::error_code ignored;
+    m_state->socket.close(ignored);
+    m_state->reusable = false;
+}
+
+awaitable<tl::expected<void, http_error>> http_connection::connect(endpoint peer,
+                                                                   time_point deadline)
+{
+    beast::error_code code;
+    const auto address = asio::ip::make_address(peer.host, code);
+    if (code) {
+        co_return tl::unexpected(http_error{http_error_kind::ConnectFailed, outcome::DidNotRun,
+                                            "not an IP address: " + peer.host});
+    }
+    m_state->watch(deadline);
+    co_await m_state->socket.async_connect(tcp::endpoint(address, peer.port),
+                                           asio::redirect_error(use_awaitable, code));
+    m_state->guard.finish();
+    if (code || m_state->expired()) {
+        const auto kind
+            = m_state->expired() ? http_error_kind::TimedOut : http_error_kind::ConnectFailed;
+        co_return tl::unexpected(http_error{kind, outcome::DidNotRun, code.message()});
+    }
+    m_state->socket.set_option(tcp::no_delay(true), code);
+    m_state->host = toText(peer);
+    m_state->reusable = true;
+    co_return tl::expected<void, http_error>();
+}
+
+awaitable<tl::expected<response_head, http_error>> http_connection::open(http_request request,
+                                                                         time_point deadline)
+{
+    namespace http = beast::http;
+    http::request<http::string_body> out(http::string_to_verb(request.method), request.target, 11);
+    for (const auto &[name, value] : request.headers)
+        out.insert(name, value);
+    out.set(http::field::host, m_state->host);
+    out.body() = std::move(request.body);
+    out.prepare_payload();
+
+    beast::error_code code;
+    m_state->reusable = false;
+    m_state->watch(deadline);
+    const std::size_t sent = co_await http::async_write(m_state->socket, out,
+                                                        asio::redirect_error(use_awaitable, code));
+    if (code || m_state->expired()) {
+        m_state->guard.finish();
+        const outcome ran = sent == 0 ? outcome::DidNotRun : outcome::Unknown;
+        co_return tl::unexpected(makeError(code, m_state->expired(), ran));
+    }
+    auto &parser = m_state->parser.emplace();
+    parser.body_limit(maxResponseBody);
+    parser.header_limit(maxResponseHeader);
+    co_await http::async_read_header(m_state->socket, m_state->buffer, parser,
+                                     asio::redirect_error(use_awaitable, code));
+    m_state->guard.finish();
+    if (code || m_state->expired())
+        co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
+
+    response_head head;
+    head.status = parser.get().result_int();
+    for (const auto &field : parser.get())
+        head.headers.add(field.name_string(), field.value());
+    co_return head;
+}
+
+awaitable<tl::expected<std::string, http_error>> http_connection::readSome(time_point deadline)
+{
+    namespace http = beast::http;
+    auto &parser = *m_state->parser;
+    std::string piece;
+    m_state->watch(deadline);
+    beast::error_code code;
+    while (piece.empty() && !parser.is_done()) {
+        piece.resize(pieceSize);
+        parser.get().body().data = piece.data();
+        parser.get().body().size = piece.size();
+        co_await http::async_read_some(m_state->socket, m_state->buffer, parser,
+                                       asio::redirect_error(use_awaitable, code));
+        if (code == http::error::need_buffer)
+            code = {};
+        piece.resize(piece.size() - parser.get().body().size);
+        if (code || m_state->expired())
+            break;
+    }
+    m_state->guard.finish();
+    if (code || m_state->expired())
+        co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
+    if (parser.is_done())
+        m_state->reusable = parser.get().keep_alive();
+    co_return piece;
+}
+
+awaitable<tl::expected<http_response, http_error>> http_connection::exchange(http_request request,
+                                                                             time_point deadline)
+{
+    auto head = co_await open(std::move(request), deadline);
+    if (!head)
+        co_return tl::unexpected(head.error());
+    http_response response{head->status, std::move(head->headers), {}};
+    while (true) {
+        auto piece = co_await readSome(deadline);
+        if (!piece)
+            co_return tl::unexpected(piece.error());
+        if (piece->empty())
+            co_return response;
+        response.body += *piece;
+    }
+}
+
+awaitable<tl::expected<http_response, http_error>> exchangeOnce(endpoint peer, http_request request,
+                                                                time_point deadline)
+{
+    http_connection connection(co_await asio::this_coro::executor);
+    const auto connected = co_await connection.connect(std::move(peer), deadline);
+    if (!connected)
+        co_return tl::unexpected(connected.error());
+    co_return co_await connection.exchange(std::move(request), deadline);
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/http/problem.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "core/outcome.h"
+#include "core/runtime_clock.h"
+#include "http/http_message.h"
+
+#include <optional>
+#include <string>
+
+namespace azurehill {
+
+/// \brief An RFC 9457 problem document of ours.
+struct problem
+{
+    int status = 500;
+    /// Last part of the type URI, such as "budget-exhausted".
+    std::string type;
+    std::string title;
+    std::string detail;
+    outcome ran = outcome::DidNotRun;
+    /// When coming back makes sense.
+    std::optional<duration> retryAfter;
+};
+
+/// \returns the JSON text of \p p.
+std::string toJson(const problem &p);
+/// \returns \p p as a response of type application/problem+json, with Retry-After where it has one.
+http_response toResponse(const problem &p);
+
+} // namespace azurehill
--- /dev/null
+++ b/src/ownership/ownership.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/// \file
+/// \brief Who owns which program: leases, the cell's view, placement. No input or output in here.
+
+#include "ownership/cell_view.h"
+#include "ownership/lease.h"
+#include "ownership/membership.h"
+#include "ownership/placement.h"
--- /dev/null
+++ b/src/ownership/placement.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "ownership/cell_view.h"
+
+namespace azurehill {
+
+/// \returns the member of \p view that owns the family of \p program, or nullptr when no member
+/// can.
+///
+/// Highest random weight: a member that comes or goes moves only the programs it gains or loses.
+const member *ownerOf(const cell_view &view, const program_id &program);
+
+/// \returns the members of \p view in the order in which a caller should try them for \p program.
+std::vector<const member *> preferenceOrder(const cell_view &view, const program_id &program);
+
+} // namespace azurehill
--- /dev/null
+++ b/src/platform/platform_client.cpp
@@ -0,0 +1,218 @@
+#include "platform/platform_client.h"
+
+#include <boost/json.hpp>
+
+namespace azurehill {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t maxIdleConnections = 4;
+
+http_request postJson(std::string target, const json::value &body)
+{
+    http_request r;
+    r.method = "POST";
+    r.target = std::move(target);
+    r.headers.add("Content-Type", "application/json");
+    r.body = json::serialize(body);
+    return r;
+}
+
+json::value toJson(const transaction &t)
+{
+    json::array checks;
+    for (const row_check &c : t.checks)
+        checks.push_back({{"key", c.key}, {"version", c.version}});
+    json::array puts;
+    for (const row_write &w : t.puts)
+        puts.push_back({{"key", w.key}, {"value", w.value}});
+    json::array deletes;
+    for (const std::string &key : t.deletes)
+        deletes.emplace_back(key);
+    return json::object{{"checks", checks}, {"puts", puts}, {"deletes", deletes}};
+}
+
+// g++ 12 does not compile braced JSON objects inside a coroutine, so these are functions.
+json::value readBody(const std::vector<std::string> &keys)
+{
+    return json::object{{"keys", json::array(keys.begin(), keys.end())}};
+}
+
+json::value scanBody(const std::string &prefix, const std::string &after, int limit)
+{
+    return json::object{{"prefix", prefix}, {"after", after}, {"limit", limit}};
+}
+
+std::string textOf(const json::value &v)
+{
+    return std::string(v.as_string());
+}
+
+/// \brief Applies \p convert to the JSON body; a body of another form is an Unknown answer.
+template <class Function>
+auto parsed(const http_response &response, Function convert)
+    -> tl::expected<decltype(convert(json::value())), platform_error>
+{
+    try {
+        return convert(json::parse(response.body));
+    } catch (const std::exception &e) {
+        return tl::unexpected(platform_error{platform_error_kind::Unknown, e.what()});
+    }
+}
+
+std::vector<table_row> rowsOf(const json::value &body)
+{
+    std::vector<table_row> rows;
+    for (const json::value &row : body.at("rows").as_array()) {
+        rows.push_back({textOf(row.at("key")), textOf(row.at("value")),
+                        row.at("version").to_number<row_version>()});
+    }
+    return rows;
+}
+
+platform_error errorOf(const http_response &response)
+{
+    switch (response.status) {
+    case 404:
+        return {platform_error_kind::NotFound, response.body};
+    case 409:
+    case 412:
+        return {platform_error_kind::Conflict, response.body};
+    case 400:
+    case 429:
+    case 503:
+        return {platform_error_kind::Unavailable, response.body};
+    default:
+        return {platform_error_kind::Unknown, response.body};
+    }
+}
+
+platform_error errorOf(const http_error &error)
+{
+    const bool ranNot = error.ran == outcome::DidNotRun;
+    const auto kind = ranNot ? platform_error_kind::Unavailable : platform_error_kind::Unknown;
+    return {kind, error.detail};
+}
+
+} // namespace
+
+platform_client::platform_client(endpoint service, duration timeout)
+    : m_service(std::move(service)), m_timeout(timeout)
+{ }
+
+awaitable<platform_client::result<http_response>> platform_client::call(http_request request)
+{
+    const time_point deadline = runtime_clock::now() + m_timeout;
+    std::unique_ptr<http_connection> connection;
+    if (m_idle.empty()) {
+        connection = std::make_unique<http_connection>(co_await asio::this_coro::executor);
+        const auto connected = co_await connection->connect(m_service, deadline);
+        if (!connected)
+            co_return tl::unexpected(errorOf(connected.error()));
+    } else {
+        connection = std::move(m_idle.back());
+        m_idle.pop_back();
+    }
+    auto response = co_await connection->exchange(std::move(request), deadline);
+    if (!response) {
+        // The connection may have gone silent for good, and the others with it.
+        m_idle.clear();
+        co_return tl::unexpected(errorOf(response.error()));
+    }
+    if (connection->isReusable() && m_idle.size() < maxIdleConnections)
+        m_idle.push_back(std::move(connection));
+    if (response->status >= 300)
+        co_return tl::unexpected(errorOf(*response));
+    co_return std::move(*response);
+}
+
+awaitable<platform_client::result<std::map<std::string, row_version>>>
+platform_client::transact(transaction t)
+{
+    auto response = co_await call(postJson("/table/transact", toJson(t)));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return parsed(*response, [](const json::value &body) {
+        std::map<std::string, row_version> versions;
+        for (const auto &[key, version] : body.at("versions").as_object())
+            versions.emplace(key, version.to_number<row_version>());
+        return versions;
+    });
+}
+
+awaitable<platform_client::result<std::vector<table_row>>>
+platform_client::read(std::vector<std::string> keys)
+{
+    auto response = co_await call(postJson("/table/read", readBody(keys)));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return parsed(*response, rowsOf);
+}
+
+awaitable<platform_client::result<std::vector<table_row>>>
+platform_client::scan(std::string prefix, std::string after, int limit)
+{
+    auto response = co_await call(postJson("/table/scan", scanBody(prefix, after, limit)));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return parsed(*response, rowsOf);
+}
+
+awaitable<platform_client::result<void>> platform_client::putObject(std::string key,
+                                                                    std::string bytes)
+{
+    http_request request;
+    request.method = "PUT";
+    request.target = "/object/" + key;
+    request.headers.add("If-None-Match", "*");
+    request.body = std::move(bytes);
+    auto response = co_await call(std::move(request));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return result<void>();
+}
+
+awaitable<platform_client::result<std::string>> platform_client::getObject(std::string key)
+{
+    http_request request;
+    request.target = "/object/" + key;
+    auto response = co_await call(std::move(request));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return std::move(response->body);
+}
+
+awaitable<platform_client::result<void>> platform_client::deleteObject(std::string key)
+{
+    http_request request;
+    request.method = "DELETE";
+    request.target = "/object/" + key;
+    auto response = co_await call(std::move(request));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return result<void>();
+}
+
+awaitable<platform_client::result<std::vector<listed_host>>> platform_client::hosts()
+{
+    http_request request;
+    request.target = "/hosts";
+    auto response = co_await call(std::move(request));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return parsed(*response, [](const json::value &body) {
+        std::vector<listed_host> hosts;
+        for (const json::value &h : body.at("hosts").as_array()) {
+            hosts.push_back({textOf(h.at("name")),
+                             textOf(h.at("service")),
+                             {textOf(h.at("host")), h.at("port").to_number<std::uint16_t>()},
+                             textOf(h.at("data_centre")),
+                             h.at("leaving").as_bool()});
+        }
+        return hosts;
+    });
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/program/program_book.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "core/runtime_clock.h"
+#include "journal/record.h"
+#include "program/program.h"
+#include "program/refusal.h"
+
+#include <tl/expected.hpp>
+
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief A caller's request to make the next call of a program.
+struct call_request
+{
+    program_id program;
+    std::int64_t turn = 0;
+    std::string key;
+    call_kind kind = call_kind::Model;
+    bool idempotent = true;
+    std::int64_t reserveTokens = 0;
+};
+
+/// \brief The call may begin once its record is durable.
+struct begin_call
+{
+    call_begun record;
+};
+/// \brief The same call is under way: follow it.
+struct attach_to_call
+{
+    open_call call;
+};
+/// \brief The call has ended before: give its stored answer.
+struct replay_answer
+{
+    closed_call call;
+};
+/// \brief The call comes next after one that is still under way: ask again when that has ended.
+struct wait_for_turn
+{ };
+
+using call_decision = std::variant<begin_call, attach_to_call, replay_answer, wait_for_turn>;
+
+/// \brief The programs that this daemon owns.
+///
+/// Requests are checked here and answered with records; apply() alone changes state, so replaying
+/// the same records gives the same state on any daemon.
+class program_book
+{
+public:
+    /// \brief Decides what becomes of \p request at calendar time \p nowUnixMs.
+    tl::expected<call_decision, refusal> decide(const call_request &request,
+                                                std::int64_t nowUnixMs) const;
+
+    /// \brief Changes the state by \p record. Records of unknown programs change nothing.
+    void apply(const journal_record &record);
+
+    const program *find(const program_id &id) const;
+    const std::unordered_map<program_id, program> &programs() const { return m_programs; }
+    /// \brief Drops programs that are no longer owned, with all they hold.
+    void forget(const program_id &id);
+
+    /// \returns tokens that the family of \p id may still reserve.
+    std::int64_t freeTokens(const program_id &id) const;
+
+private:
+    void applyTo(program &p, const call_begun &r);
+    void applyTo(program &p, const call_finished &r);
+    void applyTo(program &p, const call_failed &r);
+    void applyTo(program &p, const program_ended &r);
+    void charge(const program &p, std::int64_t tokens);
+
+    std::unordered_map<program_id, program> m_programs;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/program/refusal.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "core/enum_names.h"
+#include "core/runtime_clock.h"
+
+#include <optional>
+#include <string>
+
+namespace azurehill {
+
+/// \brief Why a request is not carried out. Each of these says that it did not run.
+enum class refusal_reason {
+    UnknownProgram,
+    ProgramEnded,
+    TurnOutOfOrder,
+    KeyReused,
+    BudgetExhausted,
+    DeadlinePassed,
+    TooManyTurns,
+    NotOwner,
+    StoreUnavailable,
+    Overloaded,
+    NoUpstream,
+    Draining
+};
+
+template <>
+struct enum_names<refusal_reason>
+{
+    static constexpr std::array<std::string_view, 12> names
+        = {"unknown-program",   "program-ended",   "turn-out-of-order", "key-reused",
+           "budget-exhausted",  "deadline-passed", "too-many-turns",    "not-owner",
+           "store-unavailable", "overloaded",      "no-upstream",       "draining"};
+};
+
+struct refusal
+{
+    refusal_reason reason = refusal_reason::UnknownProgram;
+    std::string detail;
+    /// When coming back makes sense.
+    std::optional<duration> retryAfter;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/sched/sched.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// \file
+/// \brief Decisions under load: which call goes next, to which replica, or is refused.
+
+#include "sched/replica.h"
+#include "sched/router.h"
--- /dev/null
+++ b/standin/tool_standin.cpp
@@ -0,0 +1,54 @@
+#include "standin/tool_standin.h"
+
+#include "runtime/timer.h"
+
+#include <boost/json.hpp>
+
+#include <memory>
+
+namespace azurehill::standin {
+
+namespace json = boost::json;
+
+namespace {
+
+struct tool_record
+{
+    std::string target;
+    std::string key;
+    std::string program;
+};
+
+http_response listRecords(const std::vector<tool_record> &records)
+{
+    json::array list;
+    for (const tool_record &r : records)
+        list.push_back({{"target", r.target}, {"key", r.key}, {"program", r.program}});
+    return jsonResponse(200, json::serialize(json::object{{"records", list}}));
+}
+
+http_response receipt(std::size_t number, const std::string &target)
+{
+    const json::object answer{{"receipt", number}, {"target", target}};
+    return jsonResponse(200, json::serialize(answer));
+}
+
+} // namespace
+
+request_handler makeTool(duration callTime)
+{
+    auto records = std::make_shared<std::vector<tool_record>>();
+    return [records, callTime](const http_request &request,
+                               response_writer &writer) -> awaitable<void> {
+        if (request.path() == "/records") {
+            co_await writer.write(listRecords(*records));
+            co_return;
+        }
+        co_await sleepFor(callTime);
+        records->push_back({request.target, std::string(request.headers.get("Idempotency-Key")),
+                            std::string(request.headers.get("Azurehill-Program"))});
+        co_await writer.write(receipt(records->size(), request.target));
+    };
+}
+
+} // namespace azurehill::standin
