Hand programs over without losing a call; let members go by proof only

Cause, as found by property tests on a model of the table and by reading: - An observer whose scans failed took silence for stopped leases and removed daemons that renewed. A member that went and came back was removed again on an old read. A removal that reached the table late hit a daemon that had woken and renewed. - A daemon that lost a program and regained it between two reads of the view kept its old memory of it as the newest, and wrote queued records on. - Drains and joins moved programs with running calls; the end of such a call was fenced and the reply lost. - Two processes under one name replaced each other at every poll. - A view row that went back left all daemons writing on a version that is gone. - Lease rows of dead daemons stayed; renewals waited behind scans and loading. - Each change of the view read all journals, also when nothing was gained.

Change: a lease lapses only by a read sent after its whole life and after the view was known, per run of a daemon; the removal checks the lease row's version and deletes it. Members publish in the view the programs they keep (`keeps`) while a call of the family runs; a joining member owns nothing until all others say in their lease that their keeps are in force; a draining one leaves when it keeps nothing. `ownership_history` says whether a program was held in every view since; loading, commits and ends of calls ask it. Renewals have a loop.

Ruled out: a limit on how long a join waits. The property "a running call can commit its end" failed with a limit of three leases and passes without; instead a daemon that can't read the view for twenty leases lets its own lapse. Reading only the journals of members that left: a program's records lie with all its former owners, so this loses history as long as gained programs aren't written again by their new owner.

--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -40,6 +40,8 @@
     upstream_id upstreamId;
     service limits;
     std::shared_ptr<call_stream> stream;
+    /// Number of the view under which the call began.
+    fencing_number begunUnder = 0;
 };
 
 /// \brief What a caller's request leads to: following a running call, or a stored answer.
@@ -91,30 +93,43 @@
 private:
     struct commit_wait
     {
+        std::set<program_id> programs;
+        /// Number of the view under which the records were made.
+        fencing_number since = 0;
         std::optional<commit_result> result;
         notifier changed;
     };
 
+    awaitable<void> leaseLoop();
     awaitable<void> membershipLoop();
     awaitable<void> commitLoop();
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
 
+    void stopIfSuperseded();
     awaitable<void> refreshView();
     awaitable<void> refreshLeases();
     awaitable<void> perform(membership_action action);
+    transaction toTransaction(const change_view &change) const;
+    transaction toTransaction(const drop_lease &drop) const;
     awaitable<bool> loadGained();
+    awaitable<std::optional<std::vector<journal_batch>>> listBatches(std::string prefix);
+    void adopt(const cell_view &view);
     awaitable<void> readConfig();
 
     awaitable<commit_result> commit(std::vector<journal_record> records);
     awaitable<void> perform(commit_action action);
     awaitable<batch_answer> writeBatch(journal_batch batch);
     awaitable<batch_answer> readBack(journal_batch batch);
-    bool ownsAll(const journal_batch &batch) const;
+    bool heldAll(const journal_batch &batch) const;
+    bool heldSinceMade(const program_id &id) const;
     void answerBatch(batch_answer answer);
     void settleTickets(const commit_done &done);
 
     bool owns(const program_id &id) const;
+    bool mayBegin(const program_id &id) const;
+    std::set<program_id> runningFamilies() const;
+    awaitable<void> settleCommits();
     std::optional<refusal> whyNotServing(const program_id &id) const;
     awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
     awaitable<void> settleOrphans();
@@ -128,6 +143,7 @@
     std::function<void(running_call)> m_runCall;
     platform_client m_platform;
     membership m_membership;
+    ownership_history m_history;
     commit_batcher m_batcher;
     program_book m_book;
     router m_router;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr duration retrySoon = seconds(1);
+/// Bound on the search for a name of its own: a joining or draining daemon owns none.
+constexpr int rootNameTries = 10'000;
 
 refusal makeRefusal(refusal_reason reason, std::string detail,
                     std::optional<duration> retryAfter = std::nullopt)
@@ -15,6 +17,11 @@
     return {reason, std::move(detail), retryAfter};
 }
 
+refusal movesNow()
+{
+    return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -26,8 +33,9 @@
 
 bool control::isReady() const
 {
+    const member *me = m_membership.view().find(m_membership.self().daemon);
     return m_config && !m_draining && m_membership.isActive(runtime_clock::now())
-        && m_loadedView == m_membership.view().number;
+        && takesPrograms(*me) && m_loadedView == m_membership.view().number;
 }
 
 std::optional<member> control::otherOwner(const program_id &id) const
@@ -42,8 +50,11 @@
 {
     const program_id any{m_settings.name};
     std::vector<member> result;
-    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any)))
-        result.push_back(*m);
+    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
+        // A drain shows here before the view has it.
+        if (!m_draining || m->daemon != m_membership.self().daemon)
+            result.push_back(*m);
+    }
     return result;
 }
 
@@ -67,8 +78,8 @@
         return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
                            retrySoon);
     }
-    if (!owns(id) || m_loadedView != m_membership.view().number)
-        return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+    if (!owns(id) || !m_history.heldSince(id, m_loadedView))
+        return movesNow();
     return std::nullopt;
 }
 
@@ -85,10 +96,12 @@
     program_created created;
     created.program = makeProgramId(request.parent);
     // A root program is named so that this daemon owns it: no hop for its calls.
-    while (request.parent.empty() && !owns(created.program))
+    for (int i = 0; i < rootNameTries && request.parent.empty() && !mayBegin(created.program); ++i)
         created.program = makeProgramId();
     if (const auto why = whyNotServing(created.program))
         co_return tl::unexpected(*why);
+    if (!mayBegin(created.program))
+        co_return tl::unexpected(movesNow());
     if (!request.parent.empty() && !m_book.find(request.parent))
         co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
     created.parent = request.parent;
@@ -138,7 +151,10 @@
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
         if (!decision)
             co_return tl::unexpected(decision.error());
-        if (const auto *begin = std::get_if<begin_call>(&*decision))
+        const auto *begin = std::get_if<begin_call>(&*decision);
+        if (begin && !mayBegin(spec.request.program))
+            co_return tl::unexpected(movesNow());
+        if (begin)
             co_return co_await beginCall(std::move(spec), begin->record);
         if (const auto *replay = std::get_if<replay_answer>(&*decision))
             co_return call_start(replay->call);
@@ -174,6 +190,7 @@
     call.upstreamId = target->id;
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
+    call.begunUnder = m_membership.view().number;
     call.spec = std::move(spec);
 
     m_book.apply(record);
@@ -199,6 +216,12 @@
 {
     m_router.onDone(call.upstreamId);
     const program_id id = call.spec.request.program;
+    if (!m_history.heldSince(id, call.begunUnder)) {
+        // The program moved in between; its new owner settled this call as unknown, also when the
+        // program has come back since.
+        m_streams.erase(id);
+        co_return false;
+    }
     const commit_result result = co_await commit(std::vector<journal_record>(1, end));
     m_streams.erase(id);
     if (result == commit_result::Durable)
@@ -208,12 +231,4 @@
     co_return result == commit_result::Durable;
 }
 
-awaitable<void> control::drain()
-{
-    m_draining = true;
-    m_membership.drain();
-    while (!m_streams.empty() || !m_commitWaits.empty())
-        co_await sleepFor(milliseconds(20));
-}
-
 } // namespace azurehill
--- a/src/daemon/control_commits.cpp
+++ b/src/daemon/control_commits.cpp
@@ -11,6 +11,9 @@
 awaitable<commit_result> control::commit(std::vector<journal_record> records)
 {
     const auto wait = std::make_shared<commit_wait>();
+    wait->since = m_membership.view().number;
+    for (const journal_record &record : records)
+        wait->programs.insert(programOf(record));
     m_commitWaits.emplace(m_batcher.append(std::move(records)), wait);
     m_commitTimer.cancel();
     while (!wait->result)
@@ -62,14 +65,26 @@
     }
 }
 
-bool control::ownsAll(const journal_batch &batch) const
+bool control::heldSinceMade(const program_id &id) const
+{
+    return std::all_of(m_commitWaits.begin(), m_commitWaits.end(), [&](const auto &entry) {
+        const commit_wait &wait = *entry.second;
+        return !wait.programs.count(id) || m_history.heldSince(id, wait.since);
+    });
+}
+
+bool control::heldAll(const journal_batch &batch) const
 {
     return std::all_of(batch.records.begin(), batch.records.end(),
-                       [&](const journal_record &r) { return owns(programOf(r)); });
+                       [&](const journal_record &r) { return heldSinceMade(programOf(r)); });
 }
 
 awaitable<batch_answer> control::writeBatch(journal_batch batch)
 {
+    // Records can be made under one view and written under a later one. If the program was another
+    // daemon's in between, that daemon's records come first and these contradict them.
+    if (!heldAll(batch))
+        co_return batch_answer::Fenced;
     const std::string key = rowKey(m_settings.cell, batch);
     transaction t;
     t.checks.push_back({viewKey(), m_membership.view().version});
@@ -87,7 +102,7 @@
     if (there != batch_answer::Absent)
         co_return there;
     co_await refreshView();
-    co_return ownsAll(batch) ? batch_answer::Absent : batch_answer::Fenced;
+    co_return heldAll(batch) ? batch_answer::Absent : batch_answer::Fenced;
 }
 
 awaitable<batch_answer> control::readBack(journal_batch batch)
--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -2,22 +2,41 @@
 #include "daemon/control.h"
 
 #include <algorithm>
+#include <csignal>
 #include <tuple>
 
 namespace azurehill {
 
 namespace {
 
+constexpr duration leasePeriod = milliseconds(100);
 constexpr duration membershipPeriod = milliseconds(250);
 constexpr int scanPage = 1000;
 
 } // namespace
 
+awaitable<void> control::leaseLoop()
+{
+    // Apart from the other reads and writes: a slow scan or a long loading must not cost the lease.
+    while (true) {
+        if (const auto renewal = m_membership.pollLease(runtime_clock::now())) {
+            const time_point sentAt = runtime_clock::now();
+            transaction t;
+            t.puts.push_back({leasePrefix() + m_settings.name, encode(renewal->lease)});
+            if (co_await m_platform.transact(std::move(t)))
+                m_membership.onRenewed(sentAt);
+        }
+        co_await sleepFor(leasePeriod);
+    }
+}
+
 awaitable<void> control::membershipLoop()
 {
     while (true) {
         co_await refreshView();
         co_await refreshLeases();
+        stopIfSuperseded();
+        m_membership.setRunning(runningFamilies());
         for (membership_action &action : m_membership.poll(runtime_clock::now()))
             co_await perform(std::move(action));
         if (m_loadedView != m_membership.view().number && co_await loadGained())
@@ -26,13 +45,21 @@
     }
 }
 
+void control::stopIfSuperseded()
+{
+    if (!m_membership.isSuperseded() || m_draining)
+        return;
+    logEvent(log_level::Error, "superseded", {{"detail", "another daemon has this name"}});
+    std::raise(SIGTERM);
+}
+
 awaitable<void> control::refreshView()
 {
     auto rows = co_await m_platform.read(std::vector<std::string>(1, viewKey()));
     if (!rows)
         co_return;
     if (rows->empty()) {
-        m_membership.onView({}, runtime_clock::now());
+        adopt({});
         co_return;
     }
     const auto view = decodeView(rows->front());
@@ -40,54 +67,83 @@
         logEvent(log_level::Error, "view_unreadable", {{"detail", view.error()}});
         co_return;
     }
-    m_membership.onView(*view, runtime_clock::now());
+    adopt(*view);
+}
+
+void control::adopt(const cell_view &view)
+{
+    if (!m_membership.onView(view, runtime_clock::now()))
+        return;
+    m_history.onView(m_membership.view());
     m_batcher.setFence(m_membership.view().number);
 }
 
 awaitable<void> control::refreshLeases()
 {
-    auto rows = co_await m_platform.scan(leasePrefix(), "", scanPage);
-    if (!rows)
-        co_return;
+    const time_point sentAt = runtime_clock::now();
     std::vector<lease_record> leases;
-    for (const table_row &row : *rows) {
-        if (const auto lease = decodeLease(row.value))
-            leases.push_back(*lease);
+    std::string after;
+    while (true) {
+        auto rows = co_await m_platform.scan(leasePrefix(), after, scanPage);
+        if (!rows)
+            co_return;
+        for (const table_row &row : *rows) {
+            auto lease = decodeLease(row.value);
+            if (!lease)
+                continue;
+            lease->version = row.version;
+            leases.push_back(std::move(*lease));
+        }
+        if (rows->size() < scanPage)
+            break;
+        after = rows->back().key;
     }
-    m_membership.onLeases(leases, runtime_clock::now());
+    m_membership.onLeases(leases, sentAt, runtime_clock::now());
 }
 
-awaitable<void> control::perform(membership_action action)
+transaction control::toTransaction(const change_view &change) const
 {
     transaction t;
-    if (const auto *renew = std::get_if<renew_lease>(&action)) {
-        const time_point sentAt = runtime_clock::now();
-        t.puts.push_back({leasePrefix() + m_settings.name, encode(renew->lease)});
-        if (co_await m_platform.transact(std::move(t)))
-            m_membership.onRenewed(sentAt);
-        co_return;
-    }
-    const auto &change = std::get<change_view>(action);
     t.checks.push_back({viewKey(), change.expected});
+    for (const lease_check &check : change.checks)
+        t.checks.push_back({leasePrefix() + check.daemon.value, check.version});
     t.puts.push_back({viewKey(), encode(change.next)});
+    for (const daemon_id &daemon : change.dropLeases)
+        t.deletes.push_back(leasePrefix() + daemon.value);
+    return t;
+}
+
+transaction control::toTransaction(const drop_lease &drop) const
+{
+    transaction t;
+    t.checks.push_back({leasePrefix() + drop.lease.daemon.value, drop.lease.version});
+    t.deletes.push_back(leasePrefix() + drop.lease.daemon.value);
+    return t;
+}
+
+awaitable<void> control::perform(membership_action action)
+{
+    transaction t = std::visit([this](const auto &a) { return toTransaction(a); }, action);
     // Whatever the answer, the next read of the view tells what is in force.
     const auto written = co_await m_platform.transact(std::move(t));
+    const auto *change = std::get_if<change_view>(&action);
+    if (!change)
+        co_return;
     logEvent(log_level::Info, "view_change",
-             {{"number", static_cast<std::int64_t>(change.next.number)},
-              {"members", static_cast<std::int64_t>(change.next.members.size())},
+             {{"number", static_cast<std::int64_t>(change->next.number)},
+              {"members", static_cast<std::int64_t>(change->next.members.size())},
               {"written", written.has_value()}});
     co_await refreshView();
 }
 
-awaitable<bool> control::loadGained()
+awaitable<std::optional<std::vector<journal_batch>>> control::listBatches(std::string prefix)
 {
-    const cell_view view = m_membership.view();
     std::vector<journal_batch> batches;
     std::string after;
     while (true) {
-        auto rows = co_await m_platform.scan(rowPrefix(m_settings.cell), after, scanPage);
+        auto rows = co_await m_platform.scan(prefix, after, scanPage);
         if (!rows)
-            co_return false;
+            co_return std::nullopt;
         for (const table_row &row : *rows) {
             if (auto batch = decodeBatch(row.value))
                 batches.push_back(std::move(*batch));
@@ -101,10 +157,23 @@
         return std::tie(a.fence, a.sequence) < std::tie(b.fence, b.sequence);
     };
     std::stable_sort(batches.begin(), batches.end(), before);
+    co_return batches;
+}
 
+awaitable<bool> control::loadGained()
+{
+    const fencing_number number = m_membership.view().number;
+    std::vector<journal_batch> batches;
+    const bool reads = m_history.mayHaveGainedSince(m_loadedView);
+    if (reads) {
+        auto listed = co_await listBatches(rowPrefix(m_settings.cell));
+        if (!listed)
+            co_return false;
+        batches = std::move(*listed);
+    }
     std::set<program_id> known;
     for (const program_id &id : programIds()) {
-        if (owns(id))
+        if (m_history.heldSince(id, m_loadedView))
             known.insert(id);
         else
             m_book.forget(id);
@@ -116,10 +185,11 @@
                 m_book.apply(record);
         }
     }
-    m_loadedView = view.number;
-    m_membership.onLoaded(view.number);
+    m_loadedView = number;
+    m_membership.onLoaded(number);
     logEvent(log_level::Info, "view_loaded",
-             {{"number", static_cast<std::int64_t>(view.number)},
+             {{"number", static_cast<std::int64_t>(number)},
+              {"read_journals", reads},
               {"programs", static_cast<std::int64_t>(m_book.programs().size())}});
     co_return true;
 }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -34,8 +34,7 @@
             randomHex(6),
             toText({s.listen.host, port}),
             toText({s.innerListen.host, innerPort}),
-            {s.dataCentre},
-            false};
+            {s.dataCentre}};
 }
 
 /// \brief Lets what is in progress end: look-ups first leave this daemon out, then programs move,
--- a/src/ownership/cell_view.cpp
+++ b/src/ownership/cell_view.cpp
@@ -12,12 +12,17 @@
 
 json::object toJson(const member &m)
 {
+    json::array keeps;
+    for (const program_id &id : m.keeps)
+        keeps.emplace_back(id.value);
     return {{"daemon", m.daemon.value},
             {"incarnation", m.incarnation},
             {"address", m.address},
             {"inner_address", m.innerAddress},
             {"data_centre", m.dataCentre.value},
-            {"draining", m.draining}};
+            {"draining", m.draining},
+            {"joining", m.joining},
+            {"keeps", keeps}};
 }
 
 std::string text(const json::object &o, std::string_view key)
@@ -27,8 +32,12 @@
 
 member toMember(const json::object &o)
 {
-    return {{text(o, "daemon")},      text(o, "incarnation"),   text(o, "address"),
-            text(o, "inner_address"), {text(o, "data_centre")}, o.at("draining").as_bool()};
+    member m{{text(o, "daemon")},      text(o, "incarnation"),   text(o, "address"),
+             text(o, "inner_address"), {text(o, "data_centre")}, o.at("draining").as_bool(),
+             o.at("joining").as_bool()};
+    for (const json::value &id : o.at("keeps").as_array())
+        m.keeps.push_back({std::string(id.as_string())});
+    return m;
 }
 
 } // namespace
--- a/src/ownership/lease.cpp
+++ b/src/ownership/lease.cpp
@@ -2,16 +2,26 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace json = boost::json;
 
+namespace {
+
+/// Lives of a lease after which a row that stands still is deleted.
+constexpr int abandonedLives = 10;
+
+} // namespace
+
 std::string encode(const lease_record &lease)
 {
     return json::serialize(json::object{{"daemon", lease.daemon.value},
                                         {"incarnation", lease.incarnation},
                                         {"counter", lease.counter},
-                                        {"loaded_view", lease.loadedView}});
+                                        {"loaded_view", lease.loadedView},
+                                        {"prepared_view", lease.preparedView}});
 }
 
 std::optional<lease_record> decodeLease(std::string_view text)
@@ -21,7 +31,9 @@
         return lease_record{{std::string(v.at("daemon").as_string())},
                             std::string(v.at("incarnation").as_string()),
                             v.at("counter").to_number<std::uint64_t>(),
-                            v.at("loaded_view").to_number<fencing_number>()};
+                            v.at("loaded_view").to_number<fencing_number>(),
+                            v.at("prepared_view").to_number<fencing_number>(),
+                            0};
     } catch (const std::exception &) {
         return std::nullopt;
     }
@@ -29,7 +41,8 @@
 
 void lease_holder::onRenewed(time_point sentAt)
 {
-    m_renewedAt = sentAt;
+    // Answers may come in another order than their renewals went out.
+    m_renewedAt = m_renewedAt ? std::max(*m_renewedAt, sentAt) : sentAt;
 }
 
 bool lease_holder::holds(time_point now) const
@@ -42,28 +55,64 @@
     return m_renewedAt ? *m_renewedAt + m_settings.renewEvery : time_point::min();
 }
 
-void lease_observer::onRead(const lease_record &lease, time_point now)
+void lease_observer::onRead(const std::vector<lease_record> &leases, time_point sentAt,
+                            time_point now)
 {
-    seen &s = m_seen[lease.daemon];
-    if (s.incarnation == lease.incarnation && s.counter == lease.counter)
+    if (sentAt < m_lastRead)
         return;
-    s = {lease.incarnation, lease.counter, now};
+    m_lastRead = sentAt;
+    m_rows.clear();
+    for (const lease_record &lease : leases) {
+        m_rows[lease.daemon] = lease;
+        const auto [it, isNew]
+            = m_seen.try_emplace({lease.daemon, lease.incarnation}, seen{lease.counter, now});
+        // A lower counter is an old renewal that the table applied late: no sign of life.
+        if (!isNew && lease.counter > it->second.counter)
+            it->second = {lease.counter, now};
+    }
+    dropUnlisted();
+}
+
+void lease_observer::dropUnlisted()
+{
+    // Runs that ended long ago; those that are still members are watched again at once.
+    std::erase_if(m_seen, [this](const auto &entry) {
+        const lease_record *lease = row(entry.first.first);
+        const bool listed = lease && lease->incarnation == entry.first.second;
+        return !listed && stoodStill(entry.first, m_settings.ttl * abandonedLives);
+    });
 }
 
-bool lease_observer::hasLapsed(const daemon_id &daemon, time_point now) const
+bool lease_observer::stoodStill(const run_id &run, duration life) const
 {
-    const auto it = m_seen.find(daemon);
-    return it != m_seen.end() && now >= it->second.changedAt + m_settings.ttl + m_settings.margin;
+    const auto it = m_seen.find(run);
+    return it != m_seen.end() && m_lastRead >= it->second.changedAt + life + m_settings.margin;
 }
 
-void lease_observer::watch(const daemon_id &daemon, time_point now)
+bool lease_observer::hasLapsed(const daemon_id &daemon, const std::string &incarnation) const
 {
-    m_seen.try_emplace(daemon, seen{{}, 0, now});
+    return stoodStill({daemon, incarnation}, m_settings.ttl);
 }
 
-void lease_observer::forget(const daemon_id &daemon)
+void lease_observer::watch(const daemon_id &daemon, const std::string &incarnation, time_point now)
 {
-    m_seen.erase(daemon);
+    m_seen.try_emplace({daemon, incarnation}, seen{0, now});
+}
+
+const lease_record *lease_observer::row(const daemon_id &daemon) const
+{
+    const auto it = m_rows.find(daemon);
+    return it == m_rows.end() ? nullptr : &it->second;
+}
+
+std::vector<lease_record> lease_observer::abandoned() const
+{
+    std::vector<lease_record> result;
+    for (const auto &[daemon, lease] : m_rows) {
+        if (stoodStill({daemon, lease.incarnation}, m_settings.ttl * abandonedLives))
+            result.push_back(lease);
+    }
+    return result;
 }
 
 } // namespace azurehill
--- a/src/ownership/lease.h
+++ b/src/ownership/lease.h
@@ -2,11 +2,14 @@
 
 #include "core/ids.h"
 #include "core/runtime_clock.h"
+#include "platform/table.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace azurehill {
 
@@ -28,6 +31,10 @@
     std::uint64_t counter = 0;
     /// Number of the newest view whose gained programs this daemon has loaded.
     fencing_number loadedView = 0;
+    /// Number of the newest view that lists all programs which this daemon keeps.
+    fencing_number preparedView = 0;
+    /// Version of the row as read; not part of its value.
+    row_version version = 0;
 };
 
 std::string encode(const lease_record &lease);
@@ -55,29 +62,44 @@
 };
 
 /// \brief Watches the leases of others, on this machine's clock alone.
+///
+/// One run of a daemon is watched apart from the next: renewals of a restarted daemon must not keep
+/// its former run among the members.
 class lease_observer
 {
 public:
     explicit lease_observer(lease_settings settings) : m_settings(settings) { }
 
-    /// \brief Notes a lease as read at \p now.
-    void onRead(const lease_record &lease, time_point now);
-    /// \returns whether the lease of \p daemon has stood still for its whole life.
-    bool hasLapsed(const daemon_id &daemon, time_point now) const;
-    /// \brief Starts to watch \p daemon even if its lease was never read.
-    void watch(const daemon_id &daemon, time_point now);
-    void forget(const daemon_id &daemon);
+    /// \brief Takes in all leases of the cell. An answer to an older read than the last is dropped.
+    /// \param sentAt when the read was sent: what it shows was true at that time or later.
+    void onRead(const std::vector<lease_record> &leases, time_point sentAt, time_point now);
+    /// \returns whether a read showed the lease standing still for its whole life. Time without a
+    /// read proves nothing: an observer whose reads fail would remove daemons that renew.
+    bool hasLapsed(const daemon_id &daemon, const std::string &incarnation) const;
+    /// \brief Starts to watch a run of \p daemon even if its lease was never read.
+    void watch(const daemon_id &daemon, const std::string &incarnation, time_point now);
+    /// \returns when the last read that counts was sent.
+    time_point lastRead() const { return m_lastRead; }
+    /// \returns the row of \p daemon as last read, or nullptr when there was none.
+    const lease_record *row(const daemon_id &daemon) const;
+    /// \returns the leases that stood still for many lives: of daemons that are gone for good.
+    std::vector<lease_record> abandoned() const;
 
 private:
     struct seen
     {
-        std::string incarnation;
         std::uint64_t counter = 0;
         time_point changedAt;
     };
+    using run_id = std::pair<daemon_id, std::string>;
+
+    bool stoodStill(const run_id &run, duration life) const;
+    void dropUnlisted();
 
     lease_settings m_settings;
-    std::unordered_map<daemon_id, seen> m_seen;
+    std::map<run_id, seen> m_seen;
+    std::map<daemon_id, lease_record> m_rows;
+    time_point m_lastRead = time_point::min();
 };
 
 } // namespace azurehill
--- a/src/ownership/membership.cpp
+++ b/src/ownership/membership.cpp
@@ -1,9 +1,22 @@
 #include "ownership/membership.h"
 
+#include "ownership/placement.h"
+
 #include <algorithm>
+#include <iterator>
 
 namespace azurehill {
 
+namespace {
+
+/// Shortest time between two changes of the view that only give programs up: each change makes
+/// every member look for gains.
+constexpr duration handOverPeriod = seconds(1);
+/// Lives of a lease without a read of the view after which a daemon renews no more.
+constexpr int blindLives = 20;
+
+} // namespace
+
 membership::membership(member self, lease_settings settings)
     : m_self(std::move(self)), m_settings(settings), m_holder(settings), m_observer(settings)
 {
@@ -13,20 +26,98 @@
 
 bool membership::onView(const cell_view &view, time_point now)
 {
+    m_viewReadAt = now;
     const bool first = !m_viewRead;
     m_viewRead = true;
-    if (view.number < m_view.number || (!first && view.number == m_view.number))
+    m_rowWentBack.reset();
+    if (!first && view.number <= m_view.number) {
+        // A late answer, or a row that was lost. A write on this version tells: it can only
+        // succeed when the row is really so, and it sets the number above all that were known.
+        if (view.version != m_view.version)
+            m_rowWentBack = view.version;
         return false;
+    }
+    const member *before = ownEntry();
+    const std::vector<program_id> kept = before ? before->keeps : std::vector<program_id>();
     m_view = view;
+    m_viewAt = now;
+    const member *after = ownEntry();
+    if (after && after->keeps != kept)
+        m_keepsAt = now;
     for (const member &m : m_view.members)
-        m_observer.watch(m.daemon, now);
+        m_observer.watch(m.daemon, m.incarnation, now);
+    noteOwnPlace();
     return true;
 }
 
-void membership::onLeases(const std::vector<lease_record> &leases, time_point now)
+void membership::noteOwnPlace()
+{
+    const member *listed = m_view.find(m_self.daemon);
+    const member *me = ownEntry();
+    if (me)
+        m_wasMember = true;
+    else if (listed && m_wasMember)
+        m_superseded = true;
+    if (!me || !me->joining) {
+        m_joiningSince = 0;
+    } else if (m_joiningSince == 0) {
+        m_joiningSince = m_view.number;
+    }
+}
+
+const member *membership::ownEntry() const
+{
+    const member *me = m_view.find(m_self.daemon);
+    return me && me->incarnation == m_self.incarnation ? me : nullptr;
+}
+
+bool membership::isMine(const member *owner) const
+{
+    return owner && owner == ownEntry();
+}
+
+void membership::setRunning(std::set<program_id> roots)
+{
+    m_running = std::move(roots);
+}
+
+std::vector<program_id> membership::wantedKeeps() const
+{
+    std::vector<program_id> keeps;
+    for (const program_id &root : m_running) {
+        const bool moves = m_stage != stage::Serving || !isMine(nextOwnerOf(m_view, root));
+        if (moves && isMine(ownerOf(m_view, root)))
+            keeps.push_back(root);
+    }
+    return keeps;
+}
+
+void membership::notePrepared()
+{
+    const member *me = ownEntry();
+    const std::vector<program_id> wanted = wantedKeeps();
+    if (me && std::includes(me->keeps.begin(), me->keeps.end(), wanted.begin(), wanted.end()))
+        m_lease.preparedView = m_view.number;
+}
+
+bool membership::staysHere(const program_id &program) const
 {
-    for (const lease_record &lease : leases)
-        m_observer.onRead(lease, now);
+    return m_stage == stage::Serving && isMine(ownerOf(m_view, program))
+        && isMine(nextOwnerOf(m_view, program));
+}
+
+bool membership::isEmptied() const
+{
+    const member *me = ownEntry();
+    return !me || (me->draining && me->keeps.empty());
+}
+
+void membership::onLeases(const std::vector<lease_record> &leases, time_point sentAt,
+                          time_point now)
+{
+    m_observer.onRead(leases, sentAt, now);
+    for (const member &m : m_view.members)
+        m_observer.watch(m.daemon, m.incarnation, now);
 }
 
 void membership::onRenewed(time_point sentAt)
@@ -41,42 +132,136 @@
 
 void membership::drain()
 {
-    m_self.draining = true;
+    if (m_stage == stage::Serving)
+        m_stage = stage::Draining;
+}
+
+void membership::leave()
+{
+    m_stage = stage::Leaving;
+}
+
+std::optional<renew_lease> membership::pollLease(time_point now)
+{
+    if (m_superseded || m_stage == stage::Leaving || now < m_holder.renewAt())
+        return std::nullopt;
+    // Joins wait for each member that renews. One that can't read the view would hold them for
+    // ever, so it lets its lease lapse.
+    if (m_viewRead && now > m_viewReadAt + blindLives * m_settings.ttl)
+        return std::nullopt;
+    ++m_lease.counter;
+    return renew_lease{m_lease};
 }
 
 std::vector<membership_action> membership::poll(time_point now)
 {
     std::vector<membership_action> actions;
-    if (now >= m_holder.renewAt()) {
-        ++m_lease.counter;
-        actions.emplace_back(renew_lease{m_lease});
-    }
-    if (!m_viewRead || !m_holder.holds(now))
+    const bool mayAct = m_holder.holds(now) || m_stage == stage::Leaving;
+    if (!m_viewRead || m_superseded || !mayAct)
         return actions;
-    if (auto next = nextView(now))
-        actions.emplace_back(change_view{m_view.version, std::move(*next)});
+    notePrepared();
+    if (auto change = nextChange(now))
+        actions.emplace_back(std::move(*change));
+    else if (auto drop = nextDrop())
+        actions.emplace_back(std::move(*drop));
     return actions;
 }
 
-std::optional<cell_view> membership::nextView(time_point now) const
+bool membership::hasLapsed(const member &m) const
 {
-    cell_view next{0, m_view.number + 1, {}};
+    // A member may have lapsed, gone and come back in views that were not seen here. It renewed
+    // before it came back, so a read sent after this view was known shows that; an older one
+    // would remove a daemon that lives.
+    return m_observer.lastRead() >= m_viewAt && m_observer.hasLapsed(m.daemon, m.incarnation);
+}
+
+bool membership::othersArePrepared() const
+{
+    return std::all_of(m_view.members.begin(), m_view.members.end(), [this](const member &m) {
+        if (m.daemon == m_self.daemon)
+            return true;
+        const lease_record *lease = m_observer.row(m.daemon);
+        return lease && lease->incarnation == m.incarnation
+            && lease->preparedView >= m_joiningSince;
+    });
+}
+
+bool membership::isJoining() const
+{
+    const member *listed = m_view.find(m_self.daemon);
+    // A restarted daemon takes over what its former run owned: nobody has to hand over.
+    if (listed && listed->incarnation != m_self.incarnation)
+        return listed->joining;
+    if (!listed)
+        return !m_view.members.empty();
+    if (!listed->joining)
+        return false;
+    return !othersArePrepared();
+}
+
+std::optional<member> membership::nextSelf(time_point now) const
+{
+    const member *me = ownEntry();
+    if (m_stage == stage::Leaving || (m_stage == stage::Draining && !me))
+        return std::nullopt;
+    member next = m_self;
+    next.draining = m_stage == stage::Draining;
+    next.joining = isJoining();
+    next.keeps = wantedKeeps();
+    const bool onlyGivesUp = me && !next.keeps.empty()
+        && std::includes(me->keeps.begin(), me->keeps.end(), next.keeps.begin(), next.keeps.end());
+    if (onlyGivesUp && now < m_keepsAt + handOverPeriod)
+        next.keeps = me->keeps;
+    return next;
+}
+
+std::optional<change_view> membership::nextChange(time_point now) const
+{
+    change_view change{m_rowWentBack.value_or(m_view.version), {0, m_view.number + 1, {}}, {}, {}};
     for (const member &m : m_view.members) {
-        if (m.daemon != m_self.daemon && !m_observer.hasLapsed(m.daemon, now))
-            next.members.push_back(m);
+        if (m.daemon == m_self.daemon)
+            continue;
+        if (m_stage == stage::Leaving || !hasLapsed(m)) {
+            change.next.members.push_back(m);
+            continue;
+        }
+        const lease_record *lease = m_observer.row(m.daemon);
+        change.checks.push_back({m.daemon, lease ? lease->version : 0});
+        if (lease && lease->incarnation == m.incarnation)
+            change.dropLeases.push_back(m.daemon);
     }
-    next.members.push_back(m_self);
+    if (auto self = nextSelf(now))
+        change.next.members.push_back(std::move(*self));
+    else if (ownEntry())
+        change.dropLeases.push_back(m_self.daemon);
     const auto byId = [](const member &a, const member &b) { return a.daemon < b.daemon; };
-    std::sort(next.members.begin(), next.members.end(), byId);
-    if (next.members == m_view.members)
+    std::sort(change.next.members.begin(), change.next.members.end(), byId);
+    if (change.next.members == m_view.members && !m_rowWentBack)
         return std::nullopt;
-    return next;
+    return change;
+}
+
+std::optional<drop_lease> membership::nextDrop() const
+{
+    const auto owner = std::find_if(m_view.members.begin(), m_view.members.end(), takesPrograms);
+    // One member does it, so that a cell of many daemons does not write the same thing many times.
+    if (owner == m_view.members.end() || owner->daemon != m_self.daemon)
+        return std::nullopt;
+    for (const lease_record &lease : m_observer.abandoned()) {
+        if (!m_view.find(lease.daemon))
+            return drop_lease{{lease.daemon, lease.version}};
+    }
+    return std::nullopt;
 }
 
 bool membership::isActive(time_point now) const
 {
-    const member *me = m_view.find(m_self.daemon);
-    return m_holder.holds(now) && me && me->incarnation == m_self.incarnation;
+    return m_holder.holds(now) && ownEntry();
+}
+
+bool membership::hasLeft() const
+{
+    return m_stage == stage::Leaving && !ownEntry();
 }
 
 } // namespace azurehill
--- a/src/ownership/ownership.h
+++ b/src/ownership/ownership.h
@@ -6,4 +6,5 @@
 #include "ownership/cell_view.h"
 #include "ownership/lease.h"
 #include "ownership/membership.h"
+#include "ownership/ownership_history.h"
 #include "ownership/placement.h"
--- a/src/ownership/placement.cpp
+++ b/src/ownership/placement.cpp
@@ -11,14 +11,31 @@
     return stableHash(m.daemon.value, programHash);
 }
 
+template <class Predicate>
+const member *heaviest(const cell_view &view, const program_id &root, Predicate counts)
+{
+    const std::uint64_t programHash = stableHash(root.value);
+    const member *best = nullptr;
+    for (const member &m : view.members) {
+        if (counts(m) && (!best || weightOf(m, programHash) > weightOf(*best, programHash)))
+            best = &m;
+    }
+    return best;
+}
+
 } // namespace
 
+bool takesPrograms(const member &m)
+{
+    return !m.draining && !m.joining;
+}
+
 std::vector<const member *> preferenceOrder(const cell_view &view, const program_id &program)
 {
     const std::uint64_t programHash = stableHash(rootOf(program).value);
     std::vector<const member *> order;
     for (const member &m : view.members) {
-        if (!m.draining)
+        if (takesPrograms(m))
             order.push_back(&m);
     }
     std::sort(order.begin(), order.end(), [&](const member *a, const member *b) {
@@ -29,15 +46,18 @@
 
 const member *ownerOf(const cell_view &view, const program_id &program)
 {
-    const std::uint64_t programHash = stableHash(rootOf(program).value);
-    const member *best = nullptr;
+    const program_id root = rootOf(program);
+    // What a member keeps has a call under way, whose end that member alone can commit.
     for (const member &m : view.members) {
-        if (m.draining)
-            continue;
-        if (!best || weightOf(m, programHash) > weightOf(*best, programHash))
-            best = &m;
+        if (std::binary_search(m.keeps.begin(), m.keeps.end(), root))
+            return &m;
     }
-    return best;
+    return heaviest(view, root, takesPrograms);
+}
+
+const member *nextOwnerOf(const cell_view &view, const program_id &program)
+{
+    return heaviest(view, rootOf(program), [](const member &m) { return !m.draining; });
 }
 
 } // namespace azurehill
