--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	@git ls-files '*.h' '*.cpp' | xargs -r clang-format -i
 
 lint: build
-	@bash scripts/lint.sh $(BUILD)
+	@bash scripts/lint.sh
 
 asan:
 	@$(MAKE) test PRESET=asan
--- a/standin/fault.cpp
+++ b/standin/fault.cpp
@@ -60,7 +60,7 @@
 
 } // namespace
 
-request_handler withFaults(std::shared_ptr<fault_state> faults, request_handler inner)
+request_handler withFaults(const std::shared_ptr<fault_state> &faults, request_handler inner)
 {
     return [faults, inner = std::move(inner)](const http_request &request,
                                               response_writer &writer) -> awaitable<void> {
--- a/standin/fault.h
+++ b/standin/fault.h
@@ -29,7 +29,7 @@
 };
 
 /// \returns \p inner behind \p faults: requests to /fault set it, all others suffer it.
-request_handler withFaults(std::shared_ptr<fault_state> faults, request_handler inner);
+request_handler withFaults(const std::shared_ptr<fault_state> &faults, request_handler inner);
 
 } // namespace azurehill::standin
 
