--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "daemon/control.h"
+#include "daemon/operator_door.h"
 #include "http/http_server.h"
 
 namespace azurehill {
@@ -10,7 +11,8 @@
 {
 public:
     door(control &owner, asio::any_io_executor controlThread, const settings &s)
-        : m_control(owner), m_controlThread(std::move(controlThread)), m_settings(s)
+        : m_control(owner), m_controlThread(std::move(controlThread)), m_settings(s),
+          m_operators(owner, m_controlThread, s)
     { }
 
     /// \brief Serves a request that came from a caller or an operator.
@@ -30,7 +32,6 @@
                                response_writer &writer, origin from);
     awaitable<void> call(const http_request &request, const tenant_id &tenant,
                          response_writer &writer, origin from);
-    awaitable<void> operate(const http_request &request, response_writer &writer);
     /// \brief Passes \p request on to the owner of \p id. \returns whether another daemon is owner.
     awaitable<bool> passToOwner(const program_id &id, const http_request &request,
                                 response_writer &writer, origin from);
@@ -46,6 +47,7 @@
     control &m_control;
     asio::any_io_executor m_controlThread;
     const settings &m_settings;
+    operator_door m_operators;
 };
 
 } // namespace azurehill
