Bound what a connection may send, hold and wait for

Cause: a time-out cancelled one read; a byte that came at that moment gave a slow sender the rest of eternity, since the guard fires once. Writes were cancelled in the same way. Connections beyond the bound closed without a word, bodies of all connections together had no bound, a handler's exception closed the connection without an answer, a HEAD request got a body, Expect got no interim response. The acceptor was closed from another thread than the one that accepted.

Change: the server reads requests piece by piece and looks at the time after each read; writes close the socket. 64 connections beyond the bound are told 503 with Retry-After, more are closed. Bodies above 64 KiB count against 128 MiB for the whole server. After an error answer the connection lingers for 1 s or 256 KiB. The acceptor has a strand of its own.

Seen failing without their guard, by hand: the time check (408 missing, and a hang), the body bound, the 503 of connections, the 500 of a handler's fault. The lingering close is not shown by a test: on loopback the answer is in the peer's queue before the reset.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -27,6 +27,11 @@
     return {kind, ran, code.message()};
 }
 
+http_error tooLong()
+{
+    return {http_error_kind::Malformed, outcome::Ran, "the response is too long"};
+}
+
 } // namespace
 
 struct http_connection::state
@@ -105,6 +110,7 @@
     out.body() = std::move(request.body);
     out.prepare_payload();
 
+    const bool head = out.method() == http::verb::head;
     beast::error_code code;
     m_state->reusable = false;
     m_state->watch(deadline);
@@ -116,7 +122,9 @@
         co_return tl::unexpected(makeError(code, m_state->expired(), ran));
     }
     auto &parser = m_state->parser.emplace();
-    parser.body_limit(maxResponseBody);
+    // Bodies that are streamed have no bound: finished books are large.
+    parser.body_limit(boost::none);
+    parser.skip(head);
     parser.header_limit(maxResponseHeader);
     co_await http::async_read_header(m_state->socket, m_state->buffer, parser,
                                      asio::redirect_error(use_awaitable, code));
@@ -124,11 +132,11 @@
     if (code || m_state->expired())
         co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
 
-    response_head head;
-    head.status = parser.get().result_int();
+    response_head result;
+    result.status = parser.get().result_int();
     for (const auto &field : parser.get())
-        head.headers.add(field.name_string(), field.value());
-    co_return head;
+        result.headers.add(field.name_string(), field.value());
+    co_return result;
 }
 
 awaitable<tl::expected<std::string, http_error>> http_connection::readSome(time_point deadline)
@@ -172,6 +180,10 @@
         if (piece->empty())
             co_return response;
         response.body += *piece;
+        if (response.body.size() > maxResponseBody) {
+            close();
+            co_return tl::unexpected(tooLong());
+        }
     }
 }
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -2,7 +2,7 @@
 
 #include "core/log.h"
 #include "http/problem.h"
-#include "runtime/deadline_guard.h"
+#include "http/server_writer.h"
 #include "runtime/spawn.h"
 #include "runtime/timer.h"
 
@@ -19,124 +19,70 @@
 struct http_server::state
 {
     state(asio::any_io_executor e, http_limits l, request_handler h)
-        : executor(std::move(e)), limits(l), handler(std::move(h)), acceptor(executor)
+        : executor(std::move(e)), limits(l), handler(std::move(h)),
+          acceptor(asio::make_strand(executor))
     { }
 
     asio::any_io_executor executor;
     http_limits limits;
     request_handler handler;
+    /// On a strand, since stopAccepting() closes it from another thread than accepts.
     tcp::acceptor acceptor;
     std::atomic<bool> stopping{false};
     std::atomic<int> connections{0};
+    std::atomic<int> refusing{0};
     std::atomic<int> inProgress{0};
+    std::atomic<std::int64_t> bodyBytes{0};
 };
 
 namespace {
 
-/// \brief A socket whose reads and writes end when their time is over.
-class timed_socket
-{
-public:
-    explicit timed_socket(tcp::socket s) : socket(std::move(s)), m_guard(socket.get_executor()) { }
-
-    /// \brief Ends the operation in progress unless finish() comes within \p limit: a peer that
-    /// sends or reads slowly would otherwise hold its memory for ever.
-    void start(duration limit)
-    {
-        m_guard.start(runtime_clock::now() + limit, [this] {
-            beast::error_code ignored;
-            socket.cancel(ignored);
-        });
-    }
-    void finish() { m_guard.finish(); }
-    bool expired() const { return m_guard.expired(); }
-
-    tcp::socket socket;
+using request_parser = http::request_parser<http::string_body>;
 
-private:
-    deadline_guard m_guard;
-};
+constexpr std::size_t readSize = 16U << 10U;
+constexpr duration refusalTime = seconds(1);
+constexpr duration retryWhenBusy = seconds(1);
+/// Bodies up to this size are not counted: the header bound covers as much.
+constexpr std::uint64_t smallBody = 64U << 10U;
 
-class beast_writer : public response_writer
+/// \brief The share of the server's body memory that one request holds.
+class body_share
 {
 public:
-    beast_writer(timed_socket &socket, bool keepAlive, duration writeTime)
-        : m_socket(socket), m_keepAlive(keepAlive), m_writeTime(writeTime)
-    { }
-
-    awaitable<bool> write(http_response response) override
-    {
-        http::response<http::string_body> out(static_cast<http::status>(response.status), 11);
-        for (const auto &[name, value] : response.headers)
-            out.insert(name, value);
-        out.keep_alive(m_keepAlive);
-        out.body() = std::move(response.body);
-        out.prepare_payload();
-        beast::error_code code;
-        m_socket.start(m_writeTime);
-        co_await http::async_write(m_socket.socket, out, asio::redirect_error(use_awaitable, code));
-        m_socket.finish();
-        m_finished = !code;
-        co_return !code;
-    }
-
-    awaitable<bool> begin(int status, header_list headers) override
-    {
-        http::response<http::empty_body> out(static_cast<http::status>(status), 11);
-        for (const auto &[name, value] : headers)
-            out.insert(name, value);
-        out.keep_alive(m_keepAlive);
-        out.chunked(true);
-        http::response_serializer<http::empty_body> serializer(out);
-        beast::error_code code;
-        m_socket.start(m_writeTime);
-        co_await http::async_write_header(m_socket.socket, serializer,
-                                          asio::redirect_error(use_awaitable, code));
-        m_socket.finish();
-        co_return !code;
-    }
-
-    awaitable<bool> writeChunk(std::string_view bytes) override
-    {
-        if (bytes.empty())
-            co_return true;
-        const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
-        co_return co_await writeBuffers(chunk);
-    }
-
-    awaitable<bool> end() override
+    explicit body_share(http_server::state &server) : m_server(server) { }
+    ~body_share() { m_server.bodyBytes -= m_taken; }
+    body_share(const body_share &) = delete;
+    body_share &operator=(const body_share &) = delete;
+
+    /// \brief Takes room for \p parser's body. A body of unknown length takes the most it may have.
+    /// \returns whether there was room.
+    bool take(const request_parser &parser)
     {
-        m_finished = co_await writeBuffers(http::make_chunk_last());
-        co_return m_finished;
+        const auto length = parser.content_length();
+        if (!parser.chunked() && length.value_or(0) <= smallBody)
+            return true;
+        m_taken = static_cast<std::int64_t>(
+            length ? std::min<std::uint64_t>(*length, m_server.limits.maxBodyBytes)
+                   : m_server.limits.maxBodyBytes);
+        return (m_server.bodyBytes += m_taken) <= m_server.limits.maxTotalBodyBytes;
     }
 
-    /// \returns whether a whole response went out, so that the connection can go on.
-    bool finished() const { return m_finished; }
-
 private:
-    template <class Buffers>
-    awaitable<bool> writeBuffers(const Buffers &buffers)
-    {
-        beast::error_code code;
-        m_socket.start(m_writeTime);
-        co_await asio::async_write(m_socket.socket, buffers,
-                                   asio::redirect_error(use_awaitable, code));
-        m_socket.finish();
-        co_return !code;
-    }
-
-    timed_socket &m_socket;
-    bool m_keepAlive;
-    duration m_writeTime;
-    bool m_finished = false;
+    http_server::state &m_server;
+    std::int64_t m_taken = 0;
 };
 
-using request_parser = http::request_parser<http::string_body>;
+/// \brief How the reading of a request ended.
+enum class read_result { Whole, Quiet, Malformed, TooSlow, NoRoom };
 
-problem problemOf(beast::error_code code, bool expired)
+problem problemOf(read_result result, beast::error_code code)
 {
-    if (expired)
+    if (result == read_result::TooSlow)
         return {408, "request-timeout", "The request came too slowly", "", outcome::DidNotRun, {}};
+    if (result == read_result::NoRoom) {
+        return {503,          "busy", "The daemon holds too many bodies", "", outcome::DidNotRun,
+                retryWhenBusy};
+    }
     if (code == http::error::body_limit)
         return {413, "body-too-large", "The body is too large", "", outcome::DidNotRun, {}};
     if (code == http::error::header_limit)
@@ -144,6 +90,12 @@
     return {400, "malformed-request", "Not HTTP/1.1", code.message(), outcome::DidNotRun, {}};
 }
 
+problem tooManyConnections()
+{
+    return {503, "too-many-connections", "The daemon has too many connections",
+            "",  outcome::DidNotRun,     retryWhenBusy};
+}
+
 http_request toRequest(http::request<http::string_body> in)
 {
     http_request request;
@@ -155,68 +107,151 @@
     return request;
 }
 
-/// \returns whether the end of the connection is ordinary and needs no answer.
-bool isQuietEnd(beast::error_code code)
+/// \brief Sends the interim response that a caller with a large body waits for.
+awaitable<void> sendContinue(timed_socket &socket)
 {
-    return code == http::error::end_of_stream || code == asio::error::connection_reset
-        || code == asio::error::eof;
+    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    beast::error_code ignored;
+    co_await asio::async_write(socket.socket, asio::buffer(interim),
+                               asio::redirect_error(use_awaitable, ignored));
+}
+
+/// \brief Takes in what \p buffer holds.
+void parseSome(beast::flat_buffer &buffer, request_parser &parser, beast::error_code &code)
+{
+    while (buffer.size() > 0 && !parser.is_done()) {
+        const std::size_t used = parser.put(buffer.data(), code);
+        buffer.consume(used);
+        if (code == http::error::need_more)
+            code = {};
+        if (code || used == 0)
+            return;
+    }
+}
+
+awaitable<read_result> readRequest(timed_socket &socket, beast::flat_buffer &buffer,
+                                   request_parser &parser, body_share &share,
+                                   beast::error_code &code)
+{
+    bool headSeen = false;
+    while (true) {
+        parseSome(buffer, parser, code);
+        if (code)
+            co_return read_result::Malformed;
+        if (!headSeen && parser.is_header_done()) {
+            headSeen = true;
+            if (!share.take(parser))
+                co_return read_result::NoRoom;
+            if (!parser.is_done()
+                && beast::iequals(parser.get()[http::field::expect], "100-continue"))
+                co_await sendContinue(socket);
+        }
+        if (parser.is_done())
+            co_return read_result::Whole;
+        buffer.commit(co_await socket.socket.async_read_some(
+            buffer.prepare(readSize), asio::redirect_error(use_awaitable, code)));
+        if (socket.expired())
+            co_return read_result::TooSlow;
+        if (code)
+            co_return read_result::Quiet; // the peer is gone: there is nobody to answer
+    }
 }
 
 awaitable<bool> answer(http_server::state &server, timed_socket &socket,
-                       http::request<http::string_body> in);
+                       http::request<http::string_body> in)
+{
+    const bool keepAlive = in.keep_alive() && !server.stopping;
+    const bool headOnly = in.method() == http::verb::head;
+    server_writer writer(socket, keepAlive, headOnly, server.limits.writeTime);
+    ++server.inProgress;
+    bool failed = false;
+    try {
+        co_await server.handler(toRequest(std::move(in)), writer);
+    } catch (const std::exception &e) {
+        logEvent(log_level::Error, "handler_failed", {{"detail", std::string(e.what())}});
+        failed = true;
+    }
+    if (failed && !writer.begun()) {
+        const problem p{500, "internal-error", "The daemon failed", "", outcome::Unknown, {}};
+        co_await writer.write(toResponse(p));
+    }
+    socket.unwatchPeer();
+    --server.inProgress;
+    co_return keepAlive &&writer.finished();
+}
 
+/// \returns whether the connection waits for a next request after this one.
 awaitable<bool> serveOne(http_server::state &server, timed_socket &socket,
                          beast::flat_buffer &buffer)
 {
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(server.limits.maxHeaderBytes));
-    parser.body_limit(server.limits.maxBodyBytes);
     beast::error_code code;
     if (buffer.size() == 0) {
-        socket.start(server.limits.idleTime);
+        socket.startRead(server.limits.idleTime);
         co_await socket.socket.async_wait(tcp::socket::wait_read,
                                           asio::redirect_error(use_awaitable, code));
         socket.finish();
         if (code)
             co_return false;
     }
-    socket.start(server.limits.requestTime);
-    co_await http::async_read(socket.socket, buffer, parser,
-                              asio::redirect_error(use_awaitable, code));
+    request_parser parser;
+    parser.eager(true);
+    parser.header_limit(static_cast<std::uint32_t>(server.limits.maxHeaderBytes));
+    parser.body_limit(server.limits.maxBodyBytes);
+    body_share share(server);
+    socket.startRead(server.limits.requestTime);
+    const read_result result = co_await readRequest(socket, buffer, parser, share, code);
     socket.finish();
-    if (code && isQuietEnd(code))
-        co_return false;
-    if (code) {
-        beast_writer writer(socket, false, server.limits.writeTime);
-        co_await writer.write(toResponse(problemOf(code, socket.expired())));
+    if (result == read_result::Quiet)
         co_return false;
+    if (result == read_result::Whole)
+        co_return co_await answer(server, socket, parser.release());
+    server_writer writer(socket, false, false, server.limits.writeTime);
+    if (co_await writer.write(toResponse(problemOf(result, code))))
+        co_await socket.linger();
+    co_return false;
+}
+
+awaitable<void> serveConnection(std::shared_ptr<http_server::state> server, tcp::socket raw)
+{
+    {
+        timed_socket socket(std::move(raw));
+        beast::flat_buffer buffer;
+        while (co_await serveOne(*server, socket, buffer)) {
+            // An idle connection keeps no memory from its last request.
+            if (buffer.size() == 0)
+                buffer = beast::flat_buffer();
+        }
+        beast::error_code ignored;
+        socket.socket.shutdown(tcp::socket::shutdown_send, ignored);
     }
-    co_return co_await answer(server, socket, parser.release());
+    --server->connections;
 }
 
-awaitable<bool> answer(http_server::state &server, timed_socket &socket,
-                       http::request<http::string_body> in)
+/// \brief Tells a connection beyond the bound to come back, and closes it.
+awaitable<void> refuseConnection(std::shared_ptr<http_server::state> server, tcp::socket raw)
 {
-    const bool keepAlive = in.keep_alive() && !server.stopping;
-    beast_writer writer(socket, keepAlive, server.limits.writeTime);
-    ++server.inProgress;
-    try {
-        co_await server.handler(toRequest(std::move(in)), writer);
-    } catch (const std::exception &e) {
-        logEvent(log_level::Error, "handler_failed", {{"detail", std::string(e.what())}});
+    {
+        timed_socket socket(std::move(raw));
+        server_writer writer(socket, false, false, refusalTime);
+        if (co_await writer.write(toResponse(tooManyConnections())))
+            co_await socket.linger();
     }
-    --server.inProgress;
-    co_return keepAlive &&writer.finished();
+    --server->refusing;
 }
 
-awaitable<void> serveConnection(std::shared_ptr<http_server::state> server, tcp::socket raw)
+void takeConnection(const std::shared_ptr<http_server::state> &server, tcp::socket socket)
 {
-    timed_socket socket(std::move(raw));
-    beast::flat_buffer buffer;
-    while (co_await serveOne(*server, socket, buffer)) { }
     beast::error_code ignored;
-    socket.socket.shutdown(tcp::socket::shutdown_send, ignored);
-    --server->connections;
+    socket.set_option(tcp::no_delay(true), ignored);
+    auto executor = socket.get_executor();
+    if (server->connections < server->limits.maxConnections) {
+        ++server->connections;
+        spawn(executor, "serveConnection", serveConnection(server, std::move(socket)));
+    } else if (server->refusing < server->limits.maxRefusing) {
+        ++server->refusing;
+        spawn(executor, "refuseConnection", refuseConnection(server, std::move(socket)));
+    }
+    // Otherwise the socket closes here: nothing of a request has been read.
 }
 
 awaitable<void> acceptAll(std::shared_ptr<http_server::state> server)
@@ -225,19 +260,14 @@
         beast::error_code code;
         tcp::socket socket = co_await server->acceptor.async_accept(
             asio::make_strand(server->executor), asio::redirect_error(use_awaitable, code));
-        if (code == asio::error::operation_aborted)
+        if (code == asio::error::operation_aborted || !server->acceptor.is_open())
             co_return;
         if (code) {
             // Out of file descriptors, most likely: wait for some to come back.
             co_await sleepFor(milliseconds(50));
             continue;
         }
-        if (server->connections >= server->limits.maxConnections)
-            continue; // the socket closes: nothing of a request has been read
-        ++server->connections;
-        socket.set_option(tcp::no_delay(true), code);
-        auto executor = socket.get_executor();
-        spawn(executor, "serveConnection", serveConnection(server, std::move(socket)));
+        takeConnection(server, std::move(socket));
     }
 }
 
@@ -270,7 +300,7 @@
         acceptor.listen(asio::socket_base::max_listen_connections, code);
     if (code)
         return 0;
-    spawn(m_state->executor, "acceptAll", acceptAll(m_state));
+    spawn(acceptor.get_executor(), "acceptAll", acceptAll(m_state));
     return acceptor.local_endpoint().port();
 }
 
@@ -278,7 +308,7 @@
 {
     if (m_state->stopping.exchange(true))
         return;
-    asio::post(m_state->executor, [server = m_state] {
+    asio::post(m_state->acceptor.get_executor(), [server = m_state] {
         beast::error_code ignored;
         server->acceptor.close(ignored);
     });
@@ -289,4 +319,9 @@
     return m_state->inProgress;
 }
 
+int http_server::openConnections() const
+{
+    return m_state->connections;
+}
+
 } // namespace azurehill
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -16,7 +17,11 @@
 {
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxBodyBytes = 4U << 20U;
+    /// Bodies that all connections together may hold; more is refused with 503.
+    std::int64_t maxTotalBodyBytes = 128LL << 20U;
     int maxConnections = 4096;
+    /// Connections beyond these that are still told 503 before they are closed.
+    int maxRefusing = 64;
     /// Longest time from the first byte of a request to its last.
     duration requestTime = seconds(20);
     /// Longest time a connection may wait for its next request.
@@ -38,6 +43,8 @@
     virtual awaitable<bool> writeChunk(std::string_view bytes) = 0;
     /// \brief Writes the last chunk.
     virtual awaitable<bool> end() = 0;
+    /// \brief Calls \p gone if the peer closes its connection while the answer is under way.
+    virtual void onPeerGone(std::function<void()> gone) { static_cast<void>(gone); }
 };
 
 using request_handler = std::function<awaitable<void>(const http_request &, response_writer &)>;
@@ -56,6 +63,8 @@
     void stopAccepting();
     /// \returns the number of requests now being answered.
     int requestsInProgress() const;
+    /// \returns the number of connections that are open.
+    int openConnections() const;
 
     struct state;
 
--- /dev/null
+++ b/src/http/server_writer.cpp
@@ -0,0 +1,80 @@
+#include "http/server_writer.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace azurehill {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+template <class Buffers>
+awaitable<bool> writeBuffers(timed_socket &socket, duration limit, const Buffers &buffers)
+{
+    beast::error_code code;
+    socket.startWrite(limit);
+    co_await asio::async_write(socket.socket, buffers, asio::redirect_error(use_awaitable, code));
+    socket.finish();
+    co_return !code;
+}
+
+} // namespace
+
+awaitable<bool> server_writer::write(http_response response)
+{
+    http::response<http::string_body> out(static_cast<http::status>(response.status), 11);
+    for (const auto &[name, value] : response.headers)
+        out.insert(name, value);
+    out.keep_alive(m_keepAlive);
+    out.body() = std::move(response.body);
+    out.prepare_payload();
+    if (m_headOnly)
+        out.body().clear();
+    beast::error_code code;
+    m_begun = true;
+    m_socket.startWrite(m_writeTime);
+    co_await http::async_write(m_socket.socket, out, asio::redirect_error(use_awaitable, code));
+    m_socket.finish();
+    m_finished = !code;
+    co_return !code;
+}
+
+awaitable<bool> server_writer::begin(int status, header_list headers)
+{
+    http::response<http::empty_body> out(static_cast<http::status>(status), 11);
+    for (const auto &[name, value] : headers)
+        out.insert(name, value);
+    out.keep_alive(m_keepAlive);
+    out.chunked(true);
+    http::response_serializer<http::empty_body> serializer(out);
+    beast::error_code code;
+    m_begun = true;
+    m_socket.startWrite(m_writeTime);
+    co_await http::async_write_header(m_socket.socket, serializer,
+                                      asio::redirect_error(use_awaitable, code));
+    m_socket.finish();
+    co_return !code;
+}
+
+awaitable<bool> server_writer::writeChunk(std::string_view bytes)
+{
+    if (bytes.empty() || m_headOnly)
+        co_return true;
+    const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
+    co_return co_await writeBuffers(m_socket, m_writeTime, chunk);
+}
+
+awaitable<bool> server_writer::end()
+{
+    if (m_headOnly) {
+        m_finished = true;
+        co_return true;
+    }
+    m_finished = co_await writeBuffers(m_socket, m_writeTime, http::make_chunk_last());
+    co_return m_finished;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/http/timed_socket.cpp
@@ -0,0 +1,88 @@
+#include "http/timed_socket.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+#include <array>
+
+namespace azurehill {
+
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr duration lingerTime = seconds(1);
+constexpr std::size_t lingerBytes = 256U << 10U;
+
+/// \returns whether nothing more will come from the peer of \p socket, which is readable.
+bool isAtEnd(tcp::socket &socket)
+{
+    boost::system::error_code code;
+    char byte = 0;
+    socket.non_blocking(true, code);
+    const std::size_t n = socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return n == 0 && code != asio::error::would_block && code != asio::error::try_again;
+}
+
+} // namespace
+
+timed_socket::timed_socket(tcp::socket s) : socket(std::move(s)), m_guard(socket.get_executor()) { }
+
+timed_socket::~timed_socket()
+{
+    if (m_watching)
+        *m_watching = false;
+}
+
+void timed_socket::startRead(duration limit)
+{
+    m_guard.start(runtime_clock::now() + limit, [this] {
+        boost::system::error_code ignored;
+        socket.cancel(ignored);
+    });
+}
+
+void timed_socket::startWrite(duration limit)
+{
+    m_guard.start(runtime_clock::now() + limit, [this] {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    });
+}
+
+void timed_socket::watchPeer(std::function<void()> onGone)
+{
+    unwatchPeer();
+    m_watching = std::make_shared<bool>(true);
+    socket.async_wait(
+        tcp::socket::wait_read,
+        [this, watching = m_watching, onGone = std::move(onGone)](boost::system::error_code code) {
+            if (!code && *watching && isAtEnd(socket))
+                onGone();
+        });
+}
+
+void timed_socket::unwatchPeer()
+{
+    if (!m_watching)
+        return;
+    *m_watching = false;
+    m_watching.reset();
+    boost::system::error_code ignored;
+    socket.cancel(ignored);
+}
+
+awaitable<void> timed_socket::linger()
+{
+    boost::system::error_code code;
+    socket.shutdown(tcp::socket::shutdown_send, code);
+    std::array<char, 4096> discarded{};
+    std::size_t total = 0;
+    startRead(lingerTime);
+    while (!code && !expired() && total < lingerBytes) {
+        total += co_await socket.async_read_some(asio::buffer(discarded),
+                                                 asio::redirect_error(use_awaitable, code));
+    }
+    finish();
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/test/io/http_server_test.cpp
@@ -0,0 +1,285 @@
+#include "io/loopback.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehill;
+using namespace azurehill::test;
+
+namespace {
+
+/// \brief A server that answers each request with its body.
+class echo_server
+{
+public:
+    explicit echo_server(http_limits limits)
+        : server(context.get_executor(), limits,
+                 [](const http_request &r, response_writer &w) -> awaitable<void> {
+                     if (r.path() == "/throws")
+                         throw std::runtime_error("handler fault");
+                     http_response response = jsonResponse(200, r.body);
+                     co_await w.write(std::move(response));
+                 }),
+          port(server.listen({"127.0.0.1", 0}))
+    { }
+
+    std::string exchange(const std::string &bytes)
+    {
+        std::string answer;
+        auto body
+            = [&]() -> awaitable<void> { answer = co_await exchangeRaw(context, port, bytes); };
+        runIn(context, body());
+        return answer;
+    }
+
+    /// \brief Waits until no connection is left.
+    void waitUntilFree()
+    {
+        auto body = [&]() -> awaitable<void> {
+            while (server.openConnections() > 0)
+                co_await yieldOnce();
+        };
+        runIn(context, body());
+    }
+
+    asio::io_context context;
+    http_server server;
+    std::uint16_t port;
+};
+
+http_limits smallLimits()
+{
+    http_limits limits;
+    limits.maxHeaderBytes = 1024;
+    limits.maxBodyBytes = 2048;
+    limits.idleTime = std::chrono::hours(1000);
+    limits.requestTime = seconds(20);
+    return limits;
+}
+
+const std::string head = "POST /echo HTTP/1.1\r\nHost: a\r\n";
+
+bool isProblem(const std::string &answer, const std::string &status)
+{
+    return answer.starts_with("HTTP/1.1 " + status + " ")
+        && answer.find("application/problem+json") != std::string::npos
+        && answer.find(R"("outcome":"did_not_run")") != std::string::npos;
+}
+
+} // namespace
+
+// A caller, or somebody who means harm, sends bytes that are not a request. Each gets a problem
+// document and the end of its connection, and what comes after the fault is never taken for a
+// second request: two readings of one length would let one caller's bytes pose as another's.
+TEST_CASE("Malformed requests get a 4xx and the end of the connection")
+{
+    echo_server echo(smallLimits());
+    const auto refusedWith = [&](const std::string &bytes, const std::string &status) {
+        const std::string answer = echo.exchange(bytes);
+        INFO(bytes.substr(0, 200) << " -> " << answer);
+        return isProblem(answer, status) && answer.find("HTTP/1.1 ", 1) == std::string::npos;
+    };
+
+    SUBCASE("the request line")
+    {
+        CHECK(refusedWith("nonsense\r\n\r\n", "400"));
+        CHECK(refusedWith("GET /a b HTTP/1.1\r\n\r\n", "400"));
+        CHECK(refusedWith("GET / HTTP/9.9\r\n\r\n", "400"));
+        CHECK(refusedWith(std::string("GET /\0x HTTP/1.1\r\n\r\n", 21), "400"));
+    }
+    SUBCASE("the length")
+    {
+        CHECK(refusedWith(head + "Content-Length: -1\r\n\r\n", "400"));
+        CHECK(refusedWith(head + "Content-Length: 1e3\r\n\r\n", "400"));
+        CHECK(refusedWith(head + "Content-Length: 99999999999999999999999\r\n\r\n", "400"));
+        CHECK(refusedWith(head + "Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc", "400"));
+        CHECK(refusedWith(head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                          "400"));
+        CHECK(refusedWith(head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\n", "400"));
+        CHECK(refusedWith(head + "Transfer-Encoding: chunked\r\n\r\n-1\r\n", "400"));
+    }
+    SUBCASE("a header with a control character")
+    {
+        CHECK(refusedWith(head
+                              + "X: a\x01"
+                                "b\r\n\r\n",
+                          "400"));
+    }
+    SUBCASE("sizes past the bounds")
+    {
+        CHECK(refusedWith(head + "X: " + std::string(5000, 'x') + "\r\n\r\n", "431"));
+        CHECK(refusedWith("GET /" + std::string(5000, 'x') + " HTTP/1.1\r\n\r\n", "431"));
+        CHECK(refusedWith(head + "Content-Length: 2049\r\n\r\n", "413"));
+        CHECK(
+            refusedWith(head + "Content-Length: 400000\r\n\r\n" + std::string(200000, 'x'), "413"));
+        CHECK(refusedWith(
+            head + "Transfer-Encoding: chunked\r\n\r\n1000\r\n" + std::string(4096, 'x'), "413"));
+    }
+    echo.waitUntilFree();
+}
+
+TEST_CASE("Requests at the bounds are served")
+{
+    echo_server echo(smallLimits());
+
+    SUBCASE("a body of the largest size")
+    {
+        const std::string answer = echo.exchange(
+            head + "Connection: close\r\nContent-Length: 2048\r\n\r\n" + std::string(2048, 'x'));
+        CHECK(answer.starts_with("HTTP/1.1 200 "));
+        CHECK(answer.ends_with(std::string(2048, 'x')));
+    }
+    SUBCASE("two requests that came in one piece")
+    {
+        const std::string answer
+            = echo.exchange(head + "Content-Length: 1\r\n\r\na" + head
+                            + "Connection: close\r\nContent-Length: 1\r\n\r\nb");
+        CHECK(answer.find("HTTP/1.1 200 ", 1) != std::string::npos);
+        CHECK(answer.ends_with("b"));
+    }
+    SUBCASE("a caller that waits for 100 Continue")
+    {
+        std::string answer;
+        auto body = [&]() -> awaitable<void> {
+            raw_client client(echo.context);
+            co_await client.connect(echo.port);
+            co_await client.send(head
+                                 + "Connection: close\r\nExpect: 100-continue\r\n"
+                                   "Content-Length: 2\r\n\r\n");
+            CHECK(co_await client.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+            co_await client.send("ok");
+            answer = co_await client.readToEnd();
+        };
+        runIn(echo.context, body());
+        CHECK(answer.ends_with("ok"));
+    }
+    SUBCASE("a HEAD request gets the header alone")
+    {
+        const std::string answer
+            = echo.exchange("HEAD / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+        CHECK(answer.starts_with("HTTP/1.1 200 "));
+        CHECK(answer.ends_with("\r\n\r\n"));
+    }
+}
+
+TEST_CASE("A handler's fault is told to the caller")
+{
+    echo_server echo(smallLimits());
+    const std::string answer
+        = echo.exchange("GET /throws HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    CHECK(answer.starts_with("HTTP/1.1 500 "));
+    CHECK(answer.find(R"("outcome":"unknown")") != std::string::npos);
+}
+
+// Somebody opens connections and sends a byte now and then (slowloris). Each connection would hold
+// its memory for ever, and in the end no place is left for callers. A byte that comes at the very
+// moment of the time-out must not give the sender the rest of eternity.
+TEST_CASE("Slow senders are cut off")
+{
+    const paused_clock clock;
+    echo_server echo(smallLimits());
+    bool done = false;
+    std::string answer;
+
+    SUBCASE("a request that stops half-way")
+    {
+        auto body = [&]() -> awaitable<void> {
+            answer = co_await exchangeRaw(echo.context, echo.port, "GET / HT");
+            done = true;
+        };
+        spawn(echo.context.get_executor(), "client", body());
+        runIn(echo.context, advanceUntil(done, seconds(1)));
+        CHECK(isProblem(answer, "408"));
+    }
+    SUBCASE("a body of one byte at a time")
+    {
+        auto body = [&]() -> awaitable<void> {
+            raw_client client(echo.context);
+            co_await client.connect(echo.port);
+            co_await client.send(head + "Content-Length: 2000\r\n\r\n");
+            for (int i = 0; i < 1000; ++i) {
+                runtime_clock::advance(seconds(1));
+                co_await client.send("x");
+                co_await yieldOnce();
+            }
+            answer = co_await client.readToEnd();
+            done = true;
+        };
+        spawn(echo.context.get_executor(), "client", body());
+        runIn(echo.context, advanceUntil(done, milliseconds(1)));
+        CHECK(isProblem(answer, "408"));
+    }
+    echo.waitUntilFree();
+}
+
+TEST_CASE("An idle connection is closed")
+{
+    const paused_clock clock;
+    http_limits limits = smallLimits();
+    limits.idleTime = seconds(75);
+    echo_server echo(limits);
+    bool done = false;
+    std::string answer;
+    auto body = [&]() -> awaitable<void> {
+        answer = co_await exchangeRaw(echo.context, echo.port, "");
+        done = true;
+    };
+    spawn(echo.context.get_executor(), "client", body());
+    runIn(echo.context, advanceUntil(done, seconds(1)));
+    CHECK(answer.empty());
+    echo.waitUntilFree();
+}
+
+// More callers come than the daemon has places for. Those beyond the bound are told when to come
+// back, so that they ask another entry host; those that have a place keep it.
+TEST_CASE("Connections beyond the bound are told to come back")
+{
+    http_limits limits = smallLimits();
+    limits.maxConnections = 1;
+    limits.maxRefusing = 1;
+    echo_server echo(limits);
+    auto body = [&]() -> awaitable<void> {
+        raw_client first(echo.context);
+        co_await first.connect(echo.port);
+        co_await first.send(head + "Content-Length: 1\r\n\r\na");
+        co_await first.readUntil("\r\n\r\na");
+
+        const std::string refused
+            = co_await exchangeRaw(echo.context, echo.port, head + "Content-Length: 1\r\n\r\nb");
+        CHECK(isProblem(refused, "503"));
+        CHECK(refused.find("Retry-After: 1") != std::string::npos);
+
+        co_await first.send(head + "Content-Length: 1\r\n\r\nc");
+        const std::string served = co_await first.readUntil("\r\n\r\nc");
+        CHECK(served.starts_with("HTTP/1.1 200 "));
+    };
+    runIn(echo.context, body());
+}
+
+// Many callers announce large bodies at once and send nothing. Together they may hold no more than
+// the daemon can give.
+TEST_CASE("Bodies of all callers together are bounded")
+{
+    http_limits limits = smallLimits();
+    limits.maxBodyBytes = 1U << 20U;
+    limits.maxTotalBodyBytes = 3 << 19U;
+    echo_server echo(limits);
+    auto body = [&]() -> awaitable<void> {
+        raw_client first(echo.context);
+        co_await first.connect(echo.port);
+        co_await first.send(head + "Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n");
+        co_await first.readUntil("100 Continue");
+        const std::string refused = co_await exchangeRaw(echo.context, echo.port,
+                                                         head + "Content-Length: 1000000\r\n\r\n");
+        CHECK(isProblem(refused, "503"));
+        first.close();
+        // Once the first one has gone its room is free again.
+        std::string served;
+        while (!served.starts_with("HTTP/1.1 200 ")) {
+            served
+                = co_await exchangeRaw(echo.context, echo.port,
+                                       head + "Connection: close\r\nContent-Length: 1000000\r\n\r\n"
+                                           + std::string(1000000, 'x'));
+        }
+    };
+    runIn(echo.context, body());
+}
--- /dev/null
+++ b/test/io/loopback.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "http/http.h"
+#include "runtime/runtime.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <exception>
+#include <string>
+
+namespace azurehill::test {
+
+/// \brief Stops the clock for one test.
+struct paused_clock
+{
+    paused_clock() { runtime_clock::pause(); }
+    ~paused_clock() { runtime_clock::resume(); }
+    paused_clock(const paused_clock &) = delete;
+    paused_clock &operator=(const paused_clock &) = delete;
+};
+
+/// \brief Runs \p context until \p body has ended.
+inline void runIn(asio::io_context &context, awaitable<void> body)
+{
+    bool done = false;
+    std::exception_ptr failure;
+    asio::co_spawn(context, std::move(body), [&](std::exception_ptr e) {
+        failure = std::move(e);
+        done = true;
+    });
+    context.restart();
+    while (!done)
+        context.run_one();
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+/// \brief Lets everything else that is ready go on.
+inline awaitable<void> yieldOnce()
+{
+    co_await asio::post(co_await asio::this_coro::executor, use_awaitable);
+}
+
+/// \brief Moves the paused clock on in steps until \p done is set.
+inline awaitable<void> advanceUntil(const bool &done, duration step)
+{
+    while (!done) {
+        runtime_clock::advance(step);
+        co_await yieldOnce();
+    }
+}
+
+/// \brief Sends bytes as they are and shows those that come back.
+class raw_client
+{
+public:
+    explicit raw_client(asio::io_context &context) : m_socket(context) { }
+
+    awaitable<void> connect(std::uint16_t port)
+    {
+        const asio::ip::tcp::endpoint peer(asio::ip::address_v4::loopback(), port);
+        co_await m_socket.async_connect(peer, use_awaitable);
+    }
+    awaitable<bool> send(std::string bytes)
+    {
+        boost::system::error_code code;
+        co_await asio::async_write(m_socket, asio::buffer(bytes),
+                                   asio::redirect_error(use_awaitable, code));
+        co_return !code;
+    }
+    /// \returns all bytes up to the end of the connection.
+    awaitable<std::string> readToEnd()
+    {
+        std::string all;
+        while (true) {
+            const std::string piece = co_await readSome();
+            if (piece.empty())
+                co_return all;
+            all += piece;
+        }
+    }
+    /// \returns the next bytes, or nothing at the end.
+    awaitable<std::string> readSome()
+    {
+        std::string piece(4096, '\0');
+        boost::system::error_code code;
+        const std::size_t n = co_await m_socket.async_read_some(
+            asio::buffer(piece), asio::redirect_error(use_awaitable, code));
+        piece.resize(n);
+        co_return piece;
+    }
+    /// \returns what has come once \p text is among it.
+    awaitable<std::string> readUntil(std::string text)
+    {
+        std::string all;
+        while (all.find(text) == std::string::npos) {
+            const std::string piece = co_await readSome();
+            if (piece.empty())
+                break;
+            all += piece;
+        }
+        co_return all;
+    }
+    void close() { m_socket.close(); }
+    asio::ip::tcp::socket &socket() { return m_socket; }
+
+private:
+    asio::ip::tcp::socket m_socket;
+};
+
+/// \brief Sends \p bytes on a connection of its own. \returns all that comes back.
+inline awaitable<std::string> exchangeRaw(asio::io_context &context, std::uint16_t port,
+                                          std::string bytes)
+{
+    raw_client client(context);
+    co_await client.connect(port);
+    co_await client.send(std::move(bytes));
+    co_return co_await client.readToEnd();
+}
+
+} // namespace azurehill::test
