Keep the callers' promises when streams, engines and tenants misbehave

Cause, each found by a test that failed or crashed first: - Passing a request on to the program's daemon destroyed a temporary endpoint twice (g++ 12, braced aggregate inside co_await): the daemon died with "free(): invalid pointer".

Plain services are reached without a program, streamed through with their headers. 405 with Allow, 401 with WWW-Authenticate. A wrong daemon passes all end-to-end headers on. finish_reason and usage are the engine's own.

--- a/src/daemon/call_parser.cpp
+++ b/src/daemon/call_parser.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace azurehill {
@@ -17,6 +18,8 @@
 constexpr std::size_t maxKeyLength = 128;
 constexpr std::int64_t defaultMaxTokens = 1024;
 constexpr std::int64_t tokensAroundMessage = 16;
+/// Far above what any model gives; a sum with it can't overflow.
+constexpr std::int64_t mostMaxTokens = 1'000'000;
 
 tl::unexpected<problem> malformed(std::string detail)
 {
@@ -24,6 +27,13 @@
                                   std::move(detail), outcome::DidNotRun, std::nullopt});
 }
 
+/// \returns whether \p text is visible ASCII. HTTP lets other bytes through, and the journal, which
+/// is JSON, could not be read back with them.
+bool isVisible(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~'; });
+}
+
 /// \returns the bound on the tokens of \p text: no tokenizer makes more tokens than bytes.
 std::int64_t mostTokens(std::string_view text)
 {
@@ -69,11 +79,16 @@
         return malformed("model must be a string");
     std::int64_t maxTokens = defaultMaxTokens;
     if (const json::value *limit = o.if_contains("max_tokens")) {
-        if (!limit->is_int64() || limit->get_int64() < 1)
-            return malformed("max_tokens must be a whole number above 0");
+        if (!limit->is_int64() || limit->get_int64() < 1 || limit->get_int64() > mostMaxTokens)
+            return malformed("max_tokens must be a whole number from 1 to 1000000");
         maxTokens = limit->get_int64();
     }
+    const json::value *choices = o.if_contains("n");
+    if (choices && (!choices->is_int64() || choices->get_int64() != 1))
+        return malformed("n must be 1: a program's history has one answer a turn");
     const json::value *stream = o.if_contains("stream");
+    if (stream && !stream->is_bool())
+        return malformed("stream must be true or false");
     call.stream = stream && stream->is_bool() && stream->get_bool();
     call.spec.service = serviceOfModel(config, model->get_string());
     if (call.spec.service.empty())
@@ -125,8 +140,8 @@
     if (error != std::errc() || stop != turn.data() + turn.size() || r.turn < 1)
         return malformed("Azurehill-Turn must be a whole number above 0");
     r.key = std::string(request.headers.get("Idempotency-Key"));
-    if (r.key.empty() || r.key.size() > maxKeyLength)
-        return malformed("Idempotency-Key must have 1 to 128 characters");
+    if (r.key.empty() || r.key.size() > maxKeyLength || !isVisible(r.key))
+        return malformed("Idempotency-Key must have 1 to 128 visible ASCII characters");
     const auto read = request.path() == modelPath ? readModelCall(request, config, call)
                                                   : readServiceCall(request, config, call);
     if (!read)
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -45,6 +45,14 @@
 /// \brief What a caller's request leads to: following a running call, or a stored answer.
 using call_start = std::variant<std::shared_ptr<call_stream>, closed_call>;
 
+/// \brief The replica that a call goes to.
+struct upstream_place
+{
+    upstream_id id;
+    endpoint address;
+    service limits;
+};
+
 struct create_request
 {
     tenant_id tenant;
@@ -70,9 +78,21 @@
     awaitable<tl::expected<program_id, refusal>> createProgram(create_request request);
     awaitable<tl::expected<void, refusal>> endProgram(program_id id, end_reason reason);
     awaitable<tl::expected<call_start, refusal>> startCall(call_spec spec);
+    /// \brief As startCall(), but refuses a program of another tenant as if it did not exist.
+    awaitable<tl::expected<call_start, refusal>> startTenantCall(call_spec spec);
+    /// \returns the tenant of \p id, if this daemon has the program.
+    std::optional<tenant_id> tenantOf(const program_id &id) const;
     /// \brief Makes the end of a call durable. \returns whether it is.
     awaitable<bool> finishCall(running_call call, journal_record end);
 
+    /// \brief Chooses a replica of \p service for a call without a program, and counts the call
+    /// there.
+    tl::expected<upstream_place, refusal> openPlainService(const std::string &service);
+    void closeUpstream(const upstream_id &id);
+    /// \brief Moves a call that did not run from replica \p from to another one of \p service.
+    /// \returns nothing when there is no other, or the lease no longer allows an effect.
+    std::optional<upstream_place> moveCall(const std::string &service, const upstream_id &from);
+
     /// \returns the owner of \p id when that is another daemon.
     std::optional<member> otherOwner(const program_id &id) const;
     std::vector<member> lookUp(const std::optional<program_id> &id) const;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -151,12 +151,7 @@
             co_return call_start(stream->second);
         // The call before this one is still under way.
         const auto before = stream->second;
-        std::size_t read = 0;
-        for (bool ended = false; !ended;) {
-            const auto piece = co_await before->readFrom(read);
-            read += piece.events.size();
-            ended = piece.end.has_value();
-        }
+        co_await before->waitForEnd();
     }
 }
 
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "daemon/auth.h"
 #include "daemon/call_parser.h"
+#include "daemon/pass_through.h"
 #include "daemon/problems.h"
 #include "daemon/stream_writer.h"
 #include "http/http_client.h"
@@ -60,6 +61,9 @@
             r.deadlineMs = deadline->to_number<std::int64_t>();
         if (!r.parent.empty() && !isProgramId(r.parent.value))
             return tl::unexpected(malformedProblem("parent is not a program's id"));
+        if (r.budgetTokens < 0 || r.deadlineMs < 0)
+            return tl::unexpected(
+                malformedProblem("budget_tokens and deadline_ms must be above 0"));
         return r;
     } catch (const std::exception &e) {
         return tl::unexpected(malformedProblem(e.what()));
@@ -97,6 +101,29 @@
     return jsonResponse(422, json::serialize(json::object{{"faults", list}}));
 }
 
+/// \returns the methods of the resource at \p path, or nothing when any may do or there is none.
+std::string_view allowedMethods(std::string_view path)
+{
+    if (path == "/healthz" || path == "/readyz" || path == "/v1/lookup")
+        return "GET, HEAD";
+    if (path == programsPath || path == "/v1/chat/completions")
+        return "POST";
+    if (path.starts_with("/v1/programs/"))
+        return "GET, HEAD, DELETE";
+    return {};
+}
+
+bool isAllowed(std::string_view allowed, std::string_view method)
+{
+    while (!allowed.empty()) {
+        const std::string_view one = allowed.substr(0, allowed.find(','));
+        if (one == method)
+            return true;
+        allowed.remove_prefix(std::min(allowed.size(), one.size() + 2));
+    }
+    return false;
+}
+
 row_version expectedVersion(const http_request &request)
 {
     return std::strtoull(std::string(request.headers.get("If-Match")).c_str(), nullptr, 10);
@@ -121,6 +148,11 @@
 awaitable<void> door::route(const http_request &request, response_writer &writer, origin from)
 {
     const std::string path(request.path());
+    const std::string_view allowed = allowedMethods(path);
+    if (!allowed.empty() && !isAllowed(allowed, request.method)) {
+        co_await writer.write(methodNotAllowed(allowed));
+        co_return;
+    }
     if (path == "/healthz") {
         co_await writer.write(jsonResponse(200, R"({"status":"ok"})"));
         co_return;
@@ -131,7 +163,12 @@
         co_return co_await lookUp(request, writer);
     if (path.starts_with("/operator/"))
         co_return co_await operate(request, writer);
+    co_await routeTenant(request, writer, from);
+}
 
+awaitable<void> door::routeTenant(const http_request &request, response_writer &writer, origin from)
+{
+    const std::string path(request.path());
     auto readConfig = [this] { return m_control.config(); };
     const auto config = co_await onControl(readConfig);
     if (!config) {
@@ -140,16 +177,20 @@
     }
     const auto tenant = authenticate(*config, request);
     if (!tenant) {
-        co_await writer.write(toResponse(unauthorizedProblem()));
+        http_response refused = toResponse(unauthorizedProblem());
+        refused.headers.add("WWW-Authenticate", "Bearer");
+        co_await writer.write(std::move(refused));
         co_return;
     }
-    if (path == programsPath && request.method == "POST")
+    if (path == programsPath)
         co_return co_await createProgram(request, *tenant, writer, from);
     if (path.starts_with("/v1/programs/"))
         co_return co_await oneProgram(request, *tenant, writer, from);
+    if (isPassThrough(request))
+        co_return co_await passThrough(m_control, m_controlThread, request, writer);
     if (path == "/v1/chat/completions" || path.starts_with("/v1/tools/")
         || path.starts_with("/v1/services/"))
-        co_return co_await call(request, *tenant, writer, from);
+        co_return co_await call(request, *tenant, *config, writer, from);
     co_await writer.write(toResponse(notFoundProblem(path)));
 }
 
@@ -182,6 +223,12 @@
     }
     if (!parsed->parent.empty() && co_await passToOwner(parsed->parent, request, writer, from))
         co_return;
+    auto findTenant = [this, id = parsed->parent] { return m_control.tenantOf(id); };
+    const auto parentTenant = co_await onControl(findTenant);
+    if (parentTenant && *parentTenant != tenant) {
+        co_await writer.write(toResponse(notFoundProblem(parsed->parent.value)));
+        co_return;
+    }
     auto create = [this, wanted = *parsed] { return m_control.createProgram(wanted); };
     const auto created = co_await onControl(create);
     http_response response
@@ -217,26 +264,19 @@
 }
 
 awaitable<void> door::call(const http_request &request, const tenant_id &tenant,
-                           response_writer &writer, origin from)
+                           const configuration &config, response_writer &writer, origin from)
 {
-    auto readConfig = [this] { return m_control.config(); };
-    const auto config = co_await onControl(readConfig);
-    auto parsed = parseCall(request, *config);
+    auto parsed = parseCall(request, config);
     if (!parsed) {
         co_await writer.write(toResponse(parsed.error()));
         co_return;
     }
+    parsed->spec.tenant = tenant;
     const program_id id = parsed->spec.request.program;
     if (co_await passToOwner(id, request, writer, from))
         co_return;
-    auto inspect = [this, id] { return m_control.inspect(id); };
-    const auto known = co_await onControl(inspect);
-    if (known && known->tenant != tenant) {
-        co_await writer.write(toResponse(notFoundProblem(id.value)));
-        co_return;
-    }
     const bool wantsStream = parsed->stream;
-    auto start = [this, spec = parsed->spec] { return m_control.startCall(spec); };
+    auto start = [this, spec = parsed->spec] { return m_control.startTenantCall(spec); };
     const auto started = co_await onControl(start);
     if (!started) {
         co_await writer.write(toResponse(toProblem(started.error())));
@@ -245,12 +285,12 @@
     const std::string lastEvent(request.headers.get("Last-Event-ID"));
     if (const auto *stream = std::get_if<std::shared_ptr<call_stream>>(&*started)) {
         if (wantsStream)
-            co_await writeStream(**stream, lastEvent, writer);
+            co_await writeStream(*stream, lastEvent, writer);
         else
-            co_await writeWhole(**stream, writer);
+            co_await writeWhole(*stream, writer);
         co_return;
     }
-    co_await writeStored(std::get<closed_call>(*started), wantsStream, writer);
+    co_await writeStored(std::get<closed_call>(*started), wantsStream, lastEvent, writer);
 }
 
 awaitable<bool> door::passToOwner(const program_id &id, const http_request &request,
@@ -273,37 +313,23 @@
                              response_writer &writer)
 {
     http_connection connection(co_await asio::this_coro::executor);
-    const auto peer = parseEndpoint(owner.innerAddress);
-    const auto connected = co_await connection.connect(peer.value_or(endpoint{}),
-                                                       runtime_clock::now() + passOnConnectLimit);
+    const endpoint peer = parseEndpoint(owner.innerAddress).value_or(endpoint{});
+    const auto connected
+        = co_await connection.connect(peer, runtime_clock::now() + passOnConnectLimit);
     if (!connected) {
         co_await writer.write(toResponse(movingProblem()));
         co_return;
     }
     http_request out = request;
+    out.headers = endToEnd(request.headers);
     out.headers.add("Azurehill-Inner-Token", m_settings.innerToken);
-    const auto head
-        = co_await connection.open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
+    auto head = co_await connection.open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
     if (!head) {
         co_await writer.write(toResponse(passOnProblem(head.error())));
         co_return;
     }
-    header_list headers;
-    for (const char *name : {"Content-Type", "Retry-After"}) {
-        if (head->headers.has(name))
-            headers.add(name, head->headers.get(name));
-    }
-    bool open = co_await writer.begin(head->status, std::move(headers));
-    while (open) {
-        const auto piece = co_await connection.readSome(runtime_clock::now() + passOnSilenceLimit);
-        if (!piece)
-            co_return; // the caller sees a cut stream and resumes it
-        if (piece->empty())
-            break;
-        open = co_await writer.writeChunk(*piece);
-    }
-    if (open)
-        co_await writer.end();
+    // A cut in the middle reaches the caller as a cut: it resumes by the id of its last event.
+    co_await relayResponse(connection, std::move(*head), writer, passOnSilenceLimit);
 }
 
 awaitable<void> door::operate(const http_request &request, response_writer &writer)
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -22,6 +22,7 @@
     enum class origin { Caller, Daemon };
 
     awaitable<void> route(const http_request &request, response_writer &writer, origin from);
+    awaitable<void> routeTenant(const http_request &request, response_writer &writer, origin from);
     awaitable<void> lookUp(const http_request &request, response_writer &writer);
     awaitable<void> readiness(response_writer &writer);
     awaitable<void> createProgram(const http_request &request, const tenant_id &tenant,
@@ -29,7 +30,7 @@
     awaitable<void> oneProgram(const http_request &request, const tenant_id &tenant,
                                response_writer &writer, origin from);
     awaitable<void> call(const http_request &request, const tenant_id &tenant,
-                         response_writer &writer, origin from);
+                         const configuration &config, response_writer &writer, origin from);
     awaitable<void> operate(const http_request &request, response_writer &writer);
     /// \brief Passes \p request on to the owner of \p id. \returns whether another daemon is owner.
     awaitable<bool> passToOwner(const program_id &id, const http_request &request,
--- /dev/null
+++ b/src/daemon/pass_through.cpp
@@ -0,0 +1,158 @@
+#include "daemon/pass_through.h"
+
+#include "daemon/problems.h"
+
+#include <boost/beast/core/string.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace azurehill {
+
+namespace {
+
+constexpr std::string_view servicePrefix = "/v1/services/";
+constexpr duration connectLimit = seconds(1);
+constexpr int maxTries = 2;
+
+constexpr std::array<std::string_view, 12> hopHeaders = {"Connection",
+                                                         "Keep-Alive",
+                                                         "Transfer-Encoding",
+                                                         "Content-Length",
+                                                         "TE",
+                                                         "Trailer",
+                                                         "Upgrade",
+                                                         "Proxy-Authorization",
+                                                         "Proxy-Connection",
+                                                         "Expect",
+                                                         "Host",
+                                                         "Azurehill-Inner-Token"};
+
+/// \brief The tenant's token is ours: no upstream gets to see it.
+header_list upstreamHeaders(const header_list &from)
+{
+    header_list headers;
+    for (const auto &[name, value] : endToEnd(from)) {
+        if (!boost::beast::iequals(name, "Authorization"))
+            headers.add(name, value);
+    }
+    return headers;
+}
+
+std::string serviceOf(const http_request &request)
+{
+    const std::string_view rest = request.path().substr(servicePrefix.size());
+    return std::string(rest.substr(0, rest.find('/')));
+}
+
+bool isSafe(const http_request &request)
+{
+    return request.method == "GET" || request.method == "HEAD";
+}
+
+http_request upstreamRequest(const http_request &request)
+{
+    http_request out;
+    out.method = request.method;
+    out.target = "/" + request.target.substr(servicePrefix.size());
+    out.headers = upstreamHeaders(request.headers);
+    out.body = request.body;
+    return out;
+}
+
+/// \brief One try at one replica. \returns nothing once a response has been relayed.
+awaitable<std::optional<http_error>> tryOnce(upstream_place place, http_request request,
+                                             response_writer &writer)
+{
+    http_connection connection(co_await asio::this_coro::executor);
+    const auto connected
+        = co_await connection.connect(place.address, runtime_clock::now() + connectLimit);
+    if (!connected)
+        co_return connected.error();
+    auto head = co_await connection.open(std::move(request),
+                                         runtime_clock::now() + place.limits.callLimit);
+    if (!head)
+        co_return head.error();
+    co_await relayResponse(connection, std::move(*head), writer, place.limits.silenceLimit);
+    co_return std::nullopt;
+}
+
+} // namespace
+
+header_list endToEnd(const header_list &headers)
+{
+    header_list result;
+    for (const auto &[name, value] : headers) {
+        const bool hop
+            = std::any_of(hopHeaders.begin(), hopHeaders.end(),
+                          [&n = name](std::string_view h) { return boost::beast::iequals(n, h); });
+        if (!hop)
+            result.add(name, value);
+    }
+    return result;
+}
+
+awaitable<void> relayResponse(http_connection &connection, response_head head,
+                              response_writer &writer, duration silenceLimit)
+{
+    header_list headers = endToEnd(head.headers);
+    constexpr int noContent = 204;
+    constexpr int notModified = 304;
+    if (head.status == noContent || head.status == notModified) {
+        http_response response{head.status, std::move(headers), {}};
+        co_await writer.write(std::move(response));
+        co_return;
+    }
+    bool open = co_await writer.begin(head.status, std::move(headers));
+    while (open) {
+        const auto piece = co_await connection.readSome(runtime_clock::now() + silenceLimit);
+        if (!piece)
+            co_return;
+        if (piece->empty())
+            break;
+        open = co_await writer.writeChunk(*piece);
+    }
+    if (open)
+        co_await writer.end();
+}
+
+bool isPassThrough(const http_request &request)
+{
+    return request.path().starts_with(servicePrefix) && !request.headers.has("Azurehill-Program");
+}
+
+awaitable<void> passThrough(control &owner, asio::any_io_executor controlThread,
+                            const http_request &request, response_writer &writer)
+{
+    // Only a program's journal can keep a non-idempotent request from running twice.
+    if (!isSafe(request) && request.headers.get("Azurehill-Idempotent") != "true") {
+        co_await writer.write(toResponse(
+            malformedProblem("a request that is not idempotent needs the headers of a program")));
+        co_return;
+    }
+    const std::string service = serviceOf(request);
+    auto find = [&owner, service] { return owner.openPlainService(service); };
+    auto place = co_await runOn(controlThread, find);
+    if (!place) {
+        co_await writer.write(toResponse(toProblem(place.error())));
+        co_return;
+    }
+    std::optional<http_error> error;
+    for (int tries = 1; tries <= maxTries; ++tries) {
+        http_request out = upstreamRequest(request);
+        error = co_await tryOnce(*place, std::move(out), writer);
+        if (!error || tries == maxTries)
+            break;
+        auto move = [&owner, service, from = place->id] { return owner.moveCall(service, from); };
+        const auto other = co_await runOn(controlThread, move);
+        if (!other)
+            break;
+        *place = *other;
+    }
+    auto close = [&owner, id = place->id] { owner.closeUpstream(id); };
+    co_await runOn(controlThread, close);
+    if (error)
+        co_await writer.write(toResponse(upstreamProblem(*error, true)));
+}
+
+} // namespace azurehill
--- a/src/daemon/problems.cpp
+++ b/src/daemon/problems.cpp
@@ -78,6 +78,26 @@
             error.detail, error.ran,      seconds(1)};
 }
 
+problem upstreamProblem(const http_error &error, bool worthRetry)
+{
+    const int status = error.kind == http_error_kind::TimedOut ? 504 : 502;
+    problem p{status,       "upstream-failed", "The upstream gave no whole answer",
+              error.detail, error.ran,         std::nullopt};
+    if (worthRetry)
+        p.retryAfter = seconds(1);
+    return p;
+}
+
+http_response methodNotAllowed(std::string_view allowed)
+{
+    problem p{405, "method-not-allowed", "The resource has no such method",
+              "",  outcome::DidNotRun,   std::nullopt};
+    p.detail = "allowed: " + std::string(allowed);
+    http_response response = toResponse(p);
+    response.headers.add("Allow", allowed);
+    return response;
+}
+
 problem conflictProblem(std::string detail)
 {
     return {409,
--- a/src/daemon/problems.h
+++ b/src/daemon/problems.h
@@ -4,6 +4,8 @@
 #include "http/problem.h"
 #include "program/refusal.h"
 
+#include <string_view>
+
 namespace azurehill {
 
 /// \returns the problem document of a refusal; a refused request did not run.
@@ -17,6 +19,11 @@
 problem movingProblem();
 /// \returns that the owner did not answer.
 problem passOnProblem(const http_error &error);
+/// \returns that an upstream gave no whole answer.
+/// \param worthRetry whether coming back makes sense.
+problem upstreamProblem(const http_error &error, bool worthRetry);
+/// \returns a 405 response that names the methods of the resource.
+http_response methodNotAllowed(std::string_view allowed);
 problem conflictProblem(std::string detail);
 
 } // namespace azurehill
--- a/src/daemon/stream_writer.cpp
+++ b/src/daemon/stream_writer.cpp
@@ -69,13 +69,25 @@
     const json::object delta{
         {"index", 0},
         {"delta", json::object{{"content", choice.at("message").at("content")}}},
-        {"finish_reason", "stop"}};
+        {"finish_reason", choice.at("finish_reason")}};
     const json::object chunk{{"object", "chat.completion.chunk"},
                              {"choices", json::array{delta}},
                              {"usage", whole.at("usage")}};
     return fmt::format("data: {}\n\ndata: [DONE]\n\n", json::serialize(chunk));
 }
 
+/// \brief Wakes the session when its caller goes away, which would otherwise keep its connection
+/// and its memory until the call ends.
+gone_flag watchPeer(const std::shared_ptr<call_stream> &call, response_writer &writer)
+{
+    auto gone = std::make_shared<std::atomic<bool>>(false);
+    writer.onPeerGone([call, gone] {
+        *gone = true;
+        call->publish();
+    });
+    return gone;
+}
+
 problem storedProblem(outcome ran)
 {
     const int status = ran == outcome::Unknown ? 502 : 500;
@@ -89,67 +101,73 @@
 
 } // namespace
 
-awaitable<void> writeStream(call_stream &call, const std::string &lastEvent,
+awaitable<void> writeStream(std::shared_ptr<call_stream> call, std::string lastEvent,
                             response_writer &writer)
 {
-    const auto place = placeAfter(lastEvent, call.attempt());
+    const auto place = placeAfter(lastEvent, call->attempt());
     if (!place) {
         co_await writer.write(toResponse(otherAttemptProblem()));
         co_return;
     }
+    const gone_flag gone = watchPeer(call, writer);
     std::size_t next = *place;
     bool begun = false;
     while (true) {
-        const call_stream::piece piece = co_await call.readFrom(next);
-        const problem *failed = piece.end ? std::get_if<problem>(&*piece.end) : nullptr;
-        if (!begun && failed && piece.events.empty()) {
+        call_stream::piece piece = co_await call->readFrom(next, gone);
+        if (piece.abandoned)
+            co_return;
+        const problem *failed = piece.end ? std::get_if<problem>(piece.end.get()) : nullptr;
+        if (!begun && failed && piece.bytes.empty()) {
             co_await writer.write(toResponse(*failed));
             co_return;
         }
         if (!begun && !co_await writer.begin(200, eventStreamHeaders()))
             co_return;
         begun = true;
-        std::string bytes;
-        for (const std::string &event : piece.events)
-            bytes += event;
+        std::string bytes = std::move(piece.bytes);
         if (failed)
             bytes += problemEvent(*failed);
         if (!co_await writer.writeChunk(bytes))
             co_return;
-        next += piece.events.size();
+        next = piece.next;
         if (piece.end)
             break;
     }
     co_await writer.end();
 }
 
-awaitable<void> writeWhole(call_stream &call, response_writer &writer)
+awaitable<void> writeWhole(std::shared_ptr<call_stream> call, response_writer &writer)
 {
-    std::size_t next = 0;
-    while (true) {
-        const call_stream::piece piece = co_await call.readFrom(next);
-        next += piece.events.size();
-        if (!piece.end)
-            continue;
-        http_response response
-            = std::visit([](const auto &end) { return toResponse(end); }, *piece.end);
-        co_await writer.write(std::move(response));
+    const gone_flag gone = watchPeer(call, writer);
+    const auto end = co_await call->waitForEnd(gone);
+    if (!end)
         co_return;
-    }
+    http_response response = std::visit([](const auto &e) { return toResponse(e); }, *end);
+    co_await writer.write(std::move(response));
 }
 
-awaitable<void> writeStored(const closed_call &call, bool asStream, response_writer &writer)
+awaitable<void> writeStored(const closed_call &call, bool asStream, std::string lastEvent,
+                            response_writer &writer)
 {
     if (call.failed) {
         co_await writer.write(toResponse(storedProblem(*call.failed)));
         co_return;
     }
     if (!asStream) {
-        co_await writer.write(jsonResponse(call.status, call.reply));
+        const call_answer answer{call.status, call.contentType, call.reply};
+        co_await writer.write(toResponse(answer));
         co_return;
     }
-    if (co_await writer.begin(200, eventStreamHeaders())
-        && co_await writer.writeChunk(asEvents(call.reply)))
+    // The stored answer has no event ids: joined to what the caller already has, its beginning
+    // would be there twice.
+    if (!lastEvent.empty()) {
+        co_await writer.write(toResponse(otherAttemptProblem()));
+        co_return;
+    }
+    const std::string events = asEvents(call.reply);
+    if (!co_await writer.begin(200, eventStreamHeaders()))
+        co_return;
+    if (co_await writer.writeChunk(events))
         co_await writer.end();
 }
 
--- a/src/daemon/stream_writer.h
+++ b/src/daemon/stream_writer.h
@@ -8,11 +8,13 @@
 
 /// \brief Writes the events of a call as they come, from the one after \p lastEvent on.
 /// \param lastEvent the caller's Last-Event-ID, or empty.
-awaitable<void> writeStream(call_stream &call, const std::string &lastEvent,
+awaitable<void> writeStream(std::shared_ptr<call_stream> call, std::string lastEvent,
                             response_writer &writer);
 /// \brief Waits for the call's end and writes its whole answer.
-awaitable<void> writeWhole(call_stream &call, response_writer &writer);
+awaitable<void> writeWhole(std::shared_ptr<call_stream> call, response_writer &writer);
 /// \brief Writes a stored answer.
-awaitable<void> writeStored(const closed_call &call, bool asStream, response_writer &writer);
+/// \param lastEvent the caller's Last-Event-ID; a stored answer can't be resumed.
+awaitable<void> writeStored(const closed_call &call, bool asStream, std::string lastEvent,
+                            response_writer &writer);
 
 } // namespace azurehill
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -48,10 +48,15 @@
 
 json::object encodeRecord(const call_finished &r)
 {
-    return {{"type", "call_finished"}, {"program", r.program.value},
-            {"turn", r.turn},          {"key", r.key},
-            {"spent", r.spentTokens},  {"status", r.status},
-            {"messages", r.messages},  {"reply", r.reply}};
+    return {{"type", "call_finished"},
+            {"program", r.program.value},
+            {"turn", r.turn},
+            {"key", r.key},
+            {"spent", r.spentTokens},
+            {"status", r.status},
+            {"messages", r.messages},
+            {"reply", r.reply},
+            {"content_type", r.contentType}};
 }
 
 json::object encodeRecord(const call_failed &r)
@@ -93,7 +98,8 @@
                              number(o, "spent"),
                              static_cast<int>(number(o, "status")),
                              text(o, "messages"),
-                             text(o, "reply")};
+                             text(o, "reply"),
+                             text(o, "content_type")};
     }
     if (type == "call_failed") {
         return call_failed{program, number(o, "turn"), text(o, "key"),
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -67,6 +67,7 @@
     std::string messages;
     /// The answer's body, kept for a repeated request.
     std::string reply;
+    std::string contentType = "application/json";
 };
 
 /// \brief A call ended without an answer. Ran and Unknown are charged in full.
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -26,6 +26,7 @@
     std::optional<outcome> failed;
     int status = 0;
     std::string reply;
+    std::string contentType = "application/json";
 };
 
 /// \brief State of one program, built from its journal records alone.
--- a/src/program/program_book.cpp
+++ b/src/program/program_book.cpp
@@ -124,7 +124,7 @@
             p.history += ',';
         p.history += r.messages;
     }
-    p.closed[r.turn] = closed_call{r.key, std::nullopt, r.status, r.reply};
+    p.closed[r.turn] = closed_call{r.key, std::nullopt, r.status, r.reply, r.contentType};
     charge(p, r.spentTokens);
 }
 
@@ -136,7 +136,7 @@
     if (r.ran == outcome::DidNotRun)
         return;
     p.lastTurn = r.turn;
-    p.closed[r.turn] = closed_call{r.key, r.ran, 0, {}};
+    p.closed[r.turn] = closed_call{r.key, r.ran, 0, {}, {}};
 }
 
 void program_book::applyTo(program &p, const program_ended &r)
