--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -1,6 +1,9 @@
 #include "journal/record.h"
 
 #include <boost/json.hpp>
+#include <openssl/evp.h>
+
+#include <algorithm>
 
 namespace azurehill {
 
@@ -46,8 +49,48 @@
             {"reserved", r.reservedTokens}};
 }
 
+/// \returns whether \p text may stand in JSON. A tool may answer with any bytes, such as a PDF; a
+/// row with broken UTF-8 could not be read back, and its program would be lost to its next owner.
+bool isUtf8(const std::string &text)
+{
+    json::error_code code;
+    json::parse(json::serialize(json::string(text)), code);
+    return !code;
+}
+
+std::string toBase64(const std::string &bytes)
+{
+    std::string encoded((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    const int n = EVP_EncodeBlock(reinterpret_cast<unsigned char *>(encoded.data()),
+                                  reinterpret_cast<const unsigned char *>(bytes.data()),
+                                  static_cast<int>(bytes.size()));
+    encoded.resize(static_cast<std::size_t>(n));
+    return encoded;
+}
+
+std::string fromBase64(const std::string &encoded)
+{
+    std::string bytes(encoded.size() / 4 * 3, '\0');
+    const int n = EVP_DecodeBlock(reinterpret_cast<unsigned char *>(bytes.data()),
+                                  reinterpret_cast<const unsigned char *>(encoded.data()),
+                                  static_cast<int>(encoded.size()));
+    if (n < 0)
+        throw std::runtime_error("reply is not base64");
+    // The decoder counts the bytes that padding stands for.
+    const auto padding = static_cast<std::size_t>(std::count(
+        encoded.end() - std::min<std::ptrdiff_t>(2, std::ssize(encoded)), encoded.end(), '='));
+    bytes.resize(static_cast<std::size_t>(n) - padding);
+    return bytes;
+}
+
+std::string replyIn(const json::object &o)
+{
+    return o.contains("reply_base64") ? fromBase64(text(o, "reply_base64")) : text(o, "reply");
+}
+
 json::object encodeRecord(const call_finished &r)
 {
+    const bool plain = isUtf8(r.reply);
     return {{"type", "call_finished"},
             {"program", r.program.value},
             {"turn", r.turn},
@@ -55,7 +98,7 @@
             {"spent", r.spentTokens},
             {"status", r.status},
             {"messages", r.messages},
-            {"reply", r.reply},
+            {plain ? "reply" : "reply_base64", plain ? r.reply : toBase64(r.reply)},
             {"content_type", r.contentType}};
 }
 
@@ -98,7 +141,7 @@
                              number(o, "spent"),
                              static_cast<int>(number(o, "status")),
                              text(o, "messages"),
-                             text(o, "reply"),
+                             replyIn(o),
                              text(o, "content_type")};
     }
     if (type == "call_failed") {
