Measure program latency, wasted cache and the parts of a call

Wasted tokens need an engine that reports usage.prompt_tokens_details.cached_tokens; of others nothing is counted. control_calls.cpp and control.h: a few lines each to keep the tokens held and to count a program's end.

--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -89,6 +89,21 @@
     }
 }
 
+call_measures measuresOf(const running_call &call, const upstream_end &end, time_point sent,
+                         duration commit, std::int64_t heldBefore)
+{
+    call_measures m;
+    m.queueing = sent - call.spec.acceptedAt;
+    if (end.firstToken)
+        m.firstToken = *end.firstToken - call.spec.acceptedAt;
+    m.gaps = end.gaps;
+    m.commit = commit;
+    m.promptTokens = end.promptTokens;
+    m.cachedTokens = end.cachedTokens;
+    m.heldTokens = heldBefore;
+    return m;
+}
+
 void endStream(call_stream &stream, const upstream_end &end, std::string body)
 {
     if (end.error) {
@@ -105,11 +120,25 @@
 awaitable<void> runCall(control &owner, asio::any_io_executor controlThread, running_call call)
 {
     const auto stream = call.stream;
+    const time_point sent = runtime_clock::now();
     const upstream_end end = co_await callUpstream(owner, controlThread, call);
+    const time_point ended = runtime_clock::now();
     const bool model = call.spec.request.kind == call_kind::Model;
     const journal_record record = endRecord(call, end);
-    auto finish = [&owner, call, record] { return owner.finishCall(call, record); };
-    if (co_await runOn(controlThread, finish))
+    const std::int64_t heldBefore = call.heldTokens;
+    if (model && !end.error)
+        call.heldTokens = end.promptTokens + end.completionTokens;
+    auto finish = [&owner, call, record] {
+        owner.setHeldTokens(call.spec.request.program, call.heldTokens);
+        return owner.finishCall(call, record);
+    };
+    const bool durable = co_await runOn(controlThread, finish);
+    if (model) {
+        owner.measures().onCallDone(
+            {call.spec.tenant, call.programClass},
+            measuresOf(call, end, sent, runtime_clock::now() - ended, heldBefore));
+    }
+    if (durable)
         endStream(*stream, end, model ? completionOf(call, end) : end.body);
     else
         stream->finish(commitProblem());
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -2,6 +2,7 @@
 
 #include "config/config.h"
 #include "daemon/call_stream.h"
+#include "daemon/metrics.h"
 #include "daemon/settings.h"
 #include "journal/journal.h"
 #include "ownership/ownership.h"
@@ -28,6 +29,8 @@
     std::string newMessages;
     /// Tool and plain calls: the request to pass on.
     http_request passOn;
+    /// When the call arrived.
+    time_point acceptedAt;
 };
 
 /// \brief A call that has begun, with all that its runner needs.
@@ -39,6 +42,9 @@
     endpoint upstream;
     upstream_id upstreamId;
     service limits;
+    std::string programClass;
+    /// Tokens of the program that engines have computed before.
+    std::int64_t heldTokens = 0;
     std::shared_ptr<call_stream> stream;
 };
 
@@ -89,6 +95,8 @@
     /// there.
     tl::expected<upstream_place, refusal> openPlainService(const std::string &service);
     void closeUpstream(const upstream_id &id);
+    /// \brief Notes that engines have computed \p tokens of \p id.
+    void setHeldTokens(const program_id &id, std::int64_t tokens);
     /// \brief Moves a call that did not run from replica \p from to another one of \p service.
     /// \returns nothing when there is no other, or the lease no longer allows an effect.
     std::optional<upstream_place> moveCall(const std::string &service, const upstream_id &from);
@@ -103,6 +111,8 @@
     const cell_view &view() const { return m_membership.view(); }
     std::vector<replica> replicas() const;
     bool isReady() const;
+    metrics &measures() { return m_metrics; }
+    state_gauges gauges() const;
 
     /// \brief Stores a new configuration if the stored one still has version \p expected.
     awaitable<tl::expected<row_version, platform_error>> storeConfig(std::string text,
@@ -138,6 +148,10 @@
     std::optional<refusal> whyNotServing(const program_id &id) const;
     awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
     awaitable<void> settleOrphans();
+    /// \returns the tokens that engines have computed for \p id.
+    std::int64_t heldTokens(const program_id &id) const;
+    /// \brief Counts the latency of \p id, which has just ended.
+    void measureEnd(const program_id &id);
 
     std::string viewKey() const { return "view/" + m_settings.cell; }
     std::string leasePrefix() const { return "lease/" + m_settings.cell + "/"; }
@@ -155,6 +169,9 @@
     row_version m_configVersion = 0;
     fencing_number m_loadedView = 0;
     bool m_draining = false;
+    metrics m_metrics;
+    /// Tokens that engines have computed for each program; for the measure of wasted cache only.
+    std::unordered_map<program_id, std::int64_t> m_heldTokens;
     timer m_commitTimer;
     std::vector<commit_action> m_commitActions;
     std::unordered_map<commit_ticket, std::shared_ptr<commit_wait>> m_commitWaits;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -125,8 +125,10 @@
     const program_ended ended{id, reason};
     m_book.apply(ended);
     if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable)
+        == commit_result::Durable) {
+        measureEnd(id);
         co_return tl::expected<void, refusal>();
+    }
     co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
 }
 
@@ -164,7 +166,10 @@
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
     running_call call;
-    call.history = m_book.find(record.program)->history;
+    const program &p = *m_book.find(record.program);
+    call.history = p.history;
+    call.programClass = p.programClass;
+    call.heldTokens = heldTokens(record.program);
     call.upstream = *parseEndpoint(target->address);
     call.upstreamId = target->id;
     call.limits = rules->second;
--- a/src/daemon/control_upstreams.cpp
+++ b/src/daemon/control_upstreams.cpp
@@ -1,5 +1,7 @@
 #include "daemon/control.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 tl::expected<upstream_place, refusal> control::openPlainService(const std::string &service)
@@ -44,6 +46,38 @@
     return place;
 }
 
+void control::setHeldTokens(const program_id &id, std::int64_t tokens)
+{
+    if (m_book.find(id))
+        m_heldTokens[id] = tokens;
+}
+
+std::int64_t control::heldTokens(const program_id &id) const
+{
+    const auto held = m_heldTokens.find(id);
+    return held == m_heldTokens.end() ? 0 : held->second;
+}
+
+void control::measureEnd(const program_id &id)
+{
+    m_heldTokens.erase(id);
+    const program *p = m_book.find(id);
+    if (!p)
+        return;
+    const auto latency
+        = milliseconds(std::max<std::int64_t>(unixMilliseconds() - p->createdUnixMs, 0));
+    m_metrics.onProgramEnded({p->tenant, p->programClass}, latency);
+}
+
+state_gauges control::gauges() const
+{
+    state_gauges g;
+    g.programs = m_book.programs().size();
+    g.openStreams = m_streams.size();
+    g.members = m_membership.view().members.size();
+    return g;
+}
+
 std::optional<tenant_id> control::tenantOf(const program_id &id) const
 {
     const program *p = m_book.find(id);
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -104,7 +104,7 @@
 /// \returns the methods of the resource at \p path, or nothing when any may do or there is none.
 std::string_view allowedMethods(std::string_view path)
 {
-    if (path == "/healthz" || path == "/readyz" || path == "/v1/lookup")
+    if (path == "/healthz" || path == "/readyz" || path == "/metrics" || path == "/v1/lookup")
         return "GET, HEAD";
     if (path == programsPath || path == "/v1/chat/completions")
         return "POST";
@@ -159,6 +159,8 @@
     }
     if (path == "/readyz")
         co_return co_await readiness(writer);
+    if (path == "/metrics")
+        co_return co_await reportMetrics(request, writer);
     if (path == "/v1/lookup")
         co_return co_await lookUp(request, writer);
     if (path.starts_with("/operator/"))
@@ -203,6 +205,21 @@
     co_await writer.write(std::move(response));
 }
 
+awaitable<void> door::reportMetrics(const http_request &request, response_writer &writer)
+{
+    // The labels name the tenants, which is nothing for callers to see.
+    if (!equalInConstantTime(sha256Hex(bearerToken(request)), m_settings.operatorTokenSha256)) {
+        co_await writer.write(toResponse(unauthorizedProblem()));
+        co_return;
+    }
+    auto read = [this] { return m_control.gauges(); };
+    const state_gauges gauges = co_await onControl(read);
+    http_response response;
+    response.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_control.measures().toText(gauges);
+    co_await writer.write(std::move(response));
+}
+
 awaitable<void> door::lookUp(const http_request &request, response_writer &writer)
 {
     std::optional<program_id> id;
@@ -231,6 +248,8 @@
     }
     auto create = [this, wanted = *parsed] { return m_control.createProgram(wanted); };
     const auto created = co_await onControl(create);
+    if (!created)
+        m_control.measures().onRefused(tenant, toName(created.error().reason));
     http_response response
         = created ? createdResponse(*created) : toResponse(toProblem(created.error()));
     co_await writer.write(std::move(response));
@@ -272,6 +291,7 @@
         co_return;
     }
     parsed->spec.tenant = tenant;
+    parsed->spec.acceptedAt = runtime_clock::now();
     const program_id id = parsed->spec.request.program;
     if (co_await passToOwner(id, request, writer, from))
         co_return;
@@ -279,6 +299,7 @@
     auto start = [this, spec = parsed->spec] { return m_control.startTenantCall(spec); };
     const auto started = co_await onControl(start);
     if (!started) {
+        m_control.measures().onRefused(tenant, toName(started.error().reason));
         co_await writer.write(toResponse(toProblem(started.error())));
         co_return;
     }
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -23,6 +23,7 @@
 
     awaitable<void> route(const http_request &request, response_writer &writer, origin from);
     awaitable<void> routeTenant(const http_request &request, response_writer &writer, origin from);
+    awaitable<void> reportMetrics(const http_request &request, response_writer &writer);
     awaitable<void> lookUp(const http_request &request, response_writer &writer);
     awaitable<void> readiness(response_writer &writer);
     awaitable<void> createProgram(const http_request &request, const tenant_id &tenant,
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -79,14 +79,16 @@
     return true;
 }
 
-/// \brief Takes in all events that \p events holds. \returns whether the stream has ended.
+/// \brief Takes in all events that \p events holds, and adds their number to \p count. \returns
+/// whether the stream has ended.
 tl::expected<bool, http_error> takeEvents(call_stream &stream, sse_reader &events,
-                                          upstream_end &end)
+                                          upstream_end &end, std::size_t &count)
 {
     while (const auto data = events.next()) {
         const auto last = onModelEvent(stream, *data, end);
         if (!last || *last)
             return last;
+        ++count;
     }
     if (events.isTooLong())
         return brokenEvent("an event is too long");
@@ -97,6 +99,7 @@
 {
     upstream_end end;
     sse_reader events;
+    time_point before;
     while (true) {
         const auto bytes
             = co_await connection.readSome(runtime_clock::now() + call.limits.silenceLimit);
@@ -110,8 +113,16 @@
             co_return end;
         }
         events.feed(*bytes);
-        const auto last = takeEvents(*call.stream, events, end);
+        std::size_t count = 0;
+        const auto last = takeEvents(*call.stream, events, end, count);
         call.stream->publish();
+        const time_point now = runtime_clock::now();
+        if (end.firstToken)
+            end.gaps.add(now - before, count);
+        else if (count > 0)
+            end.firstToken = now;
+        if (count > 0)
+            before = now;
         if (!last) {
             end.error = last.error();
             co_return end;
@@ -154,6 +165,9 @@
     if (const auto *usage = o.if_contains("usage"); usage && usage->is_object()) {
         end.promptTokens = countIn(*usage, "prompt_tokens");
         end.completionTokens = countIn(*usage, "completion_tokens");
+        const auto *details = usage->get_object().if_contains("prompt_tokens_details");
+        if (details && details->is_object())
+            end.cachedTokens = countIn(*details, "cached_tokens");
     }
     const auto *choices = o.if_contains("choices");
     if (!choices || !choices->is_array())
--- a/src/daemon/upstream_call.h
+++ b/src/daemon/upstream_call.h
@@ -16,6 +16,10 @@
     std::string finishReason = "stop";
     std::int64_t promptTokens = 0;
     std::int64_t completionTokens = 0;
+    /// Prompt tokens that the engine had in its cache, if it says so.
+    std::optional<std::int64_t> cachedTokens;
+    std::optional<time_point> firstToken;
+    token_gaps gaps;
     /// Data of events that are held back until the answer is durable.
     std::vector<std::string> held;
     /// Whether another replica may well take the call; only where it did not run.
