Keep a daemon alive when it passes a call on or replays a failed one

Cause: g++ 12 destroys owning temporaries inside co_await expressions twice. passOn() made its peer's endpoint in the expression (free(): invalid pointer); writeStored() made its problem document there and joined two co_await by "&&" (illegal instruction). One request to the wrong daemon, or one repeated key of a failed call, ended the process. Ruled out: memory shared between threads; gdb showed the frame of writeStored resumed at an index that it doesn't have. Change: both are named first, one co_await a condition.

--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -273,9 +273,10 @@
                              response_writer &writer)
 {
     http_connection connection(co_await asio::this_coro::executor);
-    const auto peer = parseEndpoint(owner.innerAddress);
-    const auto connected = co_await connection.connect(peer.value_or(endpoint{}),
-                                                       runtime_clock::now() + passOnConnectLimit);
+    // Named, not a temporary: g++ 12 frees a temporary of a co_await expression twice.
+    const endpoint peer = parseEndpoint(owner.innerAddress).value_or(endpoint{});
+    const auto connected
+        = co_await connection.connect(peer, runtime_clock::now() + passOnConnectLimit);
     if (!connected) {
         co_await writer.write(toResponse(movingProblem()));
         co_return;
--- a/src/daemon/stream_writer.cpp
+++ b/src/daemon/stream_writer.cpp
@@ -141,15 +141,18 @@
 awaitable<void> writeStored(const closed_call &call, bool asStream, response_writer &writer)
 {
     if (call.failed) {
-        co_await writer.write(toResponse(storedProblem(*call.failed)));
+        http_response response = toResponse(storedProblem(*call.failed));
+        co_await writer.write(std::move(response));
         co_return;
     }
     if (!asStream) {
         co_await writer.write(jsonResponse(call.status, call.reply));
         co_return;
     }
-    if (co_await writer.begin(200, eventStreamHeaders())
-        && co_await writer.writeChunk(asEvents(call.reply)))
+    // One co_await a condition: g++ 12 runs into a trap after two that are joined by "&&".
+    if (!co_await writer.begin(200, eventStreamHeaders()))
+        co_return;
+    if (co_await writer.writeChunk(asEvents(call.reply)))
         co_await writer.end();
 }
 
