Let the turn of a repeatable call run again after an unknown end

Cause: a successor closed every open call as unknown, so a caller whose model call was cut by its daemon's death never got an answer under its key. Change: model calls and calls marked idempotent leave the turn free and are charged for each attempt; a non-idempotent call stays unknown for good. Figures: "Owner killed in the middle of a stream" without this: failed, the repeated key got 502 "unknown"; with it: passed. Logic tests pass.

--- a/src/program/program_book.cpp
+++ b/src/program/program_book.cpp
@@ -130,10 +130,12 @@
 
 void program_book::applyTo(program &p, const call_failed &r)
 {
+    // A model only reads and writes text, so its turn may run again after a death in mid-stream;
+    // each attempt is charged. Closed as unknown, the turn could never get its whole answer.
+    const bool repeatable = p.open && (p.open->kind == call_kind::Model || p.open->idempotent);
     p.open.reset();
     charge(p, r.spentTokens);
-    // After "did not run" the turn is free for another try.
-    if (r.ran == outcome::DidNotRun)
+    if (r.ran == outcome::DidNotRun || repeatable)
         return;
     p.lastTurn = r.turn;
     p.closed[r.turn] = closed_call{r.key, r.ran, 0, {}};
