--- a/standin/engine_standin.cpp
+++ b/standin/engine_standin.cpp
@@ -25,9 +25,10 @@
 
 struct engine_state
 {
-    explicit engine_state(engine_settings s) : settings(s) { }
+    explicit engine_state(engine_settings s) : settings(s), cache(s.cache) { }
 
     engine_settings settings;
+    engine_cache cache;
     std::vector<completion_record> records;
 };
 
@@ -87,6 +88,7 @@
         if (!co_await writer.writeChunk(wordChunk(word)))
             co_return;
     }
+    engine.cache.store(std::string(request.headers.get("Azurehill-Program")), prompt + count);
     engine.records.push_back({std::string(request.headers.get("Azurehill-Program")),
                               std::string(request.headers.get("Azurehill-Turn")), content});
     co_await writer.writeChunk(lastChunk(prompt, count));
@@ -113,7 +115,7 @@
         else if (request.path() == "/records")
             co_await writer.write(listRecords(*engine));
         else
-            co_await writer.write(jsonResponse(404, "{}"));
+            co_await writer.write(engine->cache.answer(request));
     };
 }
 
--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -33,6 +33,9 @@
     int hostLagMs = 0;
     int tokenUs = 2000;
     int callMs = 5;
+    int ignoreFencing = 0;
+    int cacheLagMs = 0;
+    int cacheGapEvery = 0;
 };
 
 } // namespace
@@ -54,13 +57,23 @@
 
 namespace {
 
+engine_settings engineSettings(const options &o)
+{
+    engine_settings s;
+    s.perToken = std::chrono::microseconds(o.tokenUs);
+    s.cache.checksFencing = o.ignoreFencing == 0;
+    s.cache.eventLag = milliseconds(o.cacheLagMs);
+    s.cache.gapEvery = o.cacheGapEvery;
+    return s;
+}
+
 request_handler makeHandler(role r, const options &o)
 {
     switch (r) {
     case role::Platform:
         return makePlatform(milliseconds(o.hostLagMs));
     case role::Engine:
-        return makeEngine({std::chrono::microseconds(20), std::chrono::microseconds(o.tokenUs)});
+        return makeEngine(engineSettings(o));
     case role::Tool:
     case role::Plain:
         return makeTool(milliseconds(o.callMs));
@@ -149,6 +162,11 @@
         {"host-lag-ms", 0, POPT_ARG_INT, &o.hostLagMs, 0, "how late the host list is", "MS"},
         {"token-us", 0, POPT_ARG_INT, &o.tokenUs, 0, "time for one token", "US"},
         {"call-ms", 0, POPT_ARG_INT, &o.callMs, 0, "time for one tool call", "MS"},
+        {"ignore-fencing", 0, POPT_ARG_NONE, &o.ignoreFencing, 0, "take orders with old numbers",
+         nullptr},
+        {"cache-lag-ms", 0, POPT_ARG_INT, &o.cacheLagMs, 0, "how late cache events are", "MS"},
+        {"cache-gap-every", 0, POPT_ARG_INT, &o.cacheGapEvery, 0,
+         "lose one in so many cache events", "N"},
         POPT_AUTOHELP POPT_TABLEEND};
     poptContext context = poptGetContext("azurehill-standin", argc, argv, table, 0);
     const int error = poptGetNextOpt(context);
--- a/standin/tool_standin.cpp
+++ b/standin/tool_standin.cpp
@@ -19,12 +19,19 @@
     std::string program;
 };
 
-http_response listRecords(const std::vector<tool_record> &records)
+struct tool_state
+{
+    std::int64_t started = 0;
+    std::vector<tool_record> records;
+};
+
+http_response listRecords(const tool_state &tool)
 {
     json::array list;
-    for (const tool_record &r : records)
+    for (const tool_record &r : tool.records)
         list.push_back({{"target", r.target}, {"key", r.key}, {"program", r.program}});
-    return jsonResponse(200, json::serialize(json::object{{"records", list}}));
+    return jsonResponse(
+        200, json::serialize(json::object{{"started", tool.started}, {"records", list}}));
 }
 
 http_response receipt(std::size_t number, const std::string &target)
@@ -37,18 +44,20 @@
 
 request_handler makeTool(duration callTime)
 {
-    auto records = std::make_shared<std::vector<tool_record>>();
-    return [records, callTime](const http_request &request,
-                               response_writer &writer) -> awaitable<void> {
-        if (request.path() == "/records") {
-            co_await writer.write(listRecords(*records));
-            co_return;
-        }
-        co_await sleepFor(callTime);
-        records->push_back({request.target, std::string(request.headers.get("Idempotency-Key")),
-                            std::string(request.headers.get("Azurehill-Program"))});
-        co_await writer.write(receipt(records->size(), request.target));
-    };
+    auto tool = std::make_shared<tool_state>();
+    return
+        [tool, callTime](const http_request &request, response_writer &writer) -> awaitable<void> {
+            if (request.path() == "/records") {
+                co_await writer.write(listRecords(*tool));
+                co_return;
+            }
+            ++tool->started;
+            co_await sleepFor(callTime);
+            tool->records.push_back({request.target,
+                                     std::string(request.headers.get("Idempotency-Key")),
+                                     std::string(request.headers.get("Azurehill-Program"))});
+            co_await writer.write(receipt(tool->records.size(), request.target));
+        };
 }
 
 } // namespace azurehill::standin
