--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	@git ls-files '*.h' '*.cpp' | xargs -r clang-format -i
 
 lint: build
-	@bash scripts/lint.sh $(BUILD)
+	@bash scripts/lint.sh
 
 asan:
 	@$(MAKE) test PRESET=asan
@@ -32,3 +32,9 @@
 
 clean:
 	@rm -rf build
+
+# Slopes of cost against size as JSON lines; the tables of docs/CAPACITY.md go to capacity.md.
+capacity: build
+	@for part in state time platform; do $(BUILD)/bench/bench_capacity_$$part; done \
+		| tee $(BUILD)/capacity.jsonl
+	@$(BUILD)/bench/bench_capacity_page <$(BUILD)/capacity.jsonl >$(BUILD)/capacity.md
