Send heartbeats to three successors; suspect, and remove early on two refusals

Cause: a dead or silent daemon stayed in look-ups until its lease lapsed, and an inner connection that died without a word was noticed by nobody.

A daemon goes before its lease lapses only when two observers were refused at its port and it also missed a renewal.

Ruled out: removal on refusals alone. A daemon that serves and renews while the network between daemons fails would lose its programs.

--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -14,13 +14,15 @@
                  std::function<void(running_call)> runCall)
     : m_context(context), m_settings(s), m_runCall(std::move(runCall)),
       m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
-      m_history(self.daemon, self.incarnation), m_batcher(self.daemon, self.incarnation, {}),
+      m_history(self.daemon, self.incarnation),
+      m_heartbeats(context, {self.daemon, self.incarnation}, s.innerToken, {}), m_batcher(self.daemon, self.incarnation, {}),
       m_router(self.dataCentre), m_commitTimer(context)
 { }
 
 void control::start()
 {
     spawn(m_context.get_executor(), "leaseLoop", leaseLoop());
+    m_heartbeats.start();
     spawn(m_context.get_executor(), "membershipLoop", membershipLoop());
     spawn(m_context.get_executor(), "commitLoop", commitLoop());
     spawn(m_context.get_executor(), "configLoop", configLoop());
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -4,6 +4,7 @@
 #include "daemon/call_stream.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
+#include "inner/inner.h"
 #include "journal/journal.h"
 #include "ownership/ownership.h"
 #include "platform/platform.h"
@@ -111,6 +112,8 @@
     std::shared_ptr<const configuration> config() const { return m_config; }
     row_version configVersion() const { return m_configVersion; }
     const cell_view &view() const { return m_membership.view(); }
+    /// \returns the response to a request of another daemon.
+    std::string answerInner(const std::string &request) { return m_heartbeats.answer(request); }
     std::vector<replica> replicas() const;
     bool isReady() const;
     metrics &measures() { return m_metrics; }
@@ -178,6 +181,7 @@
     platform_client m_platform;
     membership m_membership;
     ownership_history m_history;
+    heartbeats m_heartbeats;
     commit_batcher m_batcher;
     program_book m_book;
     router m_router;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -49,13 +49,17 @@
 std::vector<member> control::lookUp(const std::optional<program_id> &id) const
 {
     const program_id any{m_settings.name};
+    const std::set<daemon_id> suspects = m_heartbeats.suspects();
     std::vector<member> result;
+    std::vector<member> suspected;
     for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
         // A drain shows here before the view has it.
-        if (!m_draining || m->daemon != m_membership.self().daemon)
-            result.push_back(*m);
+        if (m_draining && m->daemon == m_membership.self().daemon)
+            continue;
+        (suspects.count(m->daemon) > 0U ? suspected : result).push_back(*m);
     }
-    return result;
+    // Suspicion of all others says more of this daemon's own network than of theirs.
+    return result.empty() ? suspected : result;
 }
 
 std::optional<program> control::inspect(const program_id &id) const
--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -36,6 +36,7 @@
         co_await refreshView();
         co_await refreshLeases();
         stopIfSuperseded();
+        m_membership.setRefusing(m_heartbeats.refusing());
         m_membership.setRunning(runningFamilies());
         for (membership_action &action : m_membership.poll(runtime_clock::now()))
             co_await perform(std::move(action));
@@ -75,6 +76,7 @@
     if (!m_membership.onView(view, runtime_clock::now()))
         return;
     m_history.onView(m_membership.view());
+    m_heartbeats.onView(m_membership.view());
     m_batcher.setFence(m_membership.view().number);
 }
 
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::string_view innerPath = "/inner/rpc";
 constexpr std::string_view programsPath = "/v1/programs";
 constexpr duration lookUpTtl = seconds(10);
 constexpr duration passOnConnectLimit = seconds(1);
@@ -111,6 +112,13 @@
         co_await writer.write(toResponse(unauthorizedProblem()));
         co_return;
     }
+    if (request.path() == innerPath) {
+        auto answer = [this, text = request.body] { return m_control.answerInner(text); };
+        std::string text = co_await onControl(answer);
+        http_response response = jsonResponse(200, std::move(text));
+        co_await writer.write(std::move(response));
+        co_return;
+    }
     co_await route(request, writer, origin::Daemon);
 }
 
--- a/src/ownership/lease.cpp
+++ b/src/ownership/lease.cpp
@@ -64,8 +64,8 @@
     m_rows.clear();
     for (const lease_record &lease : leases) {
         m_rows[lease.daemon] = lease;
-        const auto [it, isNew]
-            = m_seen.try_emplace({lease.daemon, lease.incarnation}, seen{lease.counter, now});
+        const auto [it, isNew] = m_seen.try_emplace(daemon_run{lease.daemon, lease.incarnation},
+                                                    seen{lease.counter, now});
         // A lower counter is an old renewal that the table applied late: no sign of life.
         if (!isNew && lease.counter > it->second.counter)
             it->second = {lease.counter, now};
@@ -77,13 +77,13 @@
 {
     // Runs that ended long ago; those that are still members are watched again at once.
     std::erase_if(m_seen, [this](const auto &entry) {
-        const lease_record *lease = row(entry.first.first);
-        const bool listed = lease && lease->incarnation == entry.first.second;
+        const lease_record *lease = row(entry.first.daemon);
+        const bool listed = lease && lease->incarnation == entry.first.incarnation;
         return !listed && stoodStill(entry.first, m_settings.ttl * abandonedLives);
     });
 }
 
-bool lease_observer::stoodStill(const run_id &run, duration life) const
+bool lease_observer::stoodStill(const daemon_run &run, duration life) const
 {
     const auto it = m_seen.find(run);
     return it != m_seen.end() && m_lastRead >= it->second.changedAt + life + m_settings.margin;
@@ -94,9 +94,14 @@
     return stoodStill({daemon, incarnation}, m_settings.ttl);
 }
 
+bool lease_observer::hasMissedRenewal(const daemon_run &run) const
+{
+    return stoodStill(run, m_settings.renewEvery + m_settings.renewEvery / 2);
+}
+
 void lease_observer::watch(const daemon_id &daemon, const std::string &incarnation, time_point now)
 {
-    m_seen.try_emplace({daemon, incarnation}, seen{0, now});
+    m_seen.try_emplace(daemon_run{daemon, incarnation}, seen{0, now});
 }
 
 const lease_record *lease_observer::row(const daemon_id &daemon) const
--- a/src/ownership/lease.h
+++ b/src/ownership/lease.h
@@ -8,7 +8,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace azurehill {
@@ -22,6 +21,15 @@
     duration margin = milliseconds(300);
 };
 
+/// \brief One run of a daemon.
+struct daemon_run
+{
+    daemon_id daemon;
+    std::string incarnation;
+
+    friend auto operator<=>(const daemon_run &, const daemon_run &) = default;
+};
+
 /// \brief What a daemon's row says of its lease.
 struct lease_record
 {
@@ -76,6 +84,9 @@
     /// \returns whether a read showed the lease standing still for its whole life. Time without a
     /// read proves nothing: an observer whose reads fail would remove daemons that renew.
     bool hasLapsed(const daemon_id &daemon, const std::string &incarnation) const;
+    /// \returns whether a read showed the lease standing still for clearly longer than a renewal
+    /// takes. That alone proves no death: a slow table looks the same.
+    bool hasMissedRenewal(const daemon_run &run) const;
     /// \brief Starts to watch a run of \p daemon even if its lease was never read.
     void watch(const daemon_id &daemon, const std::string &incarnation, time_point now);
     /// \returns when the last read that counts was sent.
@@ -91,13 +102,11 @@
         std::uint64_t counter = 0;
         time_point changedAt;
     };
-    using run_id = std::pair<daemon_id, std::string>;
-
-    bool stoodStill(const run_id &run, duration life) const;
+    bool stoodStill(const daemon_run &run, duration life) const;
     void dropUnlisted();
 
     lease_settings m_settings;
-    std::map<run_id, seen> m_seen;
+    std::map<daemon_run, seen> m_seen;
     std::map<daemon_id, lease_record> m_rows;
     time_point m_lastRead = time_point::min();
 };
--- a/src/ownership/membership.cpp
+++ b/src/ownership/membership.cpp
@@ -81,6 +81,11 @@
     m_running = std::move(roots);
 }
 
+void membership::setRefusing(std::set<daemon_run> runs)
+{
+    m_refusing = std::move(runs);
+}
+
 std::vector<program_id> membership::wantedKeeps() const
 {
     std::vector<program_id> keeps;
@@ -172,7 +177,11 @@
     // A member may have lapsed, gone and come back in views that were not seen here. It renewed
     // before it came back, so a read sent after this view was known shows that; an older one
     // would remove a daemon that lives.
-    return m_observer.lastRead() >= m_viewAt && m_observer.hasLapsed(m.daemon, m.incarnation);
+    if (m_observer.lastRead() < m_viewAt)
+        return false;
+    const daemon_run run{m.daemon, m.incarnation};
+    return m_observer.hasLapsed(m.daemon, m.incarnation)
+        || (m_refusing.count(run) > 0U && m_observer.hasMissedRenewal(run));
 }
 
 bool membership::othersArePrepared() const
--- a/src/ownership/membership.h
+++ b/src/ownership/membership.h
@@ -64,6 +64,9 @@
     /// \brief Tells which families have a running call, before each poll. Those that a join or a
     /// drain would move stay here until their calls have ended.
     void setRunning(std::set<program_id> roots);
+    /// \brief Tells which runs refuse connections, as seen by two observers. They are removed
+    /// before their lease has lapsed, if they also missed a renewal.
+    void setRefusing(std::set<daemon_run> runs);
     /// \brief Leaves the look-ups with the next change of the view; what does not run moves.
     void drain();
     /// \brief Leaves the members with the next change of the view.
@@ -119,6 +122,7 @@
     stage m_stage = stage::Serving;
     lease_record m_lease;
     std::set<program_id> m_running;
+    std::set<daemon_run> m_refusing;
     time_point m_keepsAt = time_point::min();
     /// Number of the view that announced this daemon as joining.
     fencing_number m_joiningSince = 0;
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -31,22 +31,24 @@
     std::size_t bytes = 0;
 };
 
+void count(sent &s, const renew_lease &renewal)
+{
+    ++s.renewals;
+    s.bytes += encode(renewal.lease).size();
+}
+
 void count(sent &s, const membership_action &action)
 {
-    if (const auto *renew = std::get_if<renew_lease>(&action)) {
-        ++s.renewals;
-        s.bytes += encode(renew->lease).size();
-    } else {
-        ++s.viewChanges;
-        s.bytes += encode(std::get<change_view>(action).next).size();
-    }
+    ++s.viewChanges;
+    if (const auto *change = std::get_if<change_view>(&action))
+        s.bytes += encode(change->next).size();
 }
 
 std::vector<lease_record> leasesOf(const cell_view &view, std::uint64_t counter)
 {
     std::vector<lease_record> leases;
     for (const member &m : view.members)
-        leases.push_back({m.daemon, m.incarnation, counter, 1});
+        leases.push_back({m.daemon, m.incarnation, counter, 1, 1, counter});
     return leases;
 }
 
@@ -59,7 +61,9 @@
     for (int second = 0; second < 60; ++second) {
         const time_point now(seconds(1000 + second));
         me.onView(view, now);
-        me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now);
+        me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now, now);
+        if (const auto renewal = me.pollLease(now))
+            count(result, *renewal);
         for (const membership_action &action : me.poll(now))
             count(result, action);
         me.onRenewed(now);
--- a/test/logic/membership_test.cpp
+++ b/test/logic/membership_test.cpp
@@ -109,6 +109,31 @@
             CHECK(c.at(0).logic->poll(c.now()).empty());
         }
     }
+    SUBCASE("one that refuses connections goes early, but not while it renews")
+    {
+        // The network between daemons fails for one of them while it serves and renews on. The
+        // others must not take its programs; of a dead one they should, and soon.
+        c.at(0).logic->setRefusing({{makeMember(1, 0).daemon, c.at(1).logic->self().incarnation}});
+        for (int i = 0; i < 40; ++i, c.advance(pollPeriod)) {
+            for (int n = 0; n < 3; ++n)
+                c.round(n);
+        }
+        CHECK(c.table().view.members.size() == 3);
+        const time_point killed = c.now();
+        c.crash(1);
+        while (c.table().view.members.size() == 3) {
+            c.round(0);
+            c.advance(pollPeriod);
+        }
+        CHECK(c.now() - killed <= 2 * lease.renewEvery + lease.margin + pollPeriod);
+    }
+    SUBCASE("one that leaves takes its lease row along")
+    {
+        c.at(1).logic->leave();
+        c.round(1);
+        CHECK(c.at(1).logic->hasLeft());
+        CHECK(c.table().leases.count(makeMember(1, 0).daemon) == 0);
+    }
     SUBCASE("one that woke and renewed stays, though its removal was on the way")
     {
         // The removal was decided rightly and reached the table late; in between the paused daemon
