Follow the configuration so that one preset decides at any instant

Cause: a daemon took a stored configuration the moment it read it, so for up to a poll two presets were in force; a write whose answer was lost was reported as a conflict; a daemon that started in an outage had no configuration; settings had few flags, and faults didn't say which variable gave a value. Ruled out: an activation time alone. A write that stays on its way for longer than the delay is used at once by who reads it, while others rely on a read from before (docs/CONFIGURATION.md, ways weighed). Change: config_follower (no I/O) adopts forwards only, decides by a version whose activation time has certainly come and which it has known for a whole validity, and by none while it can't confirm the head; activation 4 s after acceptance instead of 3 s, so that this wait ends before it in ordinary running. Writes carry an id and are resolved by it; the last 50 versions are kept in the same transaction; peers are asked in an outage (--peers, GET /inner/config). New programs are refused while no preset is certainly in force. Operators see programs, upstreams, presets, history and diff. option_reader serves both commands: all faults at once, with flag or variable, value and reason. Touched beyond these modules: platform_client (readTimed), the stand-in's table answers (now_ms), control_calls (the refusal), test/CMakeLists (path of docs). Each guard's test was seen failing without it: the wait after first sight, late reads, validity, the clock's error, order of activation times, versions before the head, resending after a lost answer, comparing the id, the conditional write, asking peers, the refusal of new programs.

--- /dev/null
+++ b/src/client/exit_status.h
@@ -0,0 +1,19 @@
+#pragma once
+
+namespace azurehill {
+
+/// \brief Exit statuses of azurehill-ctl; but for BadSettings they are those of sysexits.h.
+enum exit_status {
+    Done = 0,
+    BadSettings = 2,
+    BadUsage = 64,
+    BadData = 65,
+    NoInput = 66,
+    Unavailable = 69,
+    UnknownOutcome = 70,
+    Conflict = 75,
+    Protocol = 76,
+    NoPermission = 77
+};
+
+} // namespace azurehill
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -14,7 +14,7 @@
                  std::function<void(running_call)> runCall)
     : m_context(context), m_settings(s), m_runCall(std::move(runCall)),
       m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
-      m_batcher(self.daemon, self.incarnation, {}), m_router(self.dataCentre),
+      m_batcher(self.daemon, self.incarnation, s.commit), m_router(self.dataCentre),
       m_commitTimer(context)
 { }
 
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -54,6 +54,16 @@
     std::int64_t deadlineMs = 0;
 };
 
+/// \brief How a change of the configuration failed. After Unknown it may take effect or not.
+enum class config_write_failure { Conflict, Unavailable, TooManyWaiting, Unknown };
+
+struct config_write_error
+{
+    config_write_failure kind = config_write_failure::Unavailable;
+    /// Conflict: the version that is there instead.
+    std::optional<config_version> there;
+};
+
 /// \brief The control state of a daemon. All of it is used on the control thread only.
 class control
 {
@@ -78,15 +88,29 @@
     std::vector<member> lookUp(const std::optional<program_id> &id) const;
     std::optional<program> inspect(const program_id &id) const;
     std::vector<program_id> programIds() const;
+    /// \returns the programs that this daemon owns, without their histories and answers.
+    std::vector<program> programs() const;
     std::shared_ptr<const configuration> config() const { return m_config; }
-    row_version configVersion() const { return m_configVersion; }
+    config_number configVersion() const { return m_configVersion; }
     const cell_view &view() const { return m_membership.view(); }
     std::vector<replica> replicas() const;
     bool isReady() const;
 
-    /// \brief Stores a new configuration if the stored one still has version \p expected.
-    awaitable<tl::expected<row_version, platform_error>> storeConfig(std::string text,
-                                                                     row_version expected);
+    /// \returns the preset that decides now, or why none certainly does: what a preset decides is
+    /// refused then.
+    tl::expected<preset, preset_doubt> presetInForce() const;
+    /// \returns the version that decides now, or why none does.
+    tl::expected<config_version, preset_doubt> configInForce() const;
+    /// \returns what to tell a peer that can't read the store.
+    std::optional<peer_config> configForPeer() const;
+    /// \brief Reads the store if it can be reached. \returns the newest version known.
+    awaitable<std::optional<config_version>> newestConfig();
+    /// \returns the last versions, oldest first.
+    awaitable<platform_client::result<std::vector<config_version>>> configHistory();
+    /// \brief Stores a new configuration if the stored one still has number \p expected.
+    awaitable<tl::expected<config_version, config_write_error>>
+    storeConfig(std::shared_ptr<const configuration> config, std::string author,
+                config_number expected);
 
 private:
     struct commit_wait
@@ -104,7 +128,14 @@
     awaitable<void> refreshLeases();
     awaitable<void> perform(membership_action action);
     awaitable<bool> loadGained();
-    awaitable<void> readConfig();
+    awaitable<std::optional<row_version>> readConfig();
+    void useCurrentConfig();
+    awaitable<void> askPeers();
+    std::vector<endpoint> configPeers() const;
+    transaction configTransaction(const config_document &document, row_version there) const;
+    awaitable<tl::expected<config_version, config_write_error>> writeConfig(transaction t,
+                                                                            config_version version);
+    awaitable<std::optional<bool>> isStored(config_version version);
 
     awaitable<commit_result> commit(std::vector<journal_record> records);
     awaitable<void> perform(commit_action action);
@@ -122,6 +153,7 @@
     std::string viewKey() const { return "view/" + m_settings.cell; }
     std::string leasePrefix() const { return "lease/" + m_settings.cell + "/"; }
     std::string configKey() const { return "config/" + m_settings.cell; }
+    std::string configHistoryPrefix() const { return configKey() + "/v"; }
 
     asio::io_context &m_context;
     settings m_settings;
@@ -132,7 +164,9 @@
     program_book m_book;
     router m_router;
     std::shared_ptr<const configuration> m_config;
-    row_version m_configVersion = 0;
+    config_number m_configVersion = 0;
+    config_follower m_follower;
+    std::size_t m_nextPeer = 0;
     fencing_number m_loadedView = 0;
     bool m_draining = false;
     timer m_commitTimer;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -76,6 +76,12 @@
 {
     if (!m_config || !isReady())
         co_return tl::unexpected(makeRefusal(refusal_reason::Draining, "not ready", retrySoon));
+    // A new program is work that a preset decides, so one must certainly be in force.
+    if (const auto decided = presetInForce(); !decided) {
+        co_return tl::unexpected(makeRefusal(
+            refusal_reason::StoreUnavailable,
+            "no preset is certainly in force: " + std::string(toName(decided.error())), retrySoon));
+    }
     const auto config = m_config;
     const auto tenantRules = config->tenants.find(request.tenant.value);
     const auto classRules = config->classes.find(request.programClass);
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -64,10 +64,10 @@
     control *owner = nullptr;
     door *entry = nullptr;
 
-    http_server outer(trafficExecutor, {}, [&](const http_request &r, response_writer &w) {
+    http_server outer(trafficExecutor, s.limits, [&](const http_request &r, response_writer &w) {
         return entry->serve(r, w);
     });
-    http_server inner(trafficExecutor, {}, [&](const http_request &r, response_writer &w) {
+    http_server inner(trafficExecutor, s.limits, [&](const http_request &r, response_writer &w) {
         return entry->serveInner(r, w);
     });
     const std::uint16_t port = outer.listen(s.listen);
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -98,6 +98,8 @@
         co_return co_await readiness(writer);
     if (path == "/v1/lookup")
         co_return co_await lookUp(request, writer);
+    if (path == "/inner/config" && from == origin::Daemon)
+        co_return co_await tellConfig(writer);
     if (path.starts_with("/operator/"))
         co_return co_await m_operators.serve(request, writer);
 
@@ -131,6 +133,15 @@
     co_await writer.write(std::move(response));
 }
 
+awaitable<void> door::tellConfig(response_writer &writer)
+{
+    auto read = [this] { return m_control.configForPeer(); };
+    const auto known = co_await onControl(read);
+    http_response response
+        = known ? jsonResponse(200, toText(*known)) : toResponse(notReadyProblem());
+    co_await writer.write(std::move(response));
+}
+
 awaitable<void> door::lookUp(const http_request &request, response_writer &writer)
 {
     std::optional<program_id> id;
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -25,6 +25,8 @@
 
     awaitable<void> route(const http_request &request, response_writer &writer, origin from);
     awaitable<void> lookUp(const http_request &request, response_writer &writer);
+    /// \brief Tells another daemon, which can't read the store, the configuration.
+    awaitable<void> tellConfig(response_writer &writer);
     awaitable<void> readiness(response_writer &writer);
     awaitable<void> createProgram(const http_request &request, const tenant_id &tenant,
                                   response_writer &writer, origin from);
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,3 +1,4 @@
+#include "core/log.h"
 #include "daemon/daemon.h"
 
 #include <fmt/format.h>
@@ -11,7 +12,7 @@
 void printFaults(const std::vector<azurehill::setting_fault> &faults)
 {
     for (const azurehill::setting_fault &f : faults)
-        fmt::print(stderr, "azurehilld: {} \"{}\" {}\n", f.flag, f.value, f.reason);
+        fmt::print(stderr, "azurehilld: {}\n", azurehill::toText(f));
 }
 
 } // namespace
@@ -19,6 +20,10 @@
 int main(int argc, const char **argv)
 {
     const azurehill::command_line given = azurehill::readSettings(argc, argv);
+    if (!given.helpText.empty()) {
+        fmt::print("{}", given.helpText);
+        return 0;
+    }
     if (given.versionOnly) {
         fmt::print("azurehilld {}\n", AZUREHILL_VERSION);
         return 0;
@@ -27,5 +32,6 @@
         printFaults(given.faults);
         return exitBadSettings;
     }
+    azurehill::setLogLevel(given.values.logLevel);
     return azurehill::runDaemon(given.values);
 }
--- a/src/daemon/operator_door.cpp
+++ b/src/daemon/operator_door.cpp
@@ -1,45 +1,40 @@
 #include "daemon/operator_door.h"
 
 #include "daemon/auth.h"
+#include "daemon/operator_answers.h"
 #include "daemon/problems.h"
 
-#include <boost/json.hpp>
+#include <charconv>
 
 namespace azurehill {
 
-namespace json = boost::json;
-
 namespace {
 
-http_response membersResponse(const cell_view &view)
-{
-    json::array list;
-    for (const member &m : view.members) {
-        list.push_back({{"daemon", m.daemon.value},
-                        {"address", m.address},
-                        {"data_centre", m.dataCentre.value},
-                        {"draining", m.draining}});
-    }
-    return jsonResponse(200,
-                        json::serialize(json::object{{"view", view.number}, {"members", list}}));
-}
+constexpr std::size_t longestAuthor = 100;
+constexpr std::string_view unnamedAuthor = "operator";
 
-http_response storedResponse(row_version version)
+/// \returns the version that a change is made to, or nothing when the header names none.
+std::optional<config_number> expectedVersion(const http_request &request)
 {
-    return jsonResponse(200, json::serialize(json::object{{"version", version}}));
+    std::string_view text = request.headers.get("If-Match");
+    if (text.size() >= 2 && text.front() == '"' && text.back() == '"')
+        text = text.substr(1, text.size() - 2);
+    config_number number = 0;
+    const auto [stop, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || stop != text.data() + text.size())
+        return std::nullopt;
+    return number;
 }
 
-http_response faultsResponse(const std::vector<config_fault> &faults)
+std::string authorOf(const http_request &request)
 {
-    json::array list;
-    for (const config_fault &f : faults)
-        list.push_back({{"path", f.path}, {"reason", f.reason}});
-    return jsonResponse(422, json::serialize(json::object{{"faults", list}}));
+    const std::string_view author = request.headers.get("Azurehill-Author");
+    return std::string(author.empty() ? unnamedAuthor : author.substr(0, longestAuthor));
 }
 
-row_version expectedVersion(const http_request &request)
+problem noConfigProblem()
 {
-    return std::strtoull(std::string(request.headers.get("If-Match")).c_str(), nullptr, 10);
+    return notFoundProblem("no configuration yet");
 }
 
 } // namespace
@@ -51,38 +46,78 @@
         co_return;
     }
     const std::string path(request.path());
+    http_response response;
+    if (path == "/operator/config" && request.method == "PUT")
+        response = co_await applyConfig(request);
+    else if (path == "/operator/config/history")
+        response = co_await history();
+    else if (path == "/operator/config" || path == "/operator/presets")
+        response = co_await showConfig(path == "/operator/presets");
+    else
+        response = co_await showState(path);
+    co_await writer.write(std::move(response));
+}
+
+awaitable<http_response> operator_door::showState(std::string path)
+{
     if (path == "/operator/members") {
-        auto readView = [this] { return m_control.view(); };
-        const auto view = co_await onControl(readView);
-        co_await writer.write(membersResponse(view));
-        co_return;
+        auto read = [this] { return m_control.view(); };
+        const auto view = co_await onControl(read);
+        co_return membersResponse(view);
     }
-    if (path == "/operator/config" && request.method == "PUT") {
-        const auto parsed = parseConfiguration(request.body);
-        if (!parsed) {
-            co_await writer.write(faultsResponse(parsed.error()));
-            co_return;
-        }
-        const row_version expected = expectedVersion(request);
-        auto store = [this, expected, text = request.body] {
-            return m_control.storeConfig(text, expected);
-        };
-        const auto stored = co_await onControl(store);
-        http_response response = stored
-            ? storedResponse(*stored)
-            : toResponse(conflictProblem(std::string(toName(stored.error().kind))));
-        co_await writer.write(std::move(response));
-        co_return;
+    if (path == "/operator/programs") {
+        auto read = [this] { return m_control.programs(); };
+        const auto programs = co_await onControl(read);
+        co_return programsResponse(programs);
     }
-    if (path == "/operator/config") {
-        auto readConfig = [this] { return m_control.config(); };
-        const auto config = co_await onControl(readConfig);
-        http_response response = config ? jsonResponse(200, toText(*config))
-                                        : toResponse(notFoundProblem("no configuration yet"));
-        co_await writer.write(std::move(response));
-        co_return;
+    if (path == "/operator/upstreams") {
+        auto read = [this] { return m_control.replicas(); };
+        const auto replicas = co_await onControl(read);
+        co_return upstreamsResponse(replicas);
     }
-    co_await writer.write(toResponse(notFoundProblem(path)));
+    co_return toResponse(notFoundProblem(path));
+}
+
+awaitable<http_response> operator_door::showConfig(bool presetsOnly)
+{
+    auto readNewest = [this] { return m_control.newestConfig(); };
+    const auto head = co_await onControl(readNewest);
+    if (!head)
+        co_return toResponse(noConfigProblem());
+    auto readDecided = [this] { return m_control.configInForce(); };
+    const auto decided = co_await onControl(readDecided);
+    if (presetsOnly)
+        co_return presetsResponse(*head, decided);
+    co_return configResponse(*head, decided);
+}
+
+awaitable<http_response> operator_door::history()
+{
+    auto read = [this] { return m_control.configHistory(); };
+    const auto versions = co_await onControl(read);
+    if (!versions)
+        co_return toResponse(toProblem(config_write_error{}));
+    co_return historyResponse(*versions);
+}
+
+awaitable<http_response> operator_door::applyConfig(const http_request &request)
+{
+    const auto expected = expectedVersion(request);
+    if (!expected)
+        co_return toResponse(
+            malformedProblem("If-Match must name the version to change, 0 at first"));
+    auto parsed = parseConfiguration(request.body);
+    if (!parsed)
+        co_return faultsResponse(parsed.error());
+    const auto config = std::make_shared<const configuration>(std::move(*parsed));
+    const std::string author = authorOf(request);
+    auto store = [this, config, author, number = *expected] {
+        return m_control.storeConfig(config, author, number);
+    };
+    const auto stored = co_await onControl(store);
+    if (!stored)
+        co_return toResponse(toProblem(stored.error()));
+    co_return storedResponse(*stored);
 }
 
 } // namespace azurehill
--- a/src/daemon/operator_door.h
+++ b/src/daemon/operator_door.h
@@ -17,6 +17,11 @@
     awaitable<void> serve(const http_request &request, response_writer &writer);
 
 private:
+    awaitable<http_response> showState(std::string path);
+    awaitable<http_response> showConfig(bool presetsOnly);
+    awaitable<http_response> history();
+    awaitable<http_response> applyConfig(const http_request &request);
+
     template <class Function>
     auto onControl(Function &task)
     {
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,7 +1,11 @@
 #pragma once
 
+#include "core/log.h"
 #include "core/runtime_clock.h"
+#include "daemon/option_reader.h"
 #include "http/http_message.h"
+#include "http/http_server.h"
+#include "journal/commit_batcher.h"
 #include "ownership/lease.h"
 
 #include <string>
@@ -18,21 +22,18 @@
     endpoint listen{"127.0.0.1", 0};
     endpoint innerListen{"127.0.0.1", 0};
     endpoint platform;
+    /// Inner addresses of other daemons, for a start while the platform can't be reached.
+    std::vector<endpoint> peers;
     /// Secret that daemons of one deployment share.
     std::string innerToken;
     /// SHA-256 of the operators' bearer token, in hexadecimal.
     std::string operatorTokenSha256;
     std::string portFile;
     int trafficThreads = 2;
+    log_level logLevel = log_level::Info;
     lease_settings lease;
-};
-
-/// \brief A setting that can't be used.
-struct setting_fault
-{
-    std::string flag;
-    std::string value;
-    std::string reason;
+    commit_settings commit;
+    http_limits limits;
 };
 
 /// \brief What the command line asks for.
@@ -41,6 +42,8 @@
     settings values;
     std::vector<setting_fault> faults;
     bool versionOnly = false;
+    /// The help text if it was asked for, else nothing.
+    std::string helpText;
 };
 
 /// \brief Reads flags and environment; flags go before the environment.
--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -72,6 +72,14 @@
     return rows;
 }
 
+timed_rows timedRowsOf(const json::value &body)
+{
+    timed_rows result{rowsOf(body), std::nullopt};
+    if (const json::value *now = body.as_object().if_contains("now_ms"))
+        result.nowMs = now->to_number<std::int64_t>();
+    return result;
+}
+
 platform_error errorOf(const http_response &response)
 {
     switch (response.status) {
@@ -151,6 +159,15 @@
     co_return parsed(*response, rowsOf);
 }
 
+awaitable<platform_client::result<timed_rows>>
+platform_client::readTimed(std::vector<std::string> keys)
+{
+    auto response = co_await call(postJson("/table/read", readBody(keys)));
+    if (!response)
+        co_return tl::unexpected(response.error());
+    co_return parsed(*response, timedRowsOf);
+}
+
 awaitable<platform_client::result<std::vector<table_row>>>
 platform_client::scan(std::string prefix, std::string after, int limit)
 {
--- a/src/platform/platform_client.h
+++ b/src/platform/platform_client.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,13 @@
     bool leaving = false;
 };
 
+/// \brief Rows, and the platform's time at which they were read if the answer carries it.
+struct timed_rows
+{
+    std::vector<table_row> rows;
+    std::optional<std::int64_t> nowMs;
+};
+
 /// \brief Client of the platform. Used from one thread; keeps a few connections open.
 class platform_client
 {
@@ -35,6 +43,8 @@
     awaitable<result<std::map<std::string, row_version>>> transact(transaction t);
     /// \brief Reads rows by key; absent rows are left out.
     awaitable<result<std::vector<table_row>>> read(std::vector<std::string> keys);
+    /// \brief Reads rows by key, with the time of the reading.
+    awaitable<result<timed_rows>> readTimed(std::vector<std::string> keys);
     /// \brief Reads rows in key order whose key begins with \p prefix and comes after \p after.
     awaitable<result<std::vector<table_row>>> scan(std::string prefix, std::string after,
                                                    int limit);
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -91,7 +91,14 @@
             if (const auto it = m_rows.find(text(key)); it != m_rows.end())
                 rows.emplace_back(rowJson(it->first, it->second));
         }
-        return jsonResponse(200, json::serialize(json::object{{"rows", rows}}));
+        return jsonResponse(200,
+                            json::serialize(json::object{{"rows", rows}, {"now_ms", nowMs()}}));
+    }
+
+    /// \brief The platform's time line: it moves with the project's clock, paused or not.
+    std::int64_t nowMs() const
+    {
+        return m_startUnixMs + toMilliseconds(runtime_clock::now() - m_start);
     }
 
     http_response scan(const json::value &body)
@@ -152,6 +159,8 @@
     }
 
     duration m_hostLag;
+    time_point m_start = runtime_clock::now();
+    std::int64_t m_startUnixMs = unixMilliseconds();
     std::map<std::string, stored_row> m_rows;
     std::map<std::string, std::string> m_objects;
     std::map<std::string, std::vector<stored_host>> m_hosts;
