--- a/bench/bench_capacity_platform.cpp
+++ b/bench/bench_capacity_platform.cpp
@@ -6,8 +6,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdio>
-#include <optional>
+#include <memory>
 
 namespace azurehill::bench {
 
@@ -158,6 +159,62 @@
     }
 }
 
+void measureConfigurationChange()
+{
+    series time({"config.in_force", "seconds until the last daemon has it", "members"});
+    for (const int members : {4, 8, 16, 32, 64}) {
+        counted_platform platform(fewTenants, fewReplicas);
+        control_group group(platform, 0, members);
+        if (!group.waitUntilReady(readyLimit)) {
+            notReady("configuration", members);
+            continue;
+        }
+        constexpr int rounds = 3;
+        double longest = 0;
+        for (int i = 0; i < rounds; ++i)
+            longest = std::max(longest, group.changeConfiguration(fewTenants));
+        time.add(members, longest);
+    }
+}
+
+/// \brief One of several daemons dies, each of which owns some programs.
+void measureLoss()
+{
+    constexpr int programsEach = 4;
+    constexpr int turnsEach = 1;
+    series viewWrites({"loss.view_writes", "conditional writes of the view in all", "members"});
+    series journalReads({"loss.journal_reads", "journal reads in all", "members"});
+    series journalBytes({"loss.journal_bytes", "journal bytes in all", "members"});
+    series time({"loss.time", "seconds until all serve again", "members"});
+    for (const int members : {4, 8, 16, 32}) {
+        counted_platform platform(fewTenants, fewReplicas);
+        control_group survivors(platform, 1, members - 1);
+        auto lost = std::make_unique<control_group>(platform, 0, 1);
+        const auto all = static_cast<std::size_t>(members);
+        if (!survivors.waitUntilReady(readyLimit, all) || !lost->waitUntilReady(readyLimit, all)) {
+            notReady("loss", members);
+            continue;
+        }
+        survivors.runPrograms(programsEach, turnsEach);
+        lost->runPrograms(programsEach, turnsEach);
+        const auto before = platform.counts();
+        const time_point begun = runtime_clock::now();
+        lost.reset();
+        if (!survivors.waitUntilReady(readyLimit, all - 1)) {
+            notReady("loss", members);
+            continue;
+        }
+        const auto load = platform.counts() - before;
+        const traffic journal = load[static_cast<std::size_t>(traffic_kind::Journal)];
+        viewWrites.add(
+            members,
+            static_cast<double>(load[static_cast<std::size_t>(traffic_kind::View)].writes));
+        journalReads.add(members, static_cast<double>(journal.reads));
+        journalBytes.add(members, static_cast<double>(journal.bytes));
+        time.add(members, secondsSince(begun));
+    }
+}
+
 /// \brief One daemon dies with all its programs and another takes them over.
 void measureRecovery()
 {
@@ -207,6 +264,8 @@
     measureReplicas();
     measureTenants();
     measureTurns();
+    measureConfigurationChange();
+    measureLoss();
     measureRecovery();
     return 0;
 }
--- a/bench/bench_capacity_state.cpp
+++ b/bench/bench_capacity_state.cpp
@@ -3,10 +3,12 @@
 
 #include "bench/capacity_report.h"
 #include "bench/capacity_samples.h"
+#include "daemon/call_stream.h"
 #include "program/programs.h"
 
 #include <cstdlib>
 #include <malloc.h>
+#include <memory>
 #include <new>
 
 namespace {
@@ -106,6 +108,23 @@
     }
 }
 
+void measureStreams()
+{
+    const std::string event
+        = "id: 0123456789ab-1000\ndata: "
+          R"({"choices":[{"index":0,"delta":{"content":"word"},"finish_reason":null}]})"
+          "\n\n";
+    series held({"state.stream", "bytes", "tokens of a call"});
+    for (const int tokens : {64, 330, 1000, 4000}) {
+        held.add(tokens, heldBytes([&] {
+                     auto stream = std::make_unique<call_stream>("0123456789ab");
+                     for (int i = 0; i < tokens; ++i)
+                         stream->append(event);
+                     return stream;
+                 }));
+    }
+}
+
 void measureConfiguration()
 {
     series held({"state.configuration", "bytes", "tenants"});
@@ -141,6 +160,7 @@
     measurePrograms();
     measureReplicas();
     measureMembers();
+    measureStreams();
     measureConfiguration();
     measureJournal();
     return 0;
