--- a/Makefile
+++ b/Makefile
@@ -33,8 +33,10 @@
 clean:
 	@rm -rf build
 
-# Slopes of cost against size as JSON lines; the tables of docs/CAPACITY.md go to capacity.md.
+# Slopes of cost against size as JSON lines; its tables go into docs/CAPACITY.md.
 capacity: build
 	@for part in state time platform; do $(BUILD)/bench/bench_capacity_$$part; done \
 		2>$(BUILD)/capacity.log | tee $(BUILD)/capacity.jsonl
 	@$(BUILD)/bench/bench_capacity_page <$(BUILD)/capacity.jsonl >$(BUILD)/capacity.md
+	@sed -i -e '/^<!-- tables begin -->$$/,/^<!-- tables end -->$$/{//!d}' \
+		-e '/^<!-- tables begin -->$$/r $(BUILD)/capacity.md' docs/CAPACITY.md
--- a/bench/bench_capacity_page.cpp
+++ b/bench/bench_capacity_page.cpp
@@ -189,6 +189,8 @@
     printBudgetRow("platform reads a second, all daemons", reads(one), reads(cell), readsLimit);
     printBudgetRow("platform writes a second, all daemons", writes(one), writes(cell), writesLimit);
     printBudgetRow("memory, programs of 30 turns", memory(one, 30), memory(cell, 30), memoryLimit);
+    printBudgetRow("memory, programs of 60 turns", memory(one, averageTurns),
+                   memory(cell, averageTurns), memoryLimit);
     printBudgetRow("memory, programs of 120 turns", memory(one, turnsOfProgram),
                    memory(cell, turnsOfProgram), memoryLimit);
 }
@@ -216,8 +218,7 @@
     const double hostsProcessor = m.at("hosts.processor", replicas) - m.at("hosts.processor", 0);
     return {
         {"entry (traffic)", openCalls * m.at("state.stream", tokensOfCall), turns + tokensEach,
-         tokenTime, tokensEach * m.at("state.stream", tokensOfCall) / tokensOfCall,
-         "call_stream, read from any event on"},
+         tokenTime, m.at("row.stream", tokensEach), "call_stream, read from any event on"},
         {"owner of programs (traffic)",
          programs / daemons * m.at("state.program_by_turns", averageTurns), 2 * turns,
          turns * m.at("time.turn", averageTurns) * perSecond, 0, "program_book, whole in memory"},
--- a/bench/bench_capacity_state.cpp
+++ b/bench/bench_capacity_state.cpp
@@ -115,6 +115,7 @@
           R"({"choices":[{"index":0,"delta":{"content":"word"},"finish_reason":null}]})"
           "\n\n";
     series held({"state.stream", "bytes", "tokens of a call"});
+    series sent({"row.stream", "bytes", "tokens of a call"});
     for (const int tokens : {64, 330, 1000, 4000}) {
         held.add(tokens, heldBytes([&] {
                      auto stream = std::make_unique<call_stream>("0123456789ab");
@@ -122,6 +123,7 @@
                          stream->append(event);
                      return stream;
                  }));
+        sent.add(tokens, static_cast<double>(tokens) * static_cast<double>(event.size()));
     }
 }
 
