--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -59,8 +59,7 @@
 void runTurn(program_book &book, commit_batcher &batcher, const program_id &id, std::int64_t turn)
 {
     const call_begun begun = makeBegun(id, turn);
-    const auto decision
-        = book.decide({id, turn, begun.key, begun.kind, begun.idempotent, begun.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     keep(decision);
     book.apply(begun);
     const std::string history = book.find(id)->history;
@@ -86,8 +85,10 @@
         commit_batcher batcher({"daemon-0001"}, "0123456789ab", noPause);
         const program_id id = makeProgramId();
         book.apply(makeCreated(id));
-        for (int turn = 1; turn <= before; ++turn)
+        for (int turn = 1; turn <= before; ++turn) {
+            book.apply(makeBegun(id, turn));
             book.apply(makeFinished(id, turn));
+        }
         const program_book start = book;
         // Copying the book is part of the loop but not of a turn.
         const double copying = microseconds([&] { keep(book = start); });
--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -275,8 +275,7 @@
 awaitable<void> control_group::runTurn(control &owner, program_id id, std::int64_t turn)
 {
     call_spec spec;
-    const call_begun begun = makeBegun(id, turn);
-    spec.request = {id, turn, begun.key, begun.kind, begun.idempotent, begun.reservedTokens};
+    spec.request = makeRequest(id, turn);
     spec.tenant.value = "tenant-001";
     spec.service = "model-1";
     const auto started = co_await owner.startCall(std::move(spec));
--- a/bench/capacity_samples.h
+++ b/bench/capacity_samples.h
@@ -3,6 +3,7 @@
 #include "config/config.h"
 #include "journal/journal.h"
 #include "ownership/ownership.h"
+#include "program/programs.h"
 #include "sched/sched.h"
 
 #include <fmt/format.h>
@@ -74,18 +75,35 @@
 
 inline call_begun makeBegun(const program_id &id, std::int64_t turn)
 {
-    return {id, turn, fmt::format("key-{:08}", turn), call_kind::Model, true, 4000};
+    call_begun r;
+    r.program = id;
+    r.turn = turn;
+    r.key = fmt::format("key-{:08}", turn);
+    r.reservedTokens = 4000;
+    return r;
 }
 
 inline call_finished makeFinished(const program_id &id, std::int64_t turn)
 {
-    return {id,
-            turn,
-            fmt::format("key-{:08}", turn),
-            3250,
-            200,
-            std::string(historyBytesPerTurn, 'h'),
-            std::string(replyBytesPerTurn, 'r')};
+    call_finished r;
+    r.program = id;
+    r.turn = turn;
+    r.key = fmt::format("key-{:08}", turn);
+    r.spentTokens = 3250;
+    r.messages = std::string(historyBytesPerTurn, 'h');
+    r.reply = std::string(replyBytesPerTurn, 'r');
+    return r;
+}
+
+inline call_request makeRequest(const program_id &id, std::int64_t turn)
+{
+    const call_begun begun = makeBegun(id, turn);
+    call_request r;
+    r.program = id;
+    r.turn = turn;
+    r.key = begun.key;
+    r.reserveTokens = begun.reservedTokens;
+    return r;
 }
 
 } // namespace azurehill::bench
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -79,9 +79,7 @@
 /// \returns what the daemon writes for the next turn of \p id, as the book decides it.
 journal_batch batchOfTurn(const program_book &book, const program_id &id, std::int64_t turn)
 {
-    const call_begun wanted = makeBegun(id, turn);
-    const auto decision = book.decide(
-        {id, turn, wanted.key, wanted.kind, wanted.idempotent, wanted.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     REQUIRE(decision);
     return {{"daemon-0001"},
             "0123456789ab",
@@ -170,8 +168,10 @@
             program_book book;
             const program_id id = numberedProgram(1);
             book.apply(makeCreated(id));
-            for (int turn = 1; turn <= turns; ++turn)
+            for (int turn = 1; turn <= turns; ++turn) {
+                book.apply(makeBegun(id, turn));
                 book.apply(makeFinished(id, turn));
+            }
             std::size_t held = book.find(id)->history.size();
             for (const auto &[turn, call] : book.find(id)->closed)
                 held += call.reply.size() + call.key.size();
