--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace azurehill;
 using namespace azurehill::bench;
@@ -47,19 +48,26 @@
     return leases;
 }
 
-/// \returns what the first member sends in a minute in which nothing happens.
+/// \returns what the first member sends in a minute in which no member comes or goes.
 sent quietMinute(int members)
 {
+    constexpr int programsInCell = 4096;
     const cell_view view = makeView(members);
+    std::set<program_id> running;
+    for (int i = 0; i < programsInCell; ++i) {
+        if (ownerOf(view, numberedProgram(i)) == &view.members.front())
+            running.insert(numberedProgram(i));
+    }
     membership me(view.members.front(), {});
     sent result;
     for (int second = 0; second < 60; ++second) {
         const time_point now(seconds(1000 + second));
         me.onView(view, now);
         me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now, now);
-        if (const auto renew = me.pollLease(now)) {
+        me.setRunning(running);
+        if (const auto renewal = me.pollLease(now)) {
             ++result.renewals;
-            result.bytes += encode(renew->lease).size();
+            result.bytes += encode(renewal->lease).size();
         }
         for (const membership_action &action : me.poll(now))
             count(result, action);
@@ -71,9 +79,7 @@
 /// \returns what the daemon writes for the next turn of \p id, as the book decides it.
 journal_batch batchOfTurn(const program_book &book, const program_id &id, std::int64_t turn)
 {
-    const call_begun wanted = makeBegun(id, turn);
-    const auto decision = book.decide(
-        {id, turn, wanted.key, wanted.kind, wanted.idempotent, wanted.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     REQUIRE(decision);
     return {{"daemon-0001"},
             "0123456789ab",
@@ -162,8 +168,10 @@
             program_book book;
             const program_id id = numberedProgram(1);
             book.apply(makeCreated(id));
-            for (int turn = 1; turn <= turns; ++turn)
+            for (int turn = 1; turn <= turns; ++turn) {
+                book.apply(makeBegun(id, turn));
                 book.apply(makeFinished(id, turn));
+            }
             std::size_t held = book.find(id)->history.size();
             for (const auto &[turn, call] : book.find(id)->closed)
                 held += call.reply.size() + call.key.size();
