--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -106,11 +106,15 @@
     awaitable<bool> loadGained();
     awaitable<void> readConfig();
 
-    awaitable<commit_result> commit(std::vector<journal_record> records);
+    awaitable<commit_result> commit(journal_record record, commit_need need);
+    void adoptView();
+    void dropFamily(const program_id &id);
+    bool isRunning(const running_call &call) const;
+    awaitable<void> closeTooLarge(running_call call);
+    void abandonCall(const running_call &call, commit_result begun);
     awaitable<void> perform(commit_action action);
-    awaitable<batch_answer> writeBatch(journal_batch batch);
+    awaitable<batch_answer> writeBatch(write_batch write);
     awaitable<batch_answer> readBack(journal_batch batch);
-    bool ownsAll(const journal_batch &batch) const;
     void answerBatch(batch_answer answer);
     void settleTickets(const commit_done &done);
 
@@ -134,6 +138,10 @@
     std::shared_ptr<const configuration> m_config;
     row_version m_configVersion = 0;
     fencing_number m_loadedView = 0;
+    fencing_number m_adoptedView = 0;
+    /// Grows when a program is dropped: a load that began before that is out of date.
+    std::uint64_t m_drops = 0;
+    std::unordered_map<program_id, int> m_turnWaits;
     bool m_draining = false;
     timer m_commitTimer;
     std::vector<commit_action> m_commitActions;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -1,5 +1,6 @@
 #include "core/log.h"
 #include "daemon/control.h"
+#include "daemon/problems.h"
 
 #include <algorithm>
 
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr duration retrySoon = seconds(1);
+/// Requests of one program that may wait for the call before them.
+constexpr int maxTurnWaits = 8;
 
 refusal makeRefusal(refusal_reason reason, std::string detail,
                     std::optional<duration> retryAfter = std::nullopt)
@@ -15,6 +18,15 @@
     return {reason, std::move(detail), retryAfter};
 }
 
+refusal commitRefusal(commit_result result)
+{
+    if (result == commit_result::Refused) {
+        return makeRefusal(refusal_reason::StoreUnavailable, "the store is down or too slow",
+                           retrySoon);
+    }
+    return makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon);
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -89,9 +101,9 @@
         created.program = makeProgramId();
     if (const auto why = whyNotServing(created.program))
         co_return tl::unexpected(*why);
-    if (!request.parent.empty() && !m_book.find(request.parent))
-        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
     created.parent = request.parent;
+    if (const auto may = m_book.mayCreate(created, unixMilliseconds()); !may)
+        co_return tl::unexpected(may.error());
     created.tenant = request.tenant;
     created.programClass = request.programClass;
     const std::int64_t wanted
@@ -102,15 +114,17 @@
     const std::int64_t limit
         = request.deadlineMs > 0 ? std::min(request.deadlineMs, longest) : longest;
     created.deadlineUnixMs = created.createdUnixMs + limit;
+    created.maxTurns = classRules->second.maxTurns;
+    created.idleMs = toMilliseconds(classRules->second.idle);
 
     const program_id id = created.program;
     m_book.apply(created);
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(created)));
+    const journal_record record = created;
+    const commit_result result = co_await commit(record, commit_need::Refusable);
     if (result == commit_result::Durable)
         co_return id;
     m_book.forget(id);
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<void, refusal>> control::endProgram(program_id id, end_reason reason)
@@ -124,10 +138,13 @@
         co_return tl::expected<void, refusal>();
     const program_ended ended{id, reason};
     m_book.apply(ended);
-    if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable)
+    const journal_record record = ended;
+    const commit_result result = co_await commit(record, commit_need::Kept);
+    if (result == commit_result::Durable)
         co_return tl::expected<void, refusal>();
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    if (const program *now = m_book.find(id); now && now->ended)
+        dropFamily(id);
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<call_start, refusal>> control::startCall(call_spec spec)
@@ -149,14 +166,22 @@
         }
         if (std::holds_alternative<attach_to_call>(*decision))
             co_return call_start(stream->second);
-        // The call before this one is still under way.
+        // The call before this one is still under way; it ends within its service's limit.
         const auto before = stream->second;
+        int &waits = m_turnWaits[spec.request.program];
+        if (waits >= maxTurnWaits) {
+            co_return tl::unexpected(
+                makeRefusal(refusal_reason::Overloaded, "too many wait for the turn", retrySoon));
+        }
+        ++waits;
         std::size_t read = 0;
         for (bool ended = false; !ended;) {
             const auto piece = co_await before->readFrom(read);
             read += piece.events.size();
             ended = piece.end.has_value();
         }
+        if (--m_turnWaits[spec.request.program] == 0)
+            m_turnWaits.erase(spec.request.program);
     }
 }
 
@@ -175,39 +200,93 @@
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
     call.spec = std::move(spec);
+    call.spec.request.reserveTokens = record.reservedTokens;
 
     m_book.apply(record);
     m_streams[record.program] = call.stream;
     m_router.onSent(call.upstreamId);
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(record)));
-    // The commit may have taken long: look at the lease again, immediately before the effect.
-    if (result == commit_result::Lost || !m_membership.isActive(runtime_clock::now())) {
+    const journal_record begun = record;
+    const commit_result result = co_await commit(begun, commit_need::Refusable);
+    // The commit may have taken long: look at ownership and the lease again, immediately before the
+    // effect.
+    const auto stream = call.stream;
+    if (result != commit_result::Durable || !isRunning(call)
+        || !m_membership.isActive(runtime_clock::now())) {
         m_router.onDone(call.upstreamId);
-        m_streams.erase(record.program);
-        if (result == commit_result::Lost)
-            m_book.forget(record.program);
-        co_return tl::unexpected(
-            makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+        abandonCall(call, result);
+        const refusal why = commitRefusal(result);
+        stream->finish(toProblem(why));
+        co_return tl::unexpected(why);
     }
-    const auto stream = call.stream;
     m_runCall(std::move(call));
     co_return call_start(stream);
 }
 
+bool control::isRunning(const running_call &call) const
+{
+    const auto it = m_streams.find(call.spec.request.program);
+    return it != m_streams.end() && it->second == call.stream;
+}
+
+void control::abandonCall(const running_call &call, commit_result begun)
+{
+    const call_request &r = call.spec.request;
+    // A view that took the program away has dropped it already.
+    if (!isRunning(call))
+        return;
+    if (begun == commit_result::Lost) {
+        dropFamily(r.program);
+        return;
+    }
+    // The call was not sent and never will be. Its begin record, if there is one, needs an end, or
+    // the turn would stay open for ever.
+    const call_failed end{r.program, r.turn, r.key, outcome::DidNotRun, 0};
+    m_streams.erase(r.program);
+    m_book.apply(end);
+    if (begun == commit_result::Refused)
+        return;
+    std::vector<journal_record> records(1, journal_record(end));
+    m_batcher.append(std::move(records), commit_need::Kept, runtime_clock::now());
+    m_commitTimer.cancel();
+}
+
 awaitable<bool> control::finishCall(running_call call, journal_record end)
 {
     m_router.onDone(call.upstreamId);
-    const program_id id = call.spec.request.program;
-    const commit_result result = co_await commit(std::vector<journal_record>(1, end));
-    m_streams.erase(id);
+    // Failure: the program went to another daemon and came back while the call ran. That daemon has
+    // settled the call as unknown, so an end written now would stand in the history twice.
+    if (!isRunning(call))
+        co_return false;
+    const call_request &r = call.spec.request;
+    if (auto *finished = std::get_if<call_finished>(&end);
+        finished && r.kind == call_kind::Model && finished->spentTokens <= 0)
+        finished->spentTokens = r.reserveTokens;
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (!isRunning(call))
+        co_return result == commit_result::Durable;
     if (result == commit_result::Durable)
         m_book.apply(end);
+    else if (result == commit_result::Refused)
+        co_await closeTooLarge(call);
     else
-        m_book.forget(id);
+        dropFamily(r.program);
+    if (isRunning(call))
+        m_streams.erase(r.program);
     co_return result == commit_result::Durable;
 }
 
+awaitable<void> control::closeTooLarge(running_call call)
+{
+    // The answer is too large to be kept, so the caller is told that the call ran.
+    const call_request &r = call.spec.request;
+    const journal_record end = call_failed{r.program, r.turn, r.key, outcome::Ran, r.reserveTokens};
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (result == commit_result::Durable && isRunning(call))
+        m_book.apply(end);
+    else if (result != commit_result::Durable)
+        dropFamily(r.program);
+}
+
 awaitable<void> control::drain()
 {
     m_draining = true;
--- a/src/daemon/control_commits.cpp
+++ b/src/daemon/control_commits.cpp
@@ -3,21 +3,57 @@
 
 #include <boost/asio/redirect_error.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace azurehill {
 
-awaitable<commit_result> control::commit(std::vector<journal_record> records)
+awaitable<commit_result> control::commit(journal_record record, commit_need need)
 {
     const auto wait = std::make_shared<commit_wait>();
-    m_commitWaits.emplace(m_batcher.append(std::move(records)), wait);
+    std::vector<journal_record> records(1, std::move(record));
+    const auto ticket = m_batcher.append(std::move(records), need, runtime_clock::now());
+    if (!ticket) {
+        co_return ticket.error() == append_error::NotOwner ? commit_result::Lost
+                                                           : commit_result::Refused;
+    }
+    m_commitWaits.emplace(*ticket, wait);
     m_commitTimer.cancel();
     while (!wait->result)
         co_await wait->changed.waitPast(wait->changed.version());
     co_return *wait->result;
 }
 
+void control::adoptView()
+{
+    const cell_view &view = m_membership.view();
+    if (view.number == m_adoptedView)
+        return;
+    const bool skipped = m_adoptedView != 0 && view.number != m_adoptedView + 1;
+    m_adoptedView = view.number;
+    commit_view forCommits;
+    forCommits.number = view.number;
+    forCommits.version = view.version;
+    forCommits.owns = [this](const program_id &id) { return owns(id); };
+    for (const commit_action &action : m_batcher.onView(std::move(forCommits)))
+        settleTickets(std::get<commit_done>(action));
+    m_commitTimer.cancel();
+    // After a view that was not seen, what is in memory may lack what another owner wrote in it.
+    for (const program_id &id : programIds()) {
+        if (skipped || !owns(id))
+            dropFamily(id);
+    }
+}
+
+void control::dropFamily(const program_id &id)
+{
+    ++m_drops;
+    m_book.forgetFamily(id);
+    const program_id root = rootOf(id);
+    std::erase_if(m_streams, [&](const auto &entry) { return rootOf(entry.first) == root; });
+    if (owns(id))
+        m_loadedView = 0;
+}
+
 awaitable<void> control::commitLoop()
 {
     while (true) {
@@ -37,7 +73,7 @@
 awaitable<void> control::perform(commit_action action)
 {
     if (auto *write = std::get_if<write_batch>(&action))
-        answerBatch(co_await writeBatch(std::move(write->batch)));
+        answerBatch(co_await writeBatch(std::move(*write)));
     else if (auto *back = std::get_if<read_back>(&action))
         answerBatch(co_await readBack(std::move(back->batch)));
     else
@@ -62,19 +98,12 @@
     }
 }
 
-bool control::ownsAll(const journal_batch &batch) const
+awaitable<batch_answer> control::writeBatch(write_batch write)
 {
-    return std::all_of(batch.records.begin(), batch.records.end(),
-                       [&](const journal_record &r) { return owns(programOf(r)); });
-}
-
-awaitable<batch_answer> control::writeBatch(journal_batch batch)
-{
-    const std::string key = rowKey(m_settings.cell, batch);
     transaction t;
-    t.checks.push_back({viewKey(), m_membership.view().version});
-    t.checks.push_back({key, 0});
-    t.puts.push_back({key, encode(batch)});
+    t.checks.push_back({viewKey(), write.viewVersion});
+    t.puts = encodeRows(m_settings.cell, write.batch);
+    t.checks.push_back({t.puts.front().key, 0});
     auto written = co_await m_platform.transact(std::move(t));
     if (written)
         co_return batch_answer::Written;
@@ -83,11 +112,13 @@
     if (written.error().kind != platform_error_kind::Conflict)
         co_return batch_answer::Unknown;
     // Either the row is there from an earlier try, or the view has changed.
-    const batch_answer there = co_await readBack(batch);
-    if (there != batch_answer::Absent)
+    const batch_answer there = co_await readBack(std::move(write.batch));
+    if (there == batch_answer::Unavailable)
+        co_return batch_answer::Unknown;
+    if (there == batch_answer::Written)
         co_return there;
     co_await refreshView();
-    co_return ownsAll(batch) ? batch_answer::Absent : batch_answer::Fenced;
+    co_return batch_answer::Fenced;
 }
 
 awaitable<batch_answer> control::readBack(journal_batch batch)
--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -1,9 +1,6 @@
 #include "core/log.h"
 #include "daemon/control.h"
 
-#include <algorithm>
-#include <tuple>
-
 namespace azurehill {
 
 namespace {
@@ -33,6 +30,7 @@
         co_return;
     if (rows->empty()) {
         m_membership.onView({}, runtime_clock::now());
+        adoptView();
         co_return;
     }
     const auto view = decodeView(rows->front());
@@ -41,7 +39,7 @@
         co_return;
     }
     m_membership.onView(*view, runtime_clock::now());
-    m_batcher.setFence(m_membership.view().number);
+    adoptView();
 }
 
 awaitable<void> control::refreshLeases()
@@ -82,26 +80,27 @@
 awaitable<bool> control::loadGained()
 {
     const cell_view view = m_membership.view();
-    std::vector<journal_batch> batches;
+    const std::uint64_t drops = m_drops;
+    batch_reader reader;
     std::string after;
     while (true) {
         auto rows = co_await m_platform.scan(rowPrefix(m_settings.cell), after, scanPage);
         if (!rows)
             co_return false;
-        for (const table_row &row : *rows) {
-            if (auto batch = decodeBatch(row.value))
-                batches.push_back(std::move(*batch));
-        }
+        for (const table_row &row : *rows)
+            reader.feed(row);
         if (rows->size() < scanPage)
             break;
         after = rows->back().key;
     }
-    // At one fence only one daemon can write records of a program, so this order is its history.
-    const auto before = [](const journal_batch &a, const journal_batch &b) {
-        return std::tie(a.fence, a.sequence) < std::tie(b.fence, b.sequence);
-    };
-    std::stable_sort(batches.begin(), batches.end(), before);
-
+    const auto batches = reader.finish();
+    if (!batches) {
+        logEvent(log_level::Error, "journal_unreadable", {{"detail", batches.error()}});
+        co_return false;
+    }
+    // What was read may be older than a view or a drop that came meanwhile: read it again.
+    if (m_membership.view().number != view.number || m_drops != drops)
+        co_return false;
     std::set<program_id> known;
     for (const program_id &id : programIds()) {
         if (owns(id))
@@ -109,7 +108,7 @@
         else
             m_book.forget(id);
     }
-    for (const journal_batch &batch : batches) {
+    for (const journal_batch &batch : *batches) {
         for (const journal_record &record : batch.records) {
             const program_id &id = programOf(record);
             if (owns(id) && !known.count(id))
@@ -135,11 +134,15 @@
         records.emplace_back(
             call_failed{id, p.open->turn, p.open->key, outcome::Unknown, p.open->reservedTokens});
     }
-    if (records.empty())
-        co_return;
-    for (const journal_record &record : records)
+    // One ticket each: a view that takes one program away leaves the other records in place. A
+    // record that is lost needs nothing: its program is another daemon's then.
+    for (const journal_record &record : records) {
         m_book.apply(record);
-    co_await commit(std::move(records));
+        std::vector<journal_record> one(1, record);
+        m_batcher.append(std::move(one), commit_need::Kept, runtime_clock::now());
+    }
+    m_commitTimer.cancel();
+    co_return;
 }
 
 } // namespace azurehill
--- a/src/journal/batch.cpp
+++ b/src/journal/batch.cpp
@@ -3,20 +3,16 @@
 #include <boost/json.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <charconv>
+#include <tuple>
+#include <utility>
+
 namespace azurehill {
 
 namespace json = boost::json;
 
-std::string rowPrefix(std::string_view cell)
-{
-    return fmt::format("journal/{}/", cell);
-}
-
-std::string rowKey(std::string_view cell, const journal_batch &batch)
-{
-    return fmt::format("{}{}/{}/{:012}", rowPrefix(cell), batch.daemon.value, batch.incarnation,
-                       batch.sequence);
-}
+namespace {
 
 std::string encode(const journal_batch &batch)
 {
@@ -51,4 +47,96 @@
     }
 }
 
+/// First character of the first of several rows, followed by their number and a line feed; a batch
+/// in one row begins with a brace.
+constexpr char splitMark = '#';
+
+std::string partKey(std::string_view firstKey, std::size_t part)
+{
+    return fmt::format("{}/{:06}", firstKey, part);
+}
+
+} // namespace
+
+std::string rowPrefix(std::string_view cell)
+{
+    return fmt::format("journal/{}/", cell);
+}
+
+std::string rowKey(std::string_view cell, const journal_batch &batch)
+{
+    return fmt::format("{}{}/{}/{:012}", rowPrefix(cell), batch.daemon.value, batch.incarnation,
+                       batch.sequence);
+}
+
+std::vector<row_write> encodeRows(std::string_view cell, const journal_batch &batch,
+                                  std::size_t maxBytes)
+{
+    const std::string key = rowKey(cell, batch);
+    std::string text = encode(batch);
+    std::vector<row_write> rows;
+    if (text.size() <= maxBytes) {
+        rows.push_back({key, std::move(text)});
+        return rows;
+    }
+    // The mark takes a few bytes of the first row; counting it as a whole row is simpler.
+    const std::size_t pieces = (text.size() + maxBytes - 1) / maxBytes;
+    rows.push_back({key, fmt::format("{}{}\n", splitMark, pieces)});
+    for (std::size_t i = 0; i < pieces; ++i)
+        rows.push_back({partKey(key, i + 1), text.substr(i * maxBytes, maxBytes)});
+    return rows;
+}
+
+void batch_reader::feed(const table_row &row)
+{
+    const bool isPart = !m_key.empty() && row.key.starts_with(m_key + "/");
+    if (isPart && m_rowsMissing > 0) {
+        m_text += row.value;
+        if (--m_rowsMissing == 0)
+            closeBatch();
+        return;
+    }
+    if (m_rowsMissing > 0) {
+        m_fault = "rows missing after " + m_key;
+        return;
+    }
+    // Rows are written together, so a part without its first row landed while the scan was under
+    // way: under the view that is being loaded, thus for no program that is being loaded.
+    constexpr std::size_t slashesOfFirstKey = 4;
+    if (std::count(row.key.begin(), row.key.end(), '/') > static_cast<int>(slashesOfFirstKey))
+        return;
+    m_key = row.key;
+    if (!row.value.starts_with(splitMark)) {
+        m_text = row.value;
+        closeBatch();
+        return;
+    }
+    const char *end = row.value.data() + row.value.size();
+    if (std::from_chars(row.value.data() + 1, end, m_rowsMissing).ec != std::errc())
+        m_fault = "unreadable mark in " + row.key;
+}
+
+void batch_reader::closeBatch()
+{
+    auto batch = decodeBatch(std::exchange(m_text, {}));
+    if (batch)
+        m_batches.push_back(std::move(*batch));
+    else
+        m_fault = m_key + ": " + batch.error();
+}
+
+tl::expected<std::vector<journal_batch>, std::string> batch_reader::finish()
+{
+    if (m_rowsMissing > 0)
+        m_fault = "rows missing after " + m_key;
+    if (!m_fault.empty())
+        return tl::unexpected(m_fault);
+    // At one fence only one daemon can write records of a program, so this order is its history.
+    const auto before = [](const journal_batch &a, const journal_batch &b) {
+        return std::tie(a.fence, a.sequence) < std::tie(b.fence, b.sequence);
+    };
+    std::stable_sort(m_batches.begin(), m_batches.end(), before);
+    return std::exchange(m_batches, {});
+}
+
 } // namespace azurehill
--- a/src/journal/commit_batcher.cpp
+++ b/src/journal/commit_batcher.cpp
@@ -1,11 +1,41 @@
 #include "journal/commit_batcher.h"
 
+#include <boost/json.hpp>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
 
 namespace azurehill {
 
+namespace {
+
+/// \brief Takes the entries that \p gone holds for out of \p entries and tells their fate.
+template <class Entries, class Predicate>
+void takeOut(Entries &entries, Predicate gone, commit_result result,
+             std::vector<commit_action> &actions)
+{
+    commit_done done{{}, result};
+    const auto keep = [&](const auto &e) { return !gone(e); };
+    const auto first = std::stable_partition(entries.begin(), entries.end(), keep);
+    for (auto it = first; it != entries.end(); ++it)
+        done.tickets.push_back(it->ticket);
+    entries.erase(first, entries.end());
+    if (!done.tickets.empty())
+        actions.emplace_back(std::move(done));
+}
+
+template <class Entries>
+std::size_t bytesOf(const Entries &entries)
+{
+    std::size_t bytes = 0;
+    for (const auto &e : entries)
+        bytes += e.bytes;
+    return bytes;
+}
+
+} // namespace
+
 commit_batcher::commit_batcher(daemon_id daemon, std::string incarnation, commit_settings settings)
     : m_settings(settings), m_retryPause(settings.firstRetry)
 {
@@ -13,82 +43,194 @@
     m_batch.incarnation = std::move(incarnation);
 }
 
-commit_ticket commit_batcher::append(std::vector<journal_record> records)
+tl::expected<commit_ticket, append_error>
+commit_batcher::append(std::vector<journal_record> records, commit_need need, time_point now)
 {
-    m_waiting.push_back({++m_lastTicket, std::move(records)});
+    entry e{0, std::move(records), 0, need, now, false};
+    for (const journal_record &r : e.records) {
+        if (!m_view.owns || !m_view.owns(programOf(r)))
+            return tl::unexpected(append_error::NotOwner);
+        e.bytes += boost::json::serialize(toJson(r)).size();
+    }
+    // A record that no write can hold would be tried for ever and block all that come after it.
+    if (e.bytes > m_settings.maxEntryBytes)
+        return tl::unexpected(append_error::TooLarge);
+    if (need == commit_need::Refusable && isBusy(now))
+        return tl::unexpected(append_error::Busy);
+    e.ticket = ++m_lastTicket;
+    m_waitingBytes += e.bytes;
+    m_waiting.push_back(std::move(e));
     return m_lastTicket;
 }
 
-std::vector<commit_action> commit_batcher::startBatch(time_point now)
+bool commit_batcher::isBusy(time_point now) const
+{
+    const auto late = [&](const std::vector<entry> &entries) {
+        return !entries.empty() && now - entries.front().since > m_settings.maxWait;
+    };
+    return m_waitingBytes > m_settings.maxWaitingBytes || late(m_inFlight) || late(m_waiting);
+}
+
+bool commit_batcher::isRefusable(const entry &e, time_point now) const
+{
+    return e.need == commit_need::Refusable && now - e.since > m_settings.maxWait;
+}
+
+std::vector<commit_action> commit_batcher::onView(commit_view view)
+{
+    std::vector<commit_action> actions;
+    if (view.number <= m_view.number)
+        return actions;
+    // Failure: two views follow each other between two looks of this daemon, and in the first of
+    // them another daemon owned the program and wrote to its history. Written now, our record would
+    // come after that. A view that was not seen therefore counts as one that took everything.
+    const bool skipped = m_view.number != 0 && view.number != m_view.number + 1;
+    m_view = std::move(view);
+    for (std::vector<entry> *entries : {&m_inFlight, &m_waiting}) {
+        for (entry &e : *entries) {
+            for (const journal_record &r : e.records)
+                e.lost = e.lost || skipped || !m_view.owns(programOf(r));
+        }
+    }
+    takeOut(
+        m_waiting, [](const entry &e) { return e.lost; }, commit_result::Lost, actions);
+    m_waitingBytes = bytesOf(m_waiting);
+    return actions;
+}
+
+void commit_batcher::startBatch()
 {
     ++m_batch.sequence;
-    m_batch.records.clear();
+    m_mayLand = false;
     std::size_t taken = 0;
-    while (taken < m_waiting.size() && m_batch.records.size() < m_settings.maxRecords) {
-        entry &e = m_waiting[taken++];
-        m_inFlight.push_back(e.ticket);
-        std::move(e.records.begin(), e.records.end(), std::back_inserter(m_batch.records));
+    std::size_t records = 0;
+    std::size_t bytes = 0;
+    while (taken < m_waiting.size()) {
+        const entry &e = m_waiting[taken];
+        const bool fits = records + e.records.size() <= m_settings.maxRecords
+            && bytes + e.bytes <= m_settings.maxBatchBytes;
+        if (taken > 0 && !fits)
+            break;
+        records += e.records.size();
+        bytes += e.bytes;
+        ++taken;
     }
-    m_waiting.erase(m_waiting.begin(), m_waiting.begin() + static_cast<std::ptrdiff_t>(taken));
-    m_batch.fence = m_fence;
+    const auto end = m_waiting.begin() + static_cast<std::ptrdiff_t>(taken);
+    std::move(m_waiting.begin(), end, std::back_inserter(m_inFlight));
+    m_waiting.erase(m_waiting.begin(), end);
+    m_waitingBytes -= bytes;
+}
+
+void commit_batcher::write(std::vector<commit_action> &actions)
+{
+    m_batch.fence = m_view.number;
+    m_batch.records.clear();
+    for (const entry &e : m_inFlight)
+        m_batch.records.insert(m_batch.records.end(), e.records.begin(), e.records.end());
+    m_lastTryFence = m_view.number;
     m_phase = phase::Writing;
-    m_notBefore = now + m_settings.interval;
-    return {write_batch{m_batch}};
+    actions.emplace_back(write_batch{m_batch, m_view.version});
+}
+
+void commit_batcher::readBack(std::vector<commit_action> &actions)
+{
+    m_readBackFence = m_view.number;
+    m_phase = phase::ReadingBack;
+    actions.emplace_back(read_back{m_batch});
+}
+
+void commit_batcher::tryAgain(time_point now, std::vector<commit_action> &actions)
+{
+    const auto gone = [&](const entry &e) { return e.lost || isRefusable(e, now); };
+    const bool anyLost
+        = std::any_of(m_inFlight.begin(), m_inFlight.end(), [](const entry &e) { return e.lost; });
+    // Failure: a try whose answer was lost lands after the read that did not find it. A record
+    // taken out of the batch would then be durable although its ticket was told Lost. So nothing is
+    // taken out before a read that follows a newer view: no earlier try can pass that view's check.
+    if (m_mayLand && anyLost)
+        return readBack(actions);
+    if (!m_mayLand) {
+        takeOut(
+            m_inFlight, [](const entry &e) { return e.lost; }, commit_result::Lost, actions);
+        takeOut(m_inFlight, gone, commit_result::Refused, actions);
+    }
+    if (m_inFlight.empty())
+        return finishBatch();
+    write(actions);
 }
 
 std::vector<commit_action> commit_batcher::poll(time_point now)
 {
+    std::vector<commit_action> actions;
+    takeOut(
+        m_waiting, [&](const entry &e) { return isRefusable(e, now); }, commit_result::Refused,
+        actions);
+    m_waitingBytes = bytesOf(m_waiting);
     if (now < m_notBefore)
-        return {};
+        return actions;
     switch (m_phase) {
     case phase::Idle:
-        return m_waiting.empty() ? std::vector<commit_action>() : startBatch(now);
+        if (m_waiting.empty())
+            break;
+        startBatch();
+        m_notBefore = now + m_settings.interval;
+        write(actions);
+        break;
     case phase::WaitingToWrite:
-        m_phase = phase::Writing;
-        // The view may have changed in between; the row's key stays, so nothing is written twice.
-        m_batch.fence = m_fence;
-        return {write_batch{m_batch}};
+        tryAgain(now, actions);
+        break;
     case phase::WaitingToReadBack:
-        m_phase = phase::ReadingBack;
-        return {read_back{m_batch}};
+        readBack(actions);
+        break;
     case phase::Writing:
     case phase::ReadingBack:
-        return {};
+        break;
     }
-    return {};
+    return actions;
 }
 
 std::vector<commit_action> commit_batcher::onAnswer(batch_answer answer, time_point now)
 {
+    std::vector<commit_action> actions;
     if (m_phase != phase::Writing && m_phase != phase::ReadingBack)
-        return {};
+        return actions;
     switch (answer) {
     case batch_answer::Written:
-        return finishBatch(commit_result::Durable);
-    case batch_answer::Fenced:
-        return finishBatch(commit_result::Lost);
+        actions.emplace_back(commit_done{{}, commit_result::Durable});
+        for (const entry &e : m_inFlight)
+            std::get<commit_done>(actions.back()).tickets.push_back(e.ticket);
+        m_inFlight.clear();
+        finishBatch();
+        break;
     case batch_answer::Unknown:
         // Guessing either way breaks a promise: "written" may lose a turn, "not written" may run a
         // request twice. The row's own key is read back until an answer comes.
+        m_mayLand = true;
         waitToRetry(phase::WaitingToReadBack, now);
-        return {};
+        break;
     case batch_answer::Unavailable:
         waitToRetry(m_phase == phase::Writing ? phase::WaitingToWrite : phase::WaitingToReadBack,
                     now);
-        return {};
+        break;
+    case batch_answer::Fenced:
+        // No try under this view or an older one can land any more.
+        m_mayLand = false;
+        waitToRetry(phase::WaitingToWrite, now);
+        break;
     case batch_answer::Absent:
+        if (m_readBackFence > m_lastTryFence)
+            m_mayLand = false;
         waitToRetry(phase::WaitingToWrite, now);
-        return {};
+        break;
     }
-    return {};
+    return actions;
 }
 
-std::vector<commit_action> commit_batcher::finishBatch(commit_result result)
+void commit_batcher::finishBatch()
 {
     m_phase = phase::Idle;
     m_retryPause = m_settings.firstRetry;
     m_batch.records.clear();
-    return {commit_done{std::exchange(m_inFlight, {}), result}};
 }
 
 void commit_batcher::waitToRetry(phase next, time_point now)
@@ -100,20 +242,19 @@
 
 std::optional<time_point> commit_batcher::wakeAt() const
 {
+    std::optional<time_point> at;
     const bool waits = m_phase == phase::WaitingToWrite || m_phase == phase::WaitingToReadBack
         || (m_phase == phase::Idle && !m_waiting.empty());
-    return waits ? std::optional(m_notBefore) : std::nullopt;
-}
-
-std::vector<commit_ticket> commit_batcher::abandon()
-{
-    std::vector<commit_ticket> tickets = std::exchange(m_inFlight, {});
-    for (const entry &e : m_waiting)
-        tickets.push_back(e.ticket);
-    m_waiting.clear();
-    m_phase = phase::Idle;
-    m_batch.records.clear();
-    return tickets;
+    if (waits)
+        at = m_notBefore;
+    for (const entry &e : m_waiting) {
+        if (e.need != commit_need::Refusable)
+            continue;
+        const time_point refuseAt = e.since + m_settings.maxWait + duration(1);
+        at = at ? std::min(*at, refuseAt) : refuseAt;
+        break;
+    }
+    return at;
 }
 
 } // namespace azurehill
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -32,7 +32,8 @@
     return {{"type", "program_created"},       {"program", r.program.value},
             {"parent", r.parent.value},        {"tenant", r.tenant.value},
             {"class", r.programClass},         {"budget", r.budgetTokens},
-            {"deadline_ms", r.deadlineUnixMs}, {"created_ms", r.createdUnixMs}};
+            {"deadline_ms", r.deadlineUnixMs}, {"created_ms", r.createdUnixMs},
+            {"max_turns", r.maxTurns},         {"idle_ms", r.idleMs}};
 }
 
 json::object encodeRecord(const call_begun &r)
@@ -76,7 +77,9 @@
                                text(o, "class"),
                                number(o, "budget"),
                                number(o, "deadline_ms"),
-                               number(o, "created_ms")};
+                               number(o, "created_ms"),
+                               number(o, "max_turns"),
+                               number(o, "idle_ms")};
     }
     if (type == "call_begun") {
         return call_begun{program,
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -41,6 +41,10 @@
     std::int64_t budgetTokens = 0;
     std::int64_t deadlineUnixMs = 0;
     std::int64_t createdUnixMs = 0;
+    /// Limits of the class when the program began; 0 is none. A change of the class later changes
+    /// neither, so replaying gives the same state under any configuration.
+    std::int64_t maxTurns = 0;
+    std::int64_t idleMs = 0;
 };
 
 /// \brief A call is about to go out: its reservation, and for a non-idempotent one the intent.
@@ -70,6 +74,9 @@
 };
 
 /// \brief A call ended without an answer. Ran and Unknown are charged in full.
+///
+/// After these a model call or another idempotent one may be asked again under its turn; any other
+/// call is closed for good.
 struct call_failed
 {
     program_id program;
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -4,7 +4,7 @@
 
 std::int64_t program::freeTokens() const
 {
-    return budgetTokens - spentTokens - (open ? open->reservedTokens : 0);
+    return budgetTokens - spentTokens - reservedTokens;
 }
 
 } // namespace azurehill
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azurehill {
 
@@ -38,16 +39,25 @@
     std::int64_t budgetTokens = 0;
     std::int64_t deadlineUnixMs = 0;
     std::int64_t createdUnixMs = 0;
+    std::int64_t maxTurns = 0;
+    std::int64_t idleMs = 0;
+    std::vector<program_id> children;
 
     /// Messages of all finished turns, the elements of a JSON array without its brackets.
     std::string history;
+    /// Most tokens that the history makes as a prompt.
+    std::int64_t historyTokens = 0;
+    /// Spent and reserved by the program and all below it.
     std::int64_t spentTokens = 0;
+    std::int64_t reservedTokens = 0;
     std::int64_t lastTurn = 0;
     std::optional<open_call> open;
+    /// Turn under which each key was used; a key never goes out under a second turn.
+    std::map<std::string, std::int64_t> keys;
     std::map<std::int64_t, closed_call> closed;
     std::optional<end_reason> ended;
 
-    /// \returns tokens that are neither spent nor reserved.
+    /// \returns tokens of its own budget that are neither spent nor reserved.
     std::int64_t freeTokens() const;
 };
 
--- a/src/program/program_book.h
+++ b/src/program/program_book.h
@@ -21,6 +21,7 @@
     std::string key;
     call_kind kind = call_kind::Model;
     bool idempotent = true;
+    /// Most tokens that the call takes, apart from the history before it.
     std::int64_t reserveTokens = 0;
 };
 
@@ -48,7 +49,8 @@
 /// \brief The programs that this daemon owns.
 ///
 /// Requests are checked here and answered with records; apply() alone changes state, so replaying
-/// the same records gives the same state on any daemon.
+/// the same records gives the same state on any daemon. A sub-agent spends from its own budget and
+/// from that of every program above it, and ends with any of them.
 class program_book
 {
 public:
@@ -56,13 +58,20 @@
     tl::expected<call_decision, refusal> decide(const call_request &request,
                                                 std::int64_t nowUnixMs) const;
 
-    /// \brief Changes the state by \p record. Records of unknown programs change nothing.
+    /// \returns nothing, or why \p created can't be created at calendar time \p nowUnixMs.
+    tl::expected<void, refusal> mayCreate(const program_created &created,
+                                          std::int64_t nowUnixMs) const;
+
+    /// \brief Changes the state by \p record. Records of unknown programs, and ends of calls
+    /// that are not open, change nothing.
     void apply(const journal_record &record);
 
     const program *find(const program_id &id) const;
     const std::unordered_map<program_id, program> &programs() const { return m_programs; }
-    /// \brief Drops programs that are no longer owned, with all they hold.
+    /// \brief Drops one program, as if its creation had not been applied.
     void forget(const program_id &id);
+    /// \brief Drops the whole family of \p id, which is no longer owned or must be read again.
+    void forgetFamily(const program_id &id);
 
     /// \returns tokens that the family of \p id may still reserve.
     std::int64_t freeTokens(const program_id &id) const;
@@ -72,7 +81,12 @@
     void applyTo(program &p, const call_finished &r);
     void applyTo(program &p, const call_failed &r);
     void applyTo(program &p, const program_ended &r);
-    void charge(const program &p, std::int64_t tokens);
+    void create(const program_created &r);
+    void settle(program &p, std::int64_t spent);
+    void addReserved(const program_id &from, std::int64_t tokens);
+    void addSpent(const program_id &from, std::int64_t tokens);
+    void end(program &p, end_reason reason);
+    std::optional<refusal> whyOver(const program &p, std::int64_t nowUnixMs) const;
 
     std::unordered_map<program_id, program> m_programs;
 };
