--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -140,8 +140,10 @@
     m_book.apply(ended);
     const journal_record record = ended;
     const commit_result result = co_await commit(record, commit_need::Kept);
-    if (result == commit_result::Durable)
+    if (result == commit_result::Durable) {
+        measureEnd(id);
         co_return tl::expected<void, refusal>();
+    }
     if (const program *now = m_book.find(id); now && now->ended)
         dropFamily(id);
     co_return tl::unexpected(commitRefusal(result));
@@ -174,12 +176,7 @@
                 makeRefusal(refusal_reason::Overloaded, "too many wait for the turn", retrySoon));
         }
         ++waits;
-        std::size_t read = 0;
-        for (bool ended = false; !ended;) {
-            const auto piece = co_await before->readFrom(read);
-            read += piece.events.size();
-            ended = piece.end.has_value();
-        }
+        co_await before->waitForEnd();
         if (--m_turnWaits[spec.request.program] == 0)
             m_turnWaits.erase(spec.request.program);
     }
@@ -194,7 +191,10 @@
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
     running_call call;
-    call.history = m_book.find(record.program)->history;
+    const program &p = *m_book.find(record.program);
+    call.history = p.history;
+    call.programClass = p.programClass;
+    call.heldTokens = heldTokens(record.program);
     call.upstream = *parseEndpoint(target->address);
     call.upstreamId = target->id;
     call.limits = rules->second;
--- a/src/journal/batch.cpp
+++ b/src/journal/batch.cpp
@@ -14,6 +14,17 @@
 
 namespace {
 
+/// First character of the first of several rows, followed by their number and a line feed; a batch
+/// in one row begins with a brace.
+constexpr char splitMark = '#';
+
+std::string partKey(std::string_view firstKey, std::size_t part)
+{
+    return fmt::format("{}/{:06}", firstKey, part);
+}
+
+} // namespace
+
 std::string encode(const journal_batch &batch)
 {
     json::array records;
@@ -47,17 +58,6 @@
     }
 }
 
-/// First character of the first of several rows, followed by their number and a line feed; a batch
-/// in one row begins with a brace.
-constexpr char splitMark = '#';
-
-std::string partKey(std::string_view firstKey, std::size_t part)
-{
-    return fmt::format("{}/{:06}", firstKey, part);
-}
-
-} // namespace
-
 std::string rowPrefix(std::string_view cell)
 {
     return fmt::format("journal/{}/", cell);
@@ -79,11 +79,16 @@
         rows.push_back({key, std::move(text)});
         return rows;
     }
-    // The mark takes a few bytes of the first row; counting it as a whole row is simpler.
-    const std::size_t pieces = (text.size() + maxBytes - 1) / maxBytes;
-    rows.push_back({key, fmt::format("{}{}\n", splitMark, pieces)});
-    for (std::size_t i = 0; i < pieces; ++i)
-        rows.push_back({partKey(key, i + 1), text.substr(i * maxBytes, maxBytes)});
+    // A row travels as a JSON string, so no piece may end within a character.
+    rows.push_back({key, {}});
+    for (std::size_t from = 0; from < text.size();) {
+        std::size_t to = std::min(from + maxBytes, text.size());
+        while (to < text.size() && (static_cast<unsigned char>(text[to]) & 0xC0U) == 0x80U)
+            --to;
+        rows.push_back({partKey(key, rows.size()), text.substr(from, to - from)});
+        from = to;
+    }
+    rows.front().value = fmt::format("{}{}\n", splitMark, rows.size() - 1);
     return rows;
 }
 
--- a/src/journal/batch.h
+++ b/src/journal/batch.h
@@ -23,6 +23,9 @@
     std::vector<journal_record> records;
 };
 
+std::string encode(const journal_batch &batch);
+tl::expected<journal_batch, std::string> decodeBatch(std::string_view text);
+
 /// Largest value of a journal row. A larger batch is split over rows of one transaction.
 constexpr std::size_t maxRowBytes = 256 * 1024;
 
--- a/src/program/program_book.cpp
+++ b/src/program/program_book.cpp
@@ -205,19 +205,21 @@
         p.history += r.messages;
         p.historyTokens = r.spentTokens + tokensAroundReply;
     }
-    p.closed[r.turn] = closed_call{r.key, std::nullopt, r.status, r.reply};
+    p.closed[r.turn] = closed_call{r.key, std::nullopt, r.status, r.reply, r.contentType};
 }
 
 void program_book::applyTo(program &p, const call_failed &r)
 {
     if (!p.open || p.open->turn != r.turn || p.open->key != r.key)
         return;
-    const bool mayRepeat = r.ran == outcome::DidNotRun || p.open->idempotent;
+    // A model only reads and writes text, so its turn may run again after a death in mid-stream;
+    // each attempt is charged. Closed as unknown, the turn could never get its whole answer.
+    const bool repeatable = p.open->kind == call_kind::Model || p.open->idempotent;
     settle(p, r.spentTokens);
-    if (mayRepeat)
+    if (r.ran == outcome::DidNotRun || repeatable)
         return;
     p.lastTurn = r.turn;
-    p.closed[r.turn] = closed_call{r.key, r.ran, 0, {}};
+    p.closed[r.turn] = closed_call{r.key, r.ran, 0, {}, {}};
 }
 
 void program_book::applyTo(program &p, const program_ended &r)
--- a/test/logic/commit_batcher_test.cpp
+++ b/test/logic/commit_batcher_test.cpp
@@ -1,5 +1,6 @@
 #include "journal/journal.h"
 
+#include <boost/json.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -327,7 +328,8 @@
 {
     call_finished large;
     large.program = programs[0];
-    large.reply = std::string(600'000, 'x');
+    for (int i = 0; i < 200'000; ++i)
+        large.reply += "\xE2\x82\xAC"; // three bytes: no row may end within a character
 
     SUBCASE("go over several rows and come back whole")
     {
@@ -337,6 +339,8 @@
         for (const journal_batch &b : {batch, next}) {
             for (const row_write &row : encodeRows("c", b)) {
                 CHECK(row.value.size() <= maxRowBytes);
+                CHECK(boost::json::parse(boost::json::serialize(boost::json::string(row.value)))
+                      == boost::json::string(row.value));
                 reader.feed({row.key, row.value, 1});
             }
         }
