--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -125,15 +125,21 @@
         notifier changed;
     };
 
+    awaitable<void> leaseLoop();
     awaitable<void> membershipLoop();
     awaitable<void> commitLoop();
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
 
+    void stopIfSuperseded();
     awaitable<void> refreshView();
     awaitable<void> refreshLeases();
     awaitable<void> perform(membership_action action);
+    transaction toTransaction(const change_view &change) const;
+    transaction toTransaction(const drop_lease &drop) const;
     awaitable<bool> loadGained();
+    awaitable<std::optional<std::vector<journal_batch>>> listBatches(std::string prefix);
+    void adopt(const cell_view &view);
     awaitable<void> readConfig();
 
     awaitable<commit_result> commit(journal_record record, commit_need need);
@@ -149,6 +155,9 @@
     void settleTickets(const commit_done &done);
 
     bool owns(const program_id &id) const;
+    bool mayBegin(const program_id &id) const;
+    std::set<program_id> runningFamilies() const;
+    awaitable<void> settleCommits();
     std::optional<refusal> whyNotServing(const program_id &id) const;
     awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
     awaitable<void> settleOrphans();
@@ -166,6 +175,7 @@
     std::function<void(running_call)> m_runCall;
     platform_client m_platform;
     membership m_membership;
+    ownership_history m_history;
     commit_batcher m_batcher;
     program_book m_book;
     router m_router;
@@ -175,6 +185,8 @@
     fencing_number m_adoptedView = 0;
     /// Grows when a program is dropped: a load that began before that is out of date.
     std::uint64_t m_drops = 0;
+    /// Roots of families that this daemon owns and must read again.
+    std::set<program_id> m_dropped;
     std::unordered_map<program_id, int> m_turnWaits;
     bool m_draining = false;
     metrics m_metrics;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -11,6 +11,8 @@
 constexpr duration retrySoon = seconds(1);
 /// Requests of one program that may wait for the call before them.
 constexpr int maxTurnWaits = 8;
+/// Bound on the search for a name of its own: a joining or draining daemon owns none.
+constexpr int rootNameTries = 10'000;
 
 refusal makeRefusal(refusal_reason reason, std::string detail,
                     std::optional<duration> retryAfter = std::nullopt)
@@ -27,6 +29,11 @@
     return makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon);
 }
 
+refusal movesNow()
+{
+    return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -38,8 +45,9 @@
 
 bool control::isReady() const
 {
+    const member *me = m_membership.view().find(m_membership.self().daemon);
     return m_config && !m_draining && m_membership.isActive(runtime_clock::now())
-        && m_loadedView == m_membership.view().number;
+        && takesPrograms(*me) && m_loadedView == m_membership.view().number;
 }
 
 std::optional<member> control::otherOwner(const program_id &id) const
@@ -54,8 +62,11 @@
 {
     const program_id any{m_settings.name};
     std::vector<member> result;
-    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any)))
-        result.push_back(*m);
+    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
+        // A drain shows here before the view has it.
+        if (!m_draining || m->daemon != m_membership.self().daemon)
+            result.push_back(*m);
+    }
     return result;
 }
 
@@ -79,8 +90,8 @@
         return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
                            retrySoon);
     }
-    if (!owns(id) || m_loadedView != m_membership.view().number)
-        return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+    if (!owns(id) || !m_history.heldSince(id, m_loadedView) || m_dropped.count(rootOf(id)) > 0)
+        return movesNow();
     return std::nullopt;
 }
 
@@ -97,10 +108,12 @@
     program_created created;
     created.program = makeProgramId(request.parent);
     // A root program is named so that this daemon owns it: no hop for its calls.
-    while (request.parent.empty() && !owns(created.program))
+    for (int i = 0; i < rootNameTries && request.parent.empty() && !mayBegin(created.program); ++i)
         created.program = makeProgramId();
     if (const auto why = whyNotServing(created.program))
         co_return tl::unexpected(*why);
+    if (!mayBegin(created.program))
+        co_return tl::unexpected(movesNow());
     created.parent = request.parent;
     if (const auto may = m_book.mayCreate(created, unixMilliseconds()); !may)
         co_return tl::unexpected(may.error());
@@ -157,7 +170,10 @@
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
         if (!decision)
             co_return tl::unexpected(decision.error());
-        if (const auto *begin = std::get_if<begin_call>(&*decision))
+        const auto *begin = std::get_if<begin_call>(&*decision);
+        if (begin && !mayBegin(spec.request.program))
+            co_return tl::unexpected(movesNow());
+        if (begin)
             co_return co_await beginCall(std::move(spec), begin->record);
         if (const auto *replay = std::get_if<replay_answer>(&*decision))
             co_return call_start(replay->call);
@@ -287,12 +303,4 @@
         dropFamily(r.program);
 }
 
-awaitable<void> control::drain()
-{
-    m_draining = true;
-    m_membership.drain();
-    while (!m_streams.empty() || !m_commitWaits.empty())
-        co_await sleepFor(milliseconds(20));
-}
-
 } // namespace azurehill
--- a/src/daemon/control_commits.cpp
+++ b/src/daemon/control_commits.cpp
@@ -51,7 +51,7 @@
     const program_id root = rootOf(id);
     std::erase_if(m_streams, [&](const auto &entry) { return rootOf(entry.first) == root; });
     if (owns(id))
-        m_loadedView = 0;
+        m_dropped.insert(root);
 }
 
 awaitable<void> control::commitLoop()
