--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -67,7 +67,7 @@
     const journal_record end = makeFinished(id, turn);
     const std::vector<journal_record> records = {begun, end};
     for (const journal_record &record : records) {
-        batcher.append(std::vector<journal_record>(1, record));
+        batcher.append(std::vector<journal_record>(1, record), commit_need::Kept, time_point());
         for (const commit_action &a : batcher.poll(time_point::max() - seconds(1)))
             keep(encode(std::get<write_batch>(a).batch));
         batcher.onAnswer(batch_answer::Written, time_point());
@@ -83,6 +83,7 @@
         commit_settings noPause;
         noPause.interval = duration(0);
         commit_batcher batcher({"daemon-0001"}, "0123456789ab", noPause);
+        batcher.onView({1, 1, [](const program_id &) { return true; }});
         const program_id id = makeProgramId();
         book.apply(makeCreated(id));
         for (int turn = 1; turn <= before; ++turn) {
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -46,8 +46,6 @@
     /// Tokens of the program that engines have computed before.
     std::int64_t heldTokens = 0;
     std::shared_ptr<call_stream> stream;
-    /// Number of the view under which the call began.
-    fencing_number begunUnder = 0;
 };
 
 /// \brief What a caller's request leads to: following a running call, or a stored answer.
@@ -147,9 +145,6 @@
 private:
     struct commit_wait
     {
-        std::set<program_id> programs;
-        /// Number of the view under which the records were made.
-        fencing_number since = 0;
         std::optional<commit_result> result;
         notifier changed;
     };
@@ -178,12 +173,15 @@
                                                                             config_version version);
     awaitable<std::optional<bool>> isStored(config_version version);
 
-    awaitable<commit_result> commit(std::vector<journal_record> records);
+    awaitable<commit_result> commit(journal_record record, commit_need need);
+    void adoptView();
+    void dropFamily(const program_id &id);
+    bool isRunning(const running_call &call) const;
+    awaitable<void> closeTooLarge(running_call call);
+    void abandonCall(const running_call &call, commit_result begun);
     awaitable<void> perform(commit_action action);
-    awaitable<batch_answer> writeBatch(journal_batch batch);
+    awaitable<batch_answer> writeBatch(write_batch write);
     awaitable<batch_answer> readBack(journal_batch batch);
-    bool heldAll(const journal_batch &batch) const;
-    bool heldSinceMade(const program_id &id) const;
     void answerBatch(batch_answer answer);
     void settleTickets(const commit_done &done);
 
@@ -218,6 +216,12 @@
     config_follower m_follower;
     std::size_t m_nextPeer = 0;
     fencing_number m_loadedView = 0;
+    fencing_number m_adoptedView = 0;
+    /// Grows when a program is dropped: a load that began before that is out of date.
+    std::uint64_t m_drops = 0;
+    /// Roots of families that this daemon owns and must read again.
+    std::set<program_id> m_dropped;
+    std::unordered_map<program_id, int> m_turnWaits;
     bool m_draining = false;
     metrics m_metrics;
     /// Tokens that engines have computed for each program; for the measure of wasted cache only.
--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -1,9 +1,7 @@
 #include "core/log.h"
 #include "daemon/control.h"
 
-#include <algorithm>
 #include <csignal>
-#include <tuple>
 
 namespace azurehill {
 
@@ -39,7 +37,8 @@
         m_membership.setRunning(runningFamilies());
         for (membership_action &action : m_membership.poll(runtime_clock::now()))
             co_await perform(std::move(action));
-        if (m_loadedView != m_membership.view().number && co_await loadGained())
+        const bool unread = m_loadedView != m_membership.view().number || !m_dropped.empty();
+        if (unread && co_await loadGained())
             co_await settleOrphans();
         co_await sleepFor(membershipPeriod);
     }
@@ -75,7 +74,7 @@
     if (!m_membership.onView(view, runtime_clock::now()))
         return;
     m_history.onView(m_membership.view());
-    m_batcher.setFence(m_membership.view().number);
+    adoptView();
 }
 
 awaitable<void> control::refreshLeases()
@@ -138,39 +137,40 @@
 
 awaitable<std::optional<std::vector<journal_batch>>> control::listBatches(std::string prefix)
 {
-    std::vector<journal_batch> batches;
+    batch_reader reader;
     std::string after;
     while (true) {
         auto rows = co_await m_platform.scan(prefix, after, scanPage);
         if (!rows)
             co_return std::nullopt;
-        for (const table_row &row : *rows) {
-            if (auto batch = decodeBatch(row.value))
-                batches.push_back(std::move(*batch));
-        }
+        for (const table_row &row : *rows)
+            reader.feed(row);
         if (rows->size() < scanPage)
             break;
         after = rows->back().key;
     }
-    // At one fence only one daemon can write records of a program, so this order is its history.
-    const auto before = [](const journal_batch &a, const journal_batch &b) {
-        return std::tie(a.fence, a.sequence) < std::tie(b.fence, b.sequence);
-    };
-    std::stable_sort(batches.begin(), batches.end(), before);
-    co_return batches;
+    auto batches = reader.finish();
+    if (!batches) {
+        logEvent(log_level::Error, "journal_unreadable", {{"detail", batches.error()}});
+        co_return std::nullopt;
+    }
+    co_return std::move(*batches);
 }
 
 awaitable<bool> control::loadGained()
 {
     const fencing_number number = m_membership.view().number;
+    const std::uint64_t drops = m_drops;
     std::vector<journal_batch> batches;
-    const bool reads = m_history.mayHaveGainedSince(m_loadedView);
+    const bool reads = !m_dropped.empty() || m_history.mayHaveGainedSince(m_loadedView);
     if (reads) {
         auto listed = co_await listBatches(rowPrefix(m_settings.cell));
-        if (!listed)
+        // What was read before a drop may lack records that were written before it.
+        if (!listed || m_drops != drops)
             co_return false;
         batches = std::move(*listed);
     }
+    m_dropped.clear();
     std::set<program_id> known;
     for (const program_id &id : programIds()) {
         if (m_history.heldSince(id, m_loadedView))
@@ -205,11 +205,15 @@
         records.emplace_back(
             call_failed{id, p.open->turn, p.open->key, outcome::Unknown, p.open->reservedTokens});
     }
-    if (records.empty())
-        co_return;
-    for (const journal_record &record : records)
+    // One ticket each: a view that takes one program away leaves the other records in place. A
+    // record that is lost needs nothing: its program is another daemon's then.
+    for (const journal_record &record : records) {
         m_book.apply(record);
-    co_await commit(std::move(records));
+        std::vector<journal_record> one(1, record);
+        m_batcher.append(std::move(one), commit_need::Kept, runtime_clock::now());
+    }
+    m_commitTimer.cancel();
+    co_return;
 }
 
 } // namespace azurehill
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -216,11 +216,12 @@
         // Each program has one turn in the second, spread evenly.
         for (const int programs : {64, 128, 256, 512}) {
             commit_batcher batcher({"daemon-0001"}, "0123456789ab", {});
+            batcher.onView({1, 1, [](const program_id &) { return true; }});
             int written = 0;
             for (int ms = 0, turns = 0; ms < 1000; ++ms) {
                 const time_point now(milliseconds(1000 + ms));
                 for (; turns * 1000 < ms * programs; ++turns)
-                    batcher.append({makeBegun(numberedProgram(turns), 1)});
+                    batcher.append({makeBegun(numberedProgram(turns), 1)}, commit_need::Kept, now);
                 for (const commit_action &a : batcher.poll(now))
                     written += std::holds_alternative<write_batch>(a);
                 batcher.onAnswer(batch_answer::Written, now);
