--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -15,8 +15,9 @@
     : m_context(context), m_settings(s), m_runCall(std::move(runCall)),
       m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
       m_history(self.daemon, self.incarnation),
-      m_heartbeats(context, {self.daemon, self.incarnation}, s.innerToken, {}), m_batcher(self.daemon, self.incarnation, {}),
-      m_router(self.dataCentre), m_commitTimer(context)
+      m_heartbeats(context, {self.daemon, self.incarnation}, s.innerToken, {}),
+      m_batcher(self.daemon, self.incarnation, s.commit), m_router(self.dataCentre),
+      m_commitTimer(context)
 { }
 
 void control::start()
