--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -239,10 +239,10 @@
 {
     control &first = *m_daemons.front();
     const row_version known = ask([&] { return first.configVersion(); });
-    const auto stored
-        = asio::co_spawn(m_context, first.storeConfig(toText(makeConfiguration(tenants)), known),
-                         asio::use_future)
-              .get();
+    const auto config = std::make_shared<const configuration>(makeConfiguration(tenants));
+    const auto stored = asio::co_spawn(m_context, first.storeConfig(config, "capacity", known),
+                                       asio::use_future)
+                            .get();
     const time_point accepted = runtime_clock::now();
     if (!stored)
         return -1;
