--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -248,7 +248,7 @@
         return -1;
     const auto inForce = [&] {
         return std::all_of(m_daemons.begin(), m_daemons.end(),
-                           [&](const auto &d) { return d->configVersion() >= *stored; });
+                           [&](const auto &d) { return d->configVersion() >= stored->number; });
     };
     while (!ask(inForce))
         std::this_thread::sleep_for(pollPause);
