--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -131,8 +131,10 @@
     const program_ended ended{id, reason};
     m_book.apply(ended);
     if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable)
+        == commit_result::Durable) {
+        measureEnd(id);
         co_return tl::expected<void, refusal>();
+    }
     co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
 }
 
@@ -157,12 +159,7 @@
             co_return call_start(stream->second);
         // The call before this one is still under way.
         const auto before = stream->second;
-        std::size_t read = 0;
-        for (bool ended = false; !ended;) {
-            const auto piece = co_await before->readFrom(read);
-            read += piece.events.size();
-            ended = piece.end.has_value();
-        }
+        co_await before->waitForEnd();
     }
 }
 
@@ -175,7 +172,10 @@
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
     running_call call;
-    call.history = m_book.find(record.program)->history;
+    const program &p = *m_book.find(record.program);
+    call.history = p.history;
+    call.programClass = p.programClass;
+    call.heldTokens = heldTokens(record.program);
     call.upstream = *parseEndpoint(target->address);
     call.upstreamId = target->id;
     call.limits = rules->second;
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -24,6 +24,8 @@
     enum class origin { Caller, Daemon };
 
     awaitable<void> route(const http_request &request, response_writer &writer, origin from);
+    awaitable<void> routeTenant(const http_request &request, response_writer &writer, origin from);
+    awaitable<void> reportMetrics(const http_request &request, response_writer &writer);
     awaitable<void> lookUp(const http_request &request, response_writer &writer);
     /// \brief Tells another daemon, which can't read the store, the configuration.
     awaitable<void> tellConfig(response_writer &writer);
@@ -33,7 +35,7 @@
     awaitable<void> oneProgram(const http_request &request, const tenant_id &tenant,
                                response_writer &writer, origin from);
     awaitable<void> call(const http_request &request, const tenant_id &tenant,
-                         response_writer &writer, origin from);
+                         const configuration &config, response_writer &writer, origin from);
     /// \brief Passes \p request on to the owner of \p id. \returns whether another daemon is owner.
     awaitable<bool> passToOwner(const program_id &id, const http_request &request,
                                 response_writer &writer, origin from);
