--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -20,7 +20,7 @@
 
 text_result failure(int status, std::string text)
 {
-    return tl::unexpected(command_error{status, std::move(text)});
+    return tl::unexpected(command_error{status, std::move(text), 0});
 }
 
 std::string versionOf(const json::value &v)
@@ -207,7 +207,8 @@
     std::string version = o.ifVersion;
     if (version.empty()) {
         auto newest = client.get("/operator/config");
-        if (!newest && newest.error().status != Unavailable)
+        constexpr int notFound = 404;
+        if (!newest && newest.error().httpStatus != notFound)
             return tl::unexpected(newest.error());
         // With none yet this is the first, and the daemon refuses it if that is wrong.
         version = newest ? versionOf(*newest) : "0";
--- a/src/client/daemon_client.cpp
+++ b/src/client/daemon_client.cpp
@@ -53,8 +53,10 @@
         return fmt::format("status {}", response.status);
     const json::object &o = body.get_object();
     const json::value *faults = o.if_contains("faults");
-    if (!faults || !faults->is_array())
-        return fmt::format("{}: {}", textOf(o, "title"), textOf(o, "detail"));
+    if (!faults || !faults->is_array()) {
+        const std::string detail = textOf(o, "detail");
+        return textOf(o, "title") + (detail.empty() ? "" : ": ") + detail;
+    }
     std::string text = "the configuration has faults:";
     for (const json::value &f : faults->get_array()) {
         if (f.is_object()) {
@@ -104,7 +106,8 @@
     }
     const http_response &response = **answer;
     if (response.status >= 300)
-        return tl::unexpected(command_error{statusOf(response.status), explain(response)});
+        return tl::unexpected(
+            command_error{statusOf(response.status), explain(response), response.status});
     json::error_code code;
     json::value body = json::parse(response.body, code);
     if (code)
--- a/src/client/daemon_client.h
+++ b/src/client/daemon_client.h
@@ -15,6 +15,8 @@
 {
     int status = Unavailable;
     std::string text;
+    /// Status of the daemon's answer, 0 without one.
+    int httpStatus = 0;
 };
 
 /// \brief Talks to the operators' interface of daemons, one request at a time.
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -133,6 +133,8 @@
     tl::expected<config_version, preset_doubt> configInForce() const;
     /// \returns what to tell a peer that can't read the store.
     std::optional<peer_config> configForPeer() const;
+    /// \returns the newest version known, which may still wait for its activation.
+    std::optional<config_version> configHead() const { return m_follower.head(); }
     /// \brief Reads the store if it can be reached. \returns the newest version known.
     awaitable<std::optional<config_version>> newestConfig();
     /// \returns the last versions, oldest first.
--- a/src/daemon/operator_door.cpp
+++ b/src/daemon/operator_door.cpp
@@ -51,8 +51,10 @@
         response = co_await applyConfig(request);
     else if (path == "/operator/config/history")
         response = co_await history();
-    else if (path == "/operator/config" || path == "/operator/presets")
-        response = co_await showConfig(path == "/operator/presets");
+    else if (path == "/operator/config")
+        response = co_await showConfig();
+    else if (path == "/operator/presets")
+        response = co_await showPresets();
     else
         response = co_await showState(path);
     co_await writer.write(std::move(response));
@@ -78,7 +80,7 @@
     co_return toResponse(notFoundProblem(path));
 }
 
-awaitable<http_response> operator_door::showConfig(bool presetsOnly)
+awaitable<http_response> operator_door::showConfig()
 {
     auto readNewest = [this] { return m_control.newestConfig(); };
     const auto head = co_await onControl(readNewest);
@@ -86,11 +88,21 @@
         co_return toResponse(noConfigProblem());
     auto readDecided = [this] { return m_control.configInForce(); };
     const auto decided = co_await onControl(readDecided);
-    if (presetsOnly)
-        co_return presetsResponse(*head, decided);
     co_return configResponse(*head, decided);
 }
 
+awaitable<http_response> operator_door::showPresets()
+{
+    // What this daemon goes by: the store isn't read for it.
+    auto readHead = [this] { return m_control.configHead(); };
+    const auto head = co_await onControl(readHead);
+    if (!head)
+        co_return toResponse(noConfigProblem());
+    auto readDecided = [this] { return m_control.configInForce(); };
+    const auto decided = co_await onControl(readDecided);
+    co_return presetsResponse(*head, decided);
+}
+
 awaitable<http_response> operator_door::history()
 {
     auto read = [this] { return m_control.configHistory(); };
--- a/src/daemon/operator_door.h
+++ b/src/daemon/operator_door.h
@@ -18,7 +18,8 @@
 
 private:
     awaitable<http_response> showState(std::string path);
-    awaitable<http_response> showConfig(bool presetsOnly);
+    awaitable<http_response> showConfig();
+    awaitable<http_response> showPresets();
     awaitable<http_response> history();
     awaitable<http_response> applyConfig(const http_request &request);
 
