--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -59,8 +59,7 @@
 void runTurn(program_book &book, commit_batcher &batcher, const program_id &id, std::int64_t turn)
 {
     const call_begun begun = makeBegun(id, turn);
-    const auto decision
-        = book.decide({id, turn, begun.key, begun.kind, begun.idempotent, begun.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     keep(decision);
     book.apply(begun);
     const std::string history = book.find(id)->history;
