--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -75,8 +75,8 @@
     if (!m_membership.onView(view, runtime_clock::now()))
         return;
     m_history.onView(m_membership.view());
-    m_heartbeats.onView(m_membership.view());
     adoptView();
+    m_heartbeats.onView(m_membership.view());
 }
 
 awaitable<void> control::refreshLeases()
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -184,6 +184,15 @@
     co_await writer.write(std::move(response));
 }
 
+awaitable<void> door::tellConfig(response_writer &writer)
+{
+    auto read = [this] { return m_control.configForPeer(); };
+    const auto known = co_await onControl(read);
+    http_response response
+        = known ? jsonResponse(200, toText(*known)) : toResponse(notReadyProblem());
+    co_await writer.write(std::move(response));
+}
+
 awaitable<void> door::reportMetrics(const http_request &request, response_writer &writer)
 {
     // The labels name the tenants, which is nothing for callers to see.
@@ -199,15 +208,6 @@
     co_await writer.write(std::move(response));
 }
 
-awaitable<void> door::tellConfig(response_writer &writer)
-{
-    auto read = [this] { return m_control.configForPeer(); };
-    const auto known = co_await onControl(read);
-    http_response response
-        = known ? jsonResponse(200, toText(*known)) : toResponse(notReadyProblem());
-    co_await writer.write(std::move(response));
-}
-
 awaitable<void> door::lookUp(const http_request &request, response_writer &writer)
 {
     std::optional<program_id> id;
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -32,19 +32,24 @@
     std::size_t bytes = 0;
 };
 
+void count(sent &s, const renew_lease &renewal)
+{
+    ++s.renewals;
+    s.bytes += encode(renewal.lease).size();
+}
+
 void count(sent &s, const membership_action &action)
 {
-    if (const auto *change = std::get_if<change_view>(&action)) {
-        ++s.viewChanges;
+    ++s.viewChanges;
+    if (const auto *change = std::get_if<change_view>(&action))
         s.bytes += encode(change->next).size();
-    }
 }
 
 std::vector<lease_record> leasesOf(const cell_view &view, std::uint64_t counter)
 {
     std::vector<lease_record> leases;
     for (const member &m : view.members)
-        leases.push_back({m.daemon, m.incarnation, counter, 1});
+        leases.push_back({m.daemon, m.incarnation, counter, 1, 1, counter});
     return leases;
 }
 
@@ -65,10 +70,8 @@
         me.onView(view, now);
         me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now, now);
         me.setRunning(running);
-        if (const auto renewal = me.pollLease(now)) {
-            ++result.renewals;
-            result.bytes += encode(renewal->lease).size();
-        }
+        if (const auto renewal = me.pollLease(now))
+            count(result, *renewal);
         for (const membership_action &action : me.poll(now))
             count(result, action);
         me.onRenewed(now);
