Test gaps in views directly; make more calls in the take-over properties

The properties now make a call decision for every program at each step, and ownership_history has a test of its own.

--- a/test/logic/ownership_history_test.cpp
+++ b/test/logic/ownership_history_test.cpp
@@ -49,6 +49,24 @@
             CHECK(change() == isOurs);
         }
     }
+    SUBCASE("what was away in between is not held, nor is anything after a missed view")
+    {
+        const auto own
+            = [&](const program_id &id) { return ownerOf(view, id)->daemon.value == "a"; };
+        const auto programs = somePrograms();
+        const program_id mine = *std::find_if(programs.begin(), programs.end(), own);
+        CHECK(history.heldSince(mine, 1));
+        CHECK_FALSE(history.heldSince(mine, 0));
+        view.members[0].draining = true;
+        change();
+        view.members[0].draining = false;
+        change();
+        CHECK_FALSE(history.heldSince(mine, 1));
+        CHECK(history.heldSince(mine, 3));
+        change(2);
+        CHECK_FALSE(history.heldSince(mine, 3));
+        CHECK(history.heldSince(mine, 5));
+    }
     SUBCASE("when this daemon itself joins")
     {
         view.members[0].joining = true;
--- a/test/logic/takeover_test.cpp
+++ b/test/logic/takeover_test.cpp
@@ -11,12 +11,16 @@
 void ownerStep(cell &c, int i)
 {
     const auto programs = somePrograms();
-    const auto id = programs[*rc::gen::inRange<std::size_t>(0, programs.size())];
+    // One bit a program: few random values, many calls.
+    unsigned begins = *rc::gen::inRange(0U, 1U << programs.size());
     c.load(i);
-    if (*rc::gen::arbitrary<bool>())
-        c.beginCall(i, id);
-    else
-        c.endCall(i, id);
+    for (const program_id &id : programs) {
+        if ((begins & 1U) != 0)
+            c.beginCall(i, id);
+        else
+            c.endCall(i, id);
+        begins >>= 1U;
+    }
 }
 
 void messageStep(cell &c, int i)
