Look at the view again before saying that a call did not run

Cause: a daemon that had just joined made a program and sent its call; killed within a poll, it left survivors that still knew the view in which it was joining. Such a survivor took itself for the owner, had no such program and answered 404, "did not run", of a call that ran. In the log of a failing run the survivor stood at view 4, the program was made under view 5.

Change: a refusal by the book is given only after a fresh read of the view and with the program still this daemon's.

Not covered: with the table cut off, the read fails and the old answer is given; GET of a program has the same window.

--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -178,8 +178,15 @@
         if (const auto why = whyNotServing(spec.request.program))
             co_return tl::unexpected(*why);
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
-        if (!decision)
+        if (!decision) {
+            // Failure: until this daemon reads the next view it may take itself for the owner of a
+            // program that another has just made, and say that a call did not run which runs there.
+            co_await refreshView();
+            const auto why = whyNotServing(spec.request.program);
+            if (why)
+                co_return tl::unexpected(*why);
             co_return tl::unexpected(decision.error());
+        }
         const auto *begin = std::get_if<begin_call>(&*decision);
         if (begin && !mayBegin(spec.request.program))
             co_return tl::unexpected(movesNow());
