--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,11 @@
 demo: build
 	@bash scripts/demo.sh $(BUILD)
 
+bench: build
+	@mkdir -p bench/data
+	@$(BUILD)/bench/bench_policy bench/data/policy.jsonl
+	@$(BUILD)/bench/bench_policy_decision bench/data/policy.jsonl
+
 format:
 	@git ls-files '*.h' '*.cpp' | xargs -r clang-format -i
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -14,8 +14,8 @@
                  std::function<void(running_call)> runCall)
     : m_context(context), m_settings(s), m_runCall(std::move(runCall)),
       m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
-      m_batcher(self.daemon, self.incarnation, {}), m_router(self.dataCentre),
-      m_commitTimer(context)
+      m_batcher(self.daemon, self.incarnation, {}),
+      m_scheduler({}, self.dataCentre, stableHash(self.daemon.value)), m_commitTimer(context)
 { }
 
 void control::start()
@@ -24,6 +24,7 @@
     spawn(m_context.get_executor(), "commitLoop", commitLoop());
     spawn(m_context.get_executor(), "configLoop", configLoop());
     spawn(m_context.get_executor(), "hostsLoop", hostsLoop());
+    spawn(m_context.get_executor(), "schedulerLoop", schedulerLoop());
 }
 
 } // namespace azurehill
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -30,6 +30,16 @@
     http_request passOn;
 };
 
+/// \brief The scheduler's choice for a call.
+struct call_placement
+{
+    call_number number = 0;
+    upstream_id replica;
+    std::int64_t priority = 0;
+    /// Length of the prompt as estimated from its bytes.
+    std::int64_t promptTokens = 0;
+};
+
 /// \brief A call that has begun, with all that its runner needs.
 struct running_call
 {
@@ -37,7 +47,7 @@
     /// Messages of the turns before, as in program::history.
     std::string history;
     endpoint upstream;
-    upstream_id upstreamId;
+    call_placement placement;
     service limits;
     std::shared_ptr<call_stream> stream;
 };
@@ -95,10 +105,18 @@
         notifier changed;
     };
 
+    /// \brief A call that the scheduler has not answered yet.
+    struct placement_wait
+    {
+        std::optional<tl::expected<call_placement, refusal>> answer;
+        notifier changed;
+    };
+
     awaitable<void> membershipLoop();
     awaitable<void> commitLoop();
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
+    awaitable<void> schedulerLoop();
 
     awaitable<void> refreshView();
     awaitable<void> refreshLeases();
@@ -119,6 +137,13 @@
     awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
     awaitable<void> settleOrphans();
 
+    /// \brief Waits until the scheduler dispatches or refuses the call.
+    awaitable<tl::expected<call_placement, refusal>> placeCall(pending_call call);
+    pending_call makePendingCall(const call_spec &spec);
+    program_request makeProgramRequest(const program &p) const;
+    std::optional<duration> refuseProgram(const program_created &created);
+    void performScheduled();
+
     std::string viewKey() const { return "view/" + m_settings.cell; }
     std::string leasePrefix() const { return "lease/" + m_settings.cell + "/"; }
     std::string configKey() const { return "config/" + m_settings.cell; }
@@ -130,7 +155,7 @@
     membership m_membership;
     commit_batcher m_batcher;
     program_book m_book;
-    router m_router;
+    scheduler m_scheduler;
     std::shared_ptr<const configuration> m_config;
     row_version m_configVersion = 0;
     fencing_number m_loadedView = 0;
@@ -139,6 +164,10 @@
     std::vector<commit_action> m_commitActions;
     std::unordered_map<commit_ticket, std::shared_ptr<commit_wait>> m_commitWaits;
     std::unordered_map<program_id, std::shared_ptr<call_stream>> m_streams;
+    call_number m_lastCall = 0;
+    std::unordered_map<call_number, std::shared_ptr<placement_wait>> m_placementWaits;
+    /// Programs whose next call waits for its replica, with what tells the end of the wait.
+    std::unordered_map<program_id, std::shared_ptr<notifier>> m_placing;
 };
 
 } // namespace azurehill
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -15,6 +15,18 @@
     return {reason, std::move(detail), retryAfter};
 }
 
+call_result makeCallResult(const running_call &call, const journal_record &end)
+{
+    call_result result;
+    if (const auto *failed = std::get_if<call_failed>(&end))
+        result.failed = failed->ran;
+    if (const auto *finished = std::get_if<call_finished>(&end)) {
+        const std::int64_t output = finished->spentTokens - call.placement.promptTokens;
+        result.outputTokens = std::max<std::int64_t>(output, 0);
+    }
+    return result;
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -104,7 +116,13 @@
     created.deadlineUnixMs = created.createdUnixMs + limit;
 
     const program_id id = created.program;
+    // A sub-agent belongs to a program under way, so it has its room.
+    if (const auto later = created.parent.empty() ? refuseProgram(created) : std::nullopt) {
+        co_return tl::unexpected(
+            makeRefusal(refusal_reason::Overloaded, "no room for a new program", later));
+    }
     m_book.apply(created);
+    m_scheduler.startProgram(makeProgramRequest(*m_book.find(id)), runtime_clock::now());
     const commit_result result
         = co_await commit(std::vector<journal_record>(1, journal_record(created)));
     if (result == commit_result::Durable)
@@ -124,6 +142,8 @@
         co_return tl::expected<void, refusal>();
     const program_ended ended{id, reason};
     m_book.apply(ended);
+    m_scheduler.endProgram(id, runtime_clock::now());
+    performScheduled();
     if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
         == commit_result::Durable)
         co_return tl::expected<void, refusal>();
@@ -135,6 +155,12 @@
     while (true) {
         if (const auto why = whyNotServing(spec.request.program))
             co_return tl::unexpected(*why);
+        // A call of the program may be waiting for its replica: it begins, or not, before this one.
+        if (const auto placing = m_placing.find(spec.request.program); placing != m_placing.end()) {
+            const auto placed = placing->second;
+            co_await placed->waitPast(0);
+            continue;
+        }
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
         if (!decision)
             co_return tl::unexpected(decision.error());
@@ -162,28 +188,43 @@
 
 awaitable<tl::expected<call_start, refusal>> control::beginCall(call_spec spec, call_begun record)
 {
-    const replica *target = m_router.choose(spec.service);
+    const auto placement = co_await placeCall(makePendingCall(spec));
+    if (!placement)
+        co_return tl::unexpected(placement.error());
+    // The wait may have been long: the program may have moved or ended meanwhile.
+    if (const auto why = whyNotServing(record.program)) {
+        m_scheduler.cancel(placement->number, runtime_clock::now());
+        co_return tl::unexpected(*why);
+    }
+    const auto decision = m_book.decide(spec.request, unixMilliseconds());
+    if (!decision || !std::holds_alternative<begin_call>(*decision)) {
+        m_scheduler.cancel(placement->number, runtime_clock::now());
+        co_return tl::unexpected(
+            decision ? makeRefusal(refusal_reason::TurnOutOfOrder, "another call was faster")
+                     : decision.error());
+    }
+    const auto target = m_scheduler.findReplica(placement->replica);
     const auto rules = m_config->services.find(spec.service);
     if (!target || rules == m_config->services.end()) {
+        m_scheduler.cancel(placement->number, runtime_clock::now());
         co_return tl::unexpected(
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
     running_call call;
     call.history = m_book.find(record.program)->history;
     call.upstream = *parseEndpoint(target->address);
-    call.upstreamId = target->id;
+    call.placement = *placement;
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
     call.spec = std::move(spec);
 
     m_book.apply(record);
     m_streams[record.program] = call.stream;
-    m_router.onSent(call.upstreamId);
     const commit_result result
         = co_await commit(std::vector<journal_record>(1, journal_record(record)));
     // The commit may have taken long: look at the lease again, immediately before the effect.
     if (result == commit_result::Lost || !m_membership.isActive(runtime_clock::now())) {
-        m_router.onDone(call.upstreamId);
+        m_scheduler.cancel(call.placement.number, runtime_clock::now());
         m_streams.erase(record.program);
         if (result == commit_result::Lost)
             m_book.forget(record.program);
@@ -197,7 +238,8 @@
 
 awaitable<bool> control::finishCall(running_call call, journal_record end)
 {
-    m_router.onDone(call.upstreamId);
+    m_scheduler.onEnd(call.placement.number, makeCallResult(call, end), runtime_clock::now());
+    performScheduled();
     const program_id id = call.spec.request.program;
     const commit_result result = co_await commit(std::vector<journal_record>(1, end));
     m_streams.erase(id);
--- a/src/daemon/control_config.cpp
+++ b/src/daemon/control_config.cpp
@@ -55,7 +55,8 @@
             for (const listed_host &h : *hosts)
                 replicas.push_back(
                     {{h.name}, h.service, {h.dataCentre}, toText(h.address), h.leaving, 0});
-            m_router.setReplicas(replicas);
+            m_scheduler.setReplicas(replicas, runtime_clock::now());
+            performScheduled();
         }
         co_await sleepFor(hostsPeriod);
     }
@@ -63,10 +64,7 @@
 
 std::vector<replica> control::replicas() const
 {
-    std::vector<replica> all;
-    for (const auto &[id, r] : m_router.replicas())
-        all.push_back(r);
-    return all;
+    return m_scheduler.replicas();
 }
 
 } // namespace azurehill
--- a/src/sched/router.cpp
+++ b/src/sched/router.cpp
@@ -1,45 +1,94 @@
 #include "sched/router.h"
 
-#include <tuple>
+#include <algorithm>
 
 namespace azurehill {
 
-void router::setReplicas(const std::vector<replica> &listed)
+namespace {
+
+/// Candidates drawn by chance in a large group. Few are as good as all of them (two choices do
+/// most of it), and they keep the daemons from all picking the one replica that looks best.
+constexpr std::size_t nearSample = 12;
+constexpr std::size_t farSample = 12;
+/// Calls beyond the slots of a batch wait for about this many tokens of a call before them.
+constexpr double tokensPerWaitingCall = 200;
+
+} // namespace
+
+void router::collect(const std::vector<replica_index> &from, std::size_t most)
 {
-    std::map<upstream_id, replica> next;
-    for (replica r : listed) {
-        if (const auto known = m_replicas.find(r.id); known != m_replicas.end())
-            r.outstanding = known->second.outstanding;
-        next.emplace(r.id, std::move(r));
+    if (from.size() <= most) {
+        m_candidates.insert(m_candidates.end(), from.begin(), from.end());
+        return;
     }
-    m_replicas = std::move(next);
+    std::uniform_int_distribution<std::size_t> any(0, from.size() - 1);
+    for (std::size_t i = 0; i < most; ++i)
+        m_candidates.push_back(from[any(m_random)]);
 }
 
-const replica *router::choose(std::string_view service) const
+void router::collectHolders(prefix_key prefix, const pending_call &call, const replica_table &table,
+                            const prefix_map &prefixes)
 {
-    const auto cost = [&](const replica &r) {
-        return std::tuple(r.outstanding, r.dataCentre == m_here ? 0 : 1);
-    };
-    const replica *best = nullptr;
-    for (const auto &[id, r] : m_replicas) {
-        if (r.service != service || r.leaving)
-            continue;
-        if (!best || cost(r) < cost(*best))
-            best = &r;
+    for (const prefix_map::holder &h : prefixes.holders(prefix)) {
+        if (table.isOpen(h.replica) && table.at(h.replica).service == call.service)
+            m_candidates.push_back(h.replica);
     }
-    return best;
 }
 
-void router::onSent(const upstream_id &id)
+double router::waitSeconds(const load_estimate &load) const
+{
+    const double slots = m_knobs.slotsPerReplica;
+    const double perCall = tokensPerWaitingCall * m_knobs.secondsPerOutputToken;
+    const double waiting = std::max(0.0, load.calls - slots);
+    return load.prefillTokens / m_knobs.prefillTokensPerSecond + waiting * perCall / slots;
+}
+
+std::int64_t router::cachedTokens(const pending_call &call, replica_index index,
+                                  const prefix_map &prefixes) const
 {
-    if (const auto it = m_replicas.find(id); it != m_replicas.end())
-        ++it->second.outstanding;
+    double cached = prefixes.expected(stableHash(call.program.value), index);
+    if (call.sharedPrefix != 0)
+        cached = std::max(cached, prefixes.expected(call.sharedPrefix, index));
+    return std::min(std::int64_t(cached), call.promptTokens);
 }
 
-void router::onDone(const upstream_id &id)
+std::optional<route> router::choose(const pending_call &call, double expectedOutput,
+                                    const replica_table &table, const prefix_map &prefixes,
+                                    const replica_health &health, time_point now,
+                                    replica_index excluded)
 {
-    if (const auto it = m_replicas.find(id); it != m_replicas.end())
-        --it->second.outstanding;
+    const replica_group &group = table.group(call.service);
+    m_candidates.clear();
+    collectHolders(stableHash(call.program.value), call, table, prefixes);
+    if (call.sharedPrefix != 0)
+        collectHolders(call.sharedPrefix, call, table, prefixes);
+    collect(group.near, nearSample);
+    collect(group.far, farSample);
+
+    std::uniform_real_distribution<double> factor(1, 1 + m_knobs.spread);
+    const double distance = std::chrono::duration<double>(m_knobs.distance).count();
+    std::optional<route> best;
+    double bestCost = 0;
+    for (const replica_index index : m_candidates) {
+        if (index == excluded || !health.mayTake(index, now))
+            continue;
+        const load_estimate load = table.load(index);
+        const std::int64_t prefill = call.promptTokens - cachedTokens(call, index, prefixes);
+        const double prefillSeconds = double(prefill) / m_knobs.prefillTokensPerSecond;
+        const double busy = std::min(load.calls / m_knobs.slotsPerReplica, 1.0);
+        const double decode = expectedOutput * m_knobs.secondsPerOutputToken * (1 + busy) / 2;
+        const double wait = waitSeconds(load);
+        const double slow = health.slowness(index);
+        const bool isFar = table.at(index).dataCentre != table.here();
+        const double cost
+            = slow * (wait + decode + m_knobs.prefillWeight * prefillSeconds) * factor(m_random)
+            + (isFar ? distance : 0);
+        if (!best || cost < bestCost) {
+            best = route{index, prefill, slow * (wait + decode + prefillSeconds)};
+            bestCost = cost;
+        }
+    }
+    return best;
 }
 
 } // namespace azurehill
--- a/src/sched/router.h
+++ b/src/sched/router.h
@@ -1,31 +1,50 @@
 #pragma once
 
-#include "sched/replica.h"
+#include "sched/call.h"
+#include "sched/knobs.h"
+#include "sched/prefix_map.h"
+#include "sched/replica_health.h"
+#include "sched/replica_table.h"
 
-#include <map>
-#include <string_view>
-#include <vector>
+#include <random>
 
 namespace azurehill {
 
-/// \brief Chooses the replica for a call.
+/// \brief Where a call goes and what is expected there.
+struct route
+{
+    replica_index replica = noReplica;
+    /// Prompt tokens that the replica has to compute.
+    std::int64_t prefillTokens = 0;
+    /// Expected time until the call ends there.
+    double seconds = 0;
+};
+
+/// \brief Chooses the replica where a call is expected to end first.
 class router
 {
 public:
-    explicit router(data_centre_id here) : m_here(std::move(here)) { }
-
-    /// \brief Takes in the replicas that the platform lists now.
-    void setReplicas(const std::vector<replica> &listed);
-    /// \returns the replica with the least work of this daemon, near ones first, or nullptr.
-    const replica *choose(std::string_view service) const;
-    void onSent(const upstream_id &id);
-    void onDone(const upstream_id &id);
+    router(const sched_knobs &knobs, std::uint64_t seed) : m_knobs(knobs), m_random(seed) { }
+    void setKnobs(const sched_knobs &knobs) { m_knobs = knobs; }
 
-    const std::map<upstream_id, replica> &replicas() const { return m_replicas; }
+    /// \param excluded a replica not to choose, after a failure there.
+    /// \returns the route, or nothing when no replica of the service may take a call.
+    std::optional<route> choose(const pending_call &call, double expectedOutput,
+                                const replica_table &table, const prefix_map &prefixes,
+                                const replica_health &health, time_point now,
+                                replica_index excluded = noReplica);
 
 private:
-    data_centre_id m_here;
-    std::map<upstream_id, replica> m_replicas;
+    void collect(const std::vector<replica_index> &from, std::size_t most);
+    void collectHolders(prefix_key prefix, const pending_call &call, const replica_table &table,
+                        const prefix_map &prefixes);
+    double waitSeconds(const load_estimate &load) const;
+    std::int64_t cachedTokens(const pending_call &call, replica_index index,
+                              const prefix_map &prefixes) const;
+
+    sched_knobs m_knobs;
+    std::minstd_rand m_random;
+    std::vector<replica_index> m_candidates;
 };
 
 } // namespace azurehill
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -3,5 +3,4 @@
 /// \file
 /// \brief Decisions under load: which call goes next, to which replica, or is refused.
 
-#include "sched/replica.h"
-#include "sched/router.h"
+#include "sched/scheduler.h"
