--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr duration retrySoon = seconds(1);
+/// Bound on the search for a name of its own: a joining or draining daemon owns none.
+constexpr int rootNameTries = 10'000;
 
 refusal makeRefusal(refusal_reason reason, std::string detail,
                     std::optional<duration> retryAfter = std::nullopt)
@@ -27,6 +29,11 @@
     return result;
 }
 
+refusal movesNow()
+{
+    return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -38,8 +45,9 @@
 
 bool control::isReady() const
 {
+    const member *me = m_membership.view().find(m_membership.self().daemon);
     return m_config && !m_draining && m_membership.isActive(runtime_clock::now())
-        && m_loadedView == m_membership.view().number;
+        && takesPrograms(*me) && m_loadedView == m_membership.view().number;
 }
 
 std::optional<member> control::otherOwner(const program_id &id) const
@@ -54,8 +62,11 @@
 {
     const program_id any{m_settings.name};
     std::vector<member> result;
-    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any)))
-        result.push_back(*m);
+    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
+        // A drain shows here before the view has it.
+        if (!m_draining || m->daemon != m_membership.self().daemon)
+            result.push_back(*m);
+    }
     return result;
 }
 
@@ -79,8 +90,8 @@
         return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
                            retrySoon);
     }
-    if (!owns(id) || m_loadedView != m_membership.view().number)
-        return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+    if (!owns(id) || !m_history.heldSince(id, m_loadedView))
+        return movesNow();
     return std::nullopt;
 }
 
@@ -97,10 +108,12 @@
     program_created created;
     created.program = makeProgramId(request.parent);
     // A root program is named so that this daemon owns it: no hop for its calls.
-    while (request.parent.empty() && !owns(created.program))
+    for (int i = 0; i < rootNameTries && request.parent.empty() && !mayBegin(created.program); ++i)
         created.program = makeProgramId();
     if (const auto why = whyNotServing(created.program))
         co_return tl::unexpected(*why);
+    if (!mayBegin(created.program))
+        co_return tl::unexpected(movesNow());
     if (!request.parent.empty() && !m_book.find(request.parent))
         co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
     created.parent = request.parent;
@@ -145,8 +158,10 @@
     m_scheduler.endProgram(id, runtime_clock::now());
     performScheduled();
     if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable)
+        == commit_result::Durable) {
+        measureEnd(id);
         co_return tl::expected<void, refusal>();
+    }
     co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
 }
 
@@ -164,7 +179,10 @@
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
         if (!decision)
             co_return tl::unexpected(decision.error());
-        if (const auto *begin = std::get_if<begin_call>(&*decision))
+        const auto *begin = std::get_if<begin_call>(&*decision);
+        if (begin && !mayBegin(spec.request.program))
+            co_return tl::unexpected(movesNow());
+        if (begin)
             co_return co_await beginCall(std::move(spec), begin->record);
         if (const auto *replay = std::get_if<replay_answer>(&*decision))
             co_return call_start(replay->call);
@@ -177,12 +195,7 @@
             co_return call_start(stream->second);
         // The call before this one is still under way.
         const auto before = stream->second;
-        std::size_t read = 0;
-        for (bool ended = false; !ended;) {
-            const auto piece = co_await before->readFrom(read);
-            read += piece.events.size();
-            ended = piece.end.has_value();
-        }
+        co_await before->waitForEnd();
     }
 }
 
@@ -196,6 +209,10 @@
         m_scheduler.cancel(placement->number, runtime_clock::now());
         co_return tl::unexpected(*why);
     }
+    if (!mayBegin(record.program)) {
+        m_scheduler.cancel(placement->number, runtime_clock::now());
+        co_return tl::unexpected(movesNow());
+    }
     const auto decision = m_book.decide(spec.request, unixMilliseconds());
     if (!decision || !std::holds_alternative<begin_call>(*decision)) {
         m_scheduler.cancel(placement->number, runtime_clock::now());
@@ -211,11 +228,15 @@
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
     running_call call;
-    call.history = m_book.find(record.program)->history;
+    const program &p = *m_book.find(record.program);
+    call.history = p.history;
+    call.programClass = p.programClass;
+    call.heldTokens = heldTokens(record.program);
     call.upstream = *parseEndpoint(target->address);
     call.placement = *placement;
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
+    call.begunUnder = m_membership.view().number;
     call.spec = std::move(spec);
 
     m_book.apply(record);
@@ -241,6 +262,12 @@
     m_scheduler.onEnd(call.placement.number, makeCallResult(call, end), runtime_clock::now());
     performScheduled();
     const program_id id = call.spec.request.program;
+    if (!m_history.heldSince(id, call.begunUnder)) {
+        // The program moved in between; its new owner settled this call as unknown, also when the
+        // program has come back since.
+        m_streams.erase(id);
+        co_return false;
+    }
     const commit_result result = co_await commit(std::vector<journal_record>(1, end));
     m_streams.erase(id);
     if (result == commit_result::Durable)
@@ -250,12 +277,4 @@
     co_return result == commit_result::Durable;
 }
 
-awaitable<void> control::drain()
-{
-    m_draining = true;
-    m_membership.drain();
-    while (!m_streams.empty() || !m_commitWaits.empty())
-        co_await sleepFor(milliseconds(20));
-}
-
 } // namespace azurehill
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "daemon/auth.h"
 #include "daemon/call_parser.h"
+#include "daemon/pass_through.h"
 #include "daemon/problems.h"
 #include "daemon/stream_writer.h"
 #include "http/http_client.h"
@@ -60,6 +61,9 @@
             r.deadlineMs = deadline->to_number<std::int64_t>();
         if (!r.parent.empty() && !isProgramId(r.parent.value))
             return tl::unexpected(malformedProblem("parent is not a program's id"));
+        if (r.budgetTokens < 0 || r.deadlineMs < 0)
+            return tl::unexpected(
+                malformedProblem("budget_tokens and deadline_ms must be above 0"));
         return r;
     } catch (const std::exception &e) {
         return tl::unexpected(malformedProblem(e.what()));
@@ -71,35 +75,27 @@
     return jsonResponse(201, json::serialize(json::object{{"id", id.value}}));
 }
 
-http_response membersResponse(const cell_view &view)
+/// \returns the methods of the resource at \p path, or nothing when any may do or there is none.
+std::string_view allowedMethods(std::string_view path)
 {
-    json::array list;
-    for (const member &m : view.members) {
-        list.push_back({{"daemon", m.daemon.value},
-                        {"address", m.address},
-                        {"data_centre", m.dataCentre.value},
-                        {"draining", m.draining}});
-    }
-    return jsonResponse(200,
-                        json::serialize(json::object{{"view", view.number}, {"members", list}}));
-}
-
-http_response storedResponse(row_version version)
-{
-    return jsonResponse(200, json::serialize(json::object{{"version", version}}));
-}
-
-http_response faultsResponse(const std::vector<config_fault> &faults)
-{
-    json::array list;
-    for (const config_fault &f : faults)
-        list.push_back({{"path", f.path}, {"reason", f.reason}});
-    return jsonResponse(422, json::serialize(json::object{{"faults", list}}));
+    if (path == "/healthz" || path == "/readyz" || path == "/metrics" || path == "/v1/lookup")
+        return "GET, HEAD";
+    if (path == programsPath || path == "/v1/chat/completions")
+        return "POST";
+    if (path.starts_with("/v1/programs/"))
+        return "GET, HEAD, DELETE";
+    return {};
 }
 
-row_version expectedVersion(const http_request &request)
+bool isAllowed(std::string_view allowed, std::string_view method)
 {
-    return std::strtoull(std::string(request.headers.get("If-Match")).c_str(), nullptr, 10);
+    while (!allowed.empty()) {
+        const std::string_view one = allowed.substr(0, allowed.find(','));
+        if (one == method)
+            return true;
+        allowed.remove_prefix(std::min(allowed.size(), one.size() + 2));
+    }
+    return false;
 }
 
 } // namespace
@@ -121,17 +117,29 @@
 awaitable<void> door::route(const http_request &request, response_writer &writer, origin from)
 {
     const std::string path(request.path());
+    const std::string_view allowed = allowedMethods(path);
+    if (!allowed.empty() && !isAllowed(allowed, request.method)) {
+        co_await writer.write(methodNotAllowed(allowed));
+        co_return;
+    }
     if (path == "/healthz") {
         co_await writer.write(jsonResponse(200, R"({"status":"ok"})"));
         co_return;
     }
     if (path == "/readyz")
         co_return co_await readiness(writer);
+    if (path == "/metrics")
+        co_return co_await reportMetrics(request, writer);
     if (path == "/v1/lookup")
         co_return co_await lookUp(request, writer);
     if (path.starts_with("/operator/"))
-        co_return co_await operate(request, writer);
+        co_return co_await m_operators.serve(request, writer);
+    co_await routeTenant(request, writer, from);
+}
 
+awaitable<void> door::routeTenant(const http_request &request, response_writer &writer, origin from)
+{
+    const std::string path(request.path());
     auto readConfig = [this] { return m_control.config(); };
     const auto config = co_await onControl(readConfig);
     if (!config) {
@@ -140,16 +148,20 @@
     }
     const auto tenant = authenticate(*config, request);
     if (!tenant) {
-        co_await writer.write(toResponse(unauthorizedProblem()));
+        http_response refused = toResponse(unauthorizedProblem());
+        refused.headers.add("WWW-Authenticate", "Bearer");
+        co_await writer.write(std::move(refused));
         co_return;
     }
-    if (path == programsPath && request.method == "POST")
+    if (path == programsPath)
         co_return co_await createProgram(request, *tenant, writer, from);
     if (path.starts_with("/v1/programs/"))
         co_return co_await oneProgram(request, *tenant, writer, from);
+    if (isPassThrough(request))
+        co_return co_await passThrough(m_control, m_controlThread, request, writer);
     if (path == "/v1/chat/completions" || path.starts_with("/v1/tools/")
         || path.starts_with("/v1/services/"))
-        co_return co_await call(request, *tenant, writer, from);
+        co_return co_await call(request, *tenant, *config, writer, from);
     co_await writer.write(toResponse(notFoundProblem(path)));
 }
 
@@ -162,6 +174,21 @@
     co_await writer.write(std::move(response));
 }
 
+awaitable<void> door::reportMetrics(const http_request &request, response_writer &writer)
+{
+    // The labels name the tenants, which is nothing for callers to see.
+    if (!equalInConstantTime(sha256Hex(bearerToken(request)), m_settings.operatorTokenSha256)) {
+        co_await writer.write(toResponse(unauthorizedProblem()));
+        co_return;
+    }
+    auto read = [this] { return m_control.gauges(); };
+    const state_gauges gauges = co_await onControl(read);
+    http_response response;
+    response.headers.add("Content-Type", "text/plain; version=0.0.4");
+    response.body = m_control.measures().toText(gauges);
+    co_await writer.write(std::move(response));
+}
+
 awaitable<void> door::lookUp(const http_request &request, response_writer &writer)
 {
     std::optional<program_id> id;
@@ -182,8 +209,16 @@
     }
     if (!parsed->parent.empty() && co_await passToOwner(parsed->parent, request, writer, from))
         co_return;
+    auto findTenant = [this, id = parsed->parent] { return m_control.tenantOf(id); };
+    const auto parentTenant = co_await onControl(findTenant);
+    if (parentTenant && *parentTenant != tenant) {
+        co_await writer.write(toResponse(notFoundProblem(parsed->parent.value)));
+        co_return;
+    }
     auto create = [this, wanted = *parsed] { return m_control.createProgram(wanted); };
     const auto created = co_await onControl(create);
+    if (!created)
+        m_control.measures().onRefused(tenant, toName(created.error().reason));
     http_response response
         = created ? createdResponse(*created) : toResponse(toProblem(created.error()));
     co_await writer.write(std::move(response));
@@ -217,40 +252,35 @@
 }
 
 awaitable<void> door::call(const http_request &request, const tenant_id &tenant,
-                           response_writer &writer, origin from)
+                           const configuration &config, response_writer &writer, origin from)
 {
-    auto readConfig = [this] { return m_control.config(); };
-    const auto config = co_await onControl(readConfig);
-    auto parsed = parseCall(request, *config);
+    auto parsed = parseCall(request, config);
     if (!parsed) {
         co_await writer.write(toResponse(parsed.error()));
         co_return;
     }
+    parsed->spec.tenant = tenant;
+    parsed->spec.acceptedAt = runtime_clock::now();
     const program_id id = parsed->spec.request.program;
     if (co_await passToOwner(id, request, writer, from))
         co_return;
-    auto inspect = [this, id] { return m_control.inspect(id); };
-    const auto known = co_await onControl(inspect);
-    if (known && known->tenant != tenant) {
-        co_await writer.write(toResponse(notFoundProblem(id.value)));
-        co_return;
-    }
     const bool wantsStream = parsed->stream;
-    auto start = [this, spec = parsed->spec] { return m_control.startCall(spec); };
+    auto start = [this, spec = parsed->spec] { return m_control.startTenantCall(spec); };
     const auto started = co_await onControl(start);
     if (!started) {
+        m_control.measures().onRefused(tenant, toName(started.error().reason));
         co_await writer.write(toResponse(toProblem(started.error())));
         co_return;
     }
     const std::string lastEvent(request.headers.get("Last-Event-ID"));
     if (const auto *stream = std::get_if<std::shared_ptr<call_stream>>(&*started)) {
         if (wantsStream)
-            co_await writeStream(**stream, lastEvent, writer);
+            co_await writeStream(*stream, lastEvent, writer);
         else
-            co_await writeWhole(**stream, writer);
+            co_await writeWhole(*stream, writer);
         co_return;
     }
-    co_await writeStored(std::get<closed_call>(*started), wantsStream, writer);
+    co_await writeStored(std::get<closed_call>(*started), wantsStream, lastEvent, writer);
 }
 
 awaitable<bool> door::passToOwner(const program_id &id, const http_request &request,
@@ -273,78 +303,24 @@
                              response_writer &writer)
 {
     http_connection connection(co_await asio::this_coro::executor);
-    const auto peer = parseEndpoint(owner.innerAddress);
-    const auto connected = co_await connection.connect(peer.value_or(endpoint{}),
-                                                       runtime_clock::now() + passOnConnectLimit);
+    // Named, not a temporary: g++ 12 frees a temporary of a co_await expression twice.
+    const endpoint peer = parseEndpoint(owner.innerAddress).value_or(endpoint{});
+    const auto connected
+        = co_await connection.connect(peer, runtime_clock::now() + passOnConnectLimit);
     if (!connected) {
         co_await writer.write(toResponse(movingProblem()));
         co_return;
     }
     http_request out = request;
+    out.headers = endToEnd(request.headers);
     out.headers.add("Azurehill-Inner-Token", m_settings.innerToken);
-    const auto head
-        = co_await connection.open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
+    auto head = co_await connection.open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
     if (!head) {
         co_await writer.write(toResponse(passOnProblem(head.error())));
         co_return;
     }
-    header_list headers;
-    for (const char *name : {"Content-Type", "Retry-After"}) {
-        if (head->headers.has(name))
-            headers.add(name, head->headers.get(name));
-    }
-    bool open = co_await writer.begin(head->status, std::move(headers));
-    while (open) {
-        const auto piece = co_await connection.readSome(runtime_clock::now() + passOnSilenceLimit);
-        if (!piece)
-            co_return; // the caller sees a cut stream and resumes it
-        if (piece->empty())
-            break;
-        open = co_await writer.writeChunk(*piece);
-    }
-    if (open)
-        co_await writer.end();
-}
-
-awaitable<void> door::operate(const http_request &request, response_writer &writer)
-{
-    if (!equalInConstantTime(sha256Hex(bearerToken(request)), m_settings.operatorTokenSha256)) {
-        co_await writer.write(toResponse(unauthorizedProblem()));
-        co_return;
-    }
-    const std::string path(request.path());
-    if (path == "/operator/members") {
-        auto readView = [this] { return m_control.view(); };
-        const auto view = co_await onControl(readView);
-        co_await writer.write(membersResponse(view));
-        co_return;
-    }
-    if (path == "/operator/config" && request.method == "PUT") {
-        const auto parsed = parseConfiguration(request.body);
-        if (!parsed) {
-            co_await writer.write(faultsResponse(parsed.error()));
-            co_return;
-        }
-        const row_version expected = expectedVersion(request);
-        auto store = [this, expected, text = request.body] {
-            return m_control.storeConfig(text, expected);
-        };
-        const auto stored = co_await onControl(store);
-        http_response response = stored
-            ? storedResponse(*stored)
-            : toResponse(conflictProblem(std::string(toName(stored.error().kind))));
-        co_await writer.write(std::move(response));
-        co_return;
-    }
-    if (path == "/operator/config") {
-        auto readConfig = [this] { return m_control.config(); };
-        const auto config = co_await onControl(readConfig);
-        http_response response = config ? jsonResponse(200, toText(*config))
-                                        : toResponse(notFoundProblem("no configuration yet"));
-        co_await writer.write(std::move(response));
-        co_return;
-    }
-    co_await writer.write(toResponse(notFoundProblem(path)));
+    // A cut in the middle reaches the caller as a cut: it resumes by the id of its last event.
+    co_await relayResponse(connection, std::move(*head), writer, passOnSilenceLimit);
 }
 
 } // namespace azurehill
--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -121,6 +121,28 @@
     pump(now);
 }
 
+std::optional<upstream_id> scheduler::move(call_number number, time_point now)
+{
+    const auto it = m_sent.find(number);
+    if (it == m_sent.end())
+        return std::nullopt;
+    sent_call &sent = it->second;
+    const replica_index from = sent.where.replica;
+    const auto where = m_router.choose(sent.call, m_ledger.expectedOutput(sent.call.program),
+                                       m_table, m_prefixes, m_health, now, from);
+    if (!where || !m_retries.take(outcome::DidNotRun, true, sent.attempts))
+        return std::nullopt;
+    m_table.onDone(from, sent.call.promptTokens, sent.where.prefillTokens, sent.at, now);
+    m_health.onFailure(from, now);
+    m_prefixes.drop(stableHash(sent.call.program.value), from);
+    m_table.onSent(where->replica, sent.call.promptTokens, where->prefillTokens, now);
+    m_health.onSent(where->replica, now);
+    sent.where = *where;
+    sent.at = now;
+    ++sent.attempts;
+    return m_table.at(where->replica).id;
+}
+
 std::optional<replica> scheduler::findReplica(const upstream_id &id) const
 {
     const replica_index index = m_table.find(id);
@@ -177,7 +199,7 @@
     m_prefixes.set(stableHash(call.program.value), where->replica, call.promptTokens, now);
     if (call.sharedPrefix != 0)
         m_prefixes.set(call.sharedPrefix, where->replica, call.sharedTokens, now);
-    m_sent.emplace(call.number, sent_call{call, *where, now});
+    m_sent.emplace(call.number, sent_call{call, *where, now, 1});
     m_actions.emplace_back(dispatch_call{call.number, m_table.at(where->replica).id,
                                          static_cast<std::int64_t>(order * 1000)});
     return true;
--- a/src/sched/scheduler.h
+++ b/src/sched/scheduler.h
@@ -36,6 +36,9 @@
     void submit(pending_call call, time_point now);
     /// \brief Takes back a call that waits or was dispatched, but is not going to be sent.
     void cancel(call_number number, time_point now);
+    /// \brief Moves a call that did not run to another replica, if the retry budget allows.
+    /// \returns the other replica.
+    std::optional<upstream_id> move(call_number number, time_point now);
     void onEnd(call_number number, const call_result &end, time_point now);
     /// \brief Asks whether a call that ended badly may be sent again. \returns after which delay.
     std::optional<duration> retryAfter(outcome ended, bool idempotent, int attempt);
@@ -60,6 +63,7 @@
         pending_call call;
         route where;
         time_point at;
+        int attempts = 1;
     };
     struct known_program
     {
--- a/test/logic/sched_scheduler_test.cpp
+++ b/test/logic/sched_scheduler_test.cpp
@@ -126,6 +126,30 @@
     }
 }
 
+TEST_CASE("A call that did not run moves to another replica within the budget")
+{
+    scheduler s(smallKnobs(), {"here"}, 1);
+    s.setReplicas({listed("a")}, at(0));
+    s.submit(callOf(1, "p1"), at(0));
+    dispatched(s);
+    CHECK_FALSE(s.move(1, at(0)));
+    s.setReplicas({listed("a"), listed("b")}, at(0));
+    CHECK(s.move(1, at(0))->value == "b");
+    CHECK(s.replicas()[0].outstanding == 0);
+    CHECK(s.replicas()[1].outstanding == 1);
+
+    SUBCASE("twice at the most")
+    {
+        CHECK(s.move(1, at(0))->value == "a");
+        CHECK_FALSE(s.move(1, at(0)));
+    }
+    SUBCASE("never once it has ended")
+    {
+        s.onEnd(1, {}, at(1));
+        CHECK_FALSE(s.move(1, at(1)));
+    }
+}
+
 // A replica became ten times slower. Its calls were still running, so no end told of it, and for
 // half a minute it was given as much work as the others.
 TEST_CASE("Overdue calls keep work from a replica that became slow")
