--- a/src/daemon/control_upstreams.cpp
+++ b/src/daemon/control_upstreams.cpp
@@ -9,41 +9,54 @@
     const auto rules = m_config->services.find(service);
     if (rules == m_config->services.end() || rules->second.kind != service_kind::Plain)
         return tl::unexpected(refusal{refusal_reason::NoUpstream, "unknown service", std::nullopt});
-    const replica *target = m_router.choose(service);
-    const auto address = target ? parseEndpoint(target->address) : std::nullopt;
-    if (!address) {
+    pending_call call;
+    call.number = ++m_lastCall;
+    call.service = service;
+    m_scheduler.submit(std::move(call), runtime_clock::now());
+    const auto placed = takePlacement(m_lastCall);
+    if (!placed) {
+        m_scheduler.cancel(m_lastCall, runtime_clock::now());
         return tl::unexpected(
             refusal{refusal_reason::NoUpstream, "no upstream of " + service, seconds(1)});
     }
-    const upstream_place place{target->id, *address, rules->second};
-    m_router.onSent(place.id);
-    return place;
+    return placeOf(m_lastCall, *placed, service);
 }
 
-void control::closeUpstream(const upstream_id &id)
+void control::closeUpstream(call_number number)
 {
-    m_router.onDone(id);
+    m_scheduler.onEnd(number, {}, runtime_clock::now());
+    performScheduled();
 }
 
-std::optional<upstream_place> control::moveCall(const std::string &service, const upstream_id &from)
+std::optional<upstream_place> control::moveCall(const std::string &service, call_number number)
 {
     // Every try is an effect of its own: the lease may have lapsed while the first one failed.
-    if (!m_config || !m_membership.isActive(runtime_clock::now()))
+    if (!m_config || !m_membership.isActive(runtime_clock::now())
+        || !m_config->services.contains(service))
         return std::nullopt;
-    const replica *best = nullptr;
-    for (const auto &[id, r] : m_router.replicas()) {
-        const bool fits = r.service == service && !r.leaving && id != from;
-        if (fits && (!best || r.outstanding < best->outstanding))
-            best = &r;
-    }
-    const auto address = best ? parseEndpoint(best->address) : std::nullopt;
-    const auto rules = m_config->services.find(service);
-    if (!address || rules == m_config->services.end())
+    const auto other = m_scheduler.move(number, runtime_clock::now());
+    if (!other)
+        return std::nullopt;
+    return placeOf(number, *other, service);
+}
+
+upstream_place control::placeOf(call_number number, const upstream_id &id,
+                                const std::string &service) const
+{
+    // Addresses are checked when the host list is read.
+    const endpoint address = *parseEndpoint(m_scheduler.findReplica(id)->address);
+    return {number, id, address, m_config->services.at(service)};
+}
+
+std::optional<upstream_id> control::takePlacement(call_number number)
+{
+    const auto wait = std::make_shared<placement_wait>();
+    m_placementWaits[number] = wait;
+    performScheduled();
+    m_placementWaits.erase(number);
+    if (!wait->answer || !*wait->answer)
         return std::nullopt;
-    const upstream_place place{best->id, *address, rules->second};
-    m_router.onDone(from);
-    m_router.onSent(place.id);
-    return place;
+    return (*wait->answer)->replica;
 }
 
 void control::setHeldTokens(const program_id &id, std::int64_t tokens)
