--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -151,15 +151,21 @@
         notifier changed;
     };
 
+    awaitable<void> leaseLoop();
     awaitable<void> membershipLoop();
     awaitable<void> commitLoop();
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
 
+    void stopIfSuperseded();
     awaitable<void> refreshView();
     awaitable<void> refreshLeases();
     awaitable<void> perform(membership_action action);
+    transaction toTransaction(const change_view &change) const;
+    transaction toTransaction(const drop_lease &drop) const;
     awaitable<bool> loadGained();
+    awaitable<std::optional<std::vector<journal_batch>>> listBatches(std::string prefix);
+    void adopt(const cell_view &view);
     awaitable<std::optional<row_version>> readConfig();
     void useCurrentConfig();
     awaitable<void> askPeers();
@@ -169,15 +175,22 @@
                                                                             config_version version);
     awaitable<std::optional<bool>> isStored(config_version version);
 
-    awaitable<commit_result> commit(std::vector<journal_record> records);
+    awaitable<commit_result> commit(journal_record record, commit_need need);
+    void adoptView();
+    void dropFamily(const program_id &id);
+    bool isRunning(const running_call &call) const;
+    awaitable<void> closeTooLarge(running_call call);
+    void abandonCall(const running_call &call, commit_result begun);
     awaitable<void> perform(commit_action action);
-    awaitable<batch_answer> writeBatch(journal_batch batch);
+    awaitable<batch_answer> writeBatch(write_batch write);
     awaitable<batch_answer> readBack(journal_batch batch);
-    bool ownsAll(const journal_batch &batch) const;
     void answerBatch(batch_answer answer);
     void settleTickets(const commit_done &done);
 
     bool owns(const program_id &id) const;
+    bool mayBegin(const program_id &id) const;
+    std::set<program_id> runningFamilies() const;
+    awaitable<void> settleCommits();
     std::optional<refusal> whyNotServing(const program_id &id) const;
     awaitable<tl::expected<call_start, refusal>> beginCall(call_spec spec, call_begun record);
     awaitable<void> settleOrphans();
@@ -196,6 +209,7 @@
     std::function<void(running_call)> m_runCall;
     platform_client m_platform;
     membership m_membership;
+    ownership_history m_history;
     commit_batcher m_batcher;
     program_book m_book;
     router m_router;
@@ -204,6 +218,12 @@
     config_follower m_follower;
     std::size_t m_nextPeer = 0;
     fencing_number m_loadedView = 0;
+    fencing_number m_adoptedView = 0;
+    /// Grows when a program is dropped: a load that began before that is out of date.
+    std::uint64_t m_drops = 0;
+    /// Roots of families that this daemon owns and must read again.
+    std::set<program_id> m_dropped;
+    std::unordered_map<program_id, int> m_turnWaits;
     bool m_draining = false;
     metrics m_metrics;
     /// Tokens that engines have computed for each program; for the measure of wasted cache only.
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -1,5 +1,6 @@
 #include "core/log.h"
 #include "daemon/control.h"
+#include "daemon/problems.h"
 
 #include <algorithm>
 
@@ -8,6 +9,10 @@
 namespace {
 
 constexpr duration retrySoon = seconds(1);
+/// Requests of one program that may wait for the call before them.
+constexpr int maxTurnWaits = 8;
+/// Bound on the search for a name of its own: a joining or draining daemon owns none.
+constexpr int rootNameTries = 10'000;
 
 refusal makeRefusal(refusal_reason reason, std::string detail,
                     std::optional<duration> retryAfter = std::nullopt)
@@ -15,6 +20,20 @@
     return {reason, std::move(detail), retryAfter};
 }
 
+refusal commitRefusal(commit_result result)
+{
+    if (result == commit_result::Refused) {
+        return makeRefusal(refusal_reason::StoreUnavailable, "the store is down or too slow",
+                           retrySoon);
+    }
+    return makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon);
+}
+
+refusal movesNow()
+{
+    return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+}
+
 } // namespace
 
 bool control::owns(const program_id &id) const
@@ -26,8 +45,9 @@
 
 bool control::isReady() const
 {
+    const member *me = m_membership.view().find(m_membership.self().daemon);
     return m_config && !m_draining && m_membership.isActive(runtime_clock::now())
-        && m_loadedView == m_membership.view().number;
+        && takesPrograms(*me) && m_loadedView == m_membership.view().number;
 }
 
 std::optional<member> control::otherOwner(const program_id &id) const
@@ -42,8 +62,11 @@
 {
     const program_id any{m_settings.name};
     std::vector<member> result;
-    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any)))
-        result.push_back(*m);
+    for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
+        // A drain shows here before the view has it.
+        if (!m_draining || m->daemon != m_membership.self().daemon)
+            result.push_back(*m);
+    }
     return result;
 }
 
@@ -67,8 +90,8 @@
         return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
                            retrySoon);
     }
-    if (!owns(id) || m_loadedView != m_membership.view().number)
-        return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
+    if (!owns(id) || !m_history.heldSince(id, m_loadedView) || m_dropped.count(rootOf(id)) > 0)
+        return movesNow();
     return std::nullopt;
 }
 
@@ -91,13 +114,15 @@
     program_created created;
     created.program = makeProgramId(request.parent);
     // A root program is named so that this daemon owns it: no hop for its calls.
-    while (request.parent.empty() && !owns(created.program))
+    for (int i = 0; i < rootNameTries && request.parent.empty() && !mayBegin(created.program); ++i)
         created.program = makeProgramId();
     if (const auto why = whyNotServing(created.program))
         co_return tl::unexpected(*why);
-    if (!request.parent.empty() && !m_book.find(request.parent))
-        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
+    if (!mayBegin(created.program))
+        co_return tl::unexpected(movesNow());
     created.parent = request.parent;
+    if (const auto may = m_book.mayCreate(created, unixMilliseconds()); !may)
+        co_return tl::unexpected(may.error());
     created.tenant = request.tenant;
     created.programClass = request.programClass;
     const std::int64_t wanted
@@ -108,15 +133,17 @@
     const std::int64_t limit
         = request.deadlineMs > 0 ? std::min(request.deadlineMs, longest) : longest;
     created.deadlineUnixMs = created.createdUnixMs + limit;
+    created.maxTurns = classRules->second.maxTurns;
+    created.idleMs = toMilliseconds(classRules->second.idle);
 
     const program_id id = created.program;
     m_book.apply(created);
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(created)));
+    const journal_record record = created;
+    const commit_result result = co_await commit(record, commit_need::Refusable);
     if (result == commit_result::Durable)
         co_return id;
     m_book.forget(id);
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<void, refusal>> control::endProgram(program_id id, end_reason reason)
@@ -130,12 +157,15 @@
         co_return tl::expected<void, refusal>();
     const program_ended ended{id, reason};
     m_book.apply(ended);
-    if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable) {
+    const journal_record record = ended;
+    const commit_result result = co_await commit(record, commit_need::Kept);
+    if (result == commit_result::Durable) {
         measureEnd(id);
         co_return tl::expected<void, refusal>();
     }
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    if (const program *now = m_book.find(id); now && now->ended)
+        dropFamily(id);
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<call_start, refusal>> control::startCall(call_spec spec)
@@ -146,7 +176,10 @@
         const auto decision = m_book.decide(spec.request, unixMilliseconds());
         if (!decision)
             co_return tl::unexpected(decision.error());
-        if (const auto *begin = std::get_if<begin_call>(&*decision))
+        const auto *begin = std::get_if<begin_call>(&*decision);
+        if (begin && !mayBegin(spec.request.program))
+            co_return tl::unexpected(movesNow());
+        if (begin)
             co_return co_await beginCall(std::move(spec), begin->record);
         if (const auto *replay = std::get_if<replay_answer>(&*decision))
             co_return call_start(replay->call);
@@ -157,9 +190,17 @@
         }
         if (std::holds_alternative<attach_to_call>(*decision))
             co_return call_start(stream->second);
-        // The call before this one is still under way.
+        // The call before this one is still under way; it ends within its service's limit.
         const auto before = stream->second;
+        int &waits = m_turnWaits[spec.request.program];
+        if (waits >= maxTurnWaits) {
+            co_return tl::unexpected(
+                makeRefusal(refusal_reason::Overloaded, "too many wait for the turn", retrySoon));
+        }
+        ++waits;
         co_await before->waitForEnd();
+        if (--m_turnWaits[spec.request.program] == 0)
+            m_turnWaits.erase(spec.request.program);
     }
 }
 
@@ -181,45 +222,91 @@
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
     call.spec = std::move(spec);
+    call.spec.request.reserveTokens = record.reservedTokens;
 
     m_book.apply(record);
     m_streams[record.program] = call.stream;
     m_router.onSent(call.upstreamId);
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(record)));
-    // The commit may have taken long: look at the lease again, immediately before the effect.
-    if (result == commit_result::Lost || !m_membership.isActive(runtime_clock::now())) {
+    const journal_record begun = record;
+    const commit_result result = co_await commit(begun, commit_need::Refusable);
+    // The commit may have taken long: look at ownership and the lease again, immediately before the
+    // effect.
+    const auto stream = call.stream;
+    if (result != commit_result::Durable || !isRunning(call)
+        || !m_membership.isActive(runtime_clock::now())) {
         m_router.onDone(call.upstreamId);
-        m_streams.erase(record.program);
-        if (result == commit_result::Lost)
-            m_book.forget(record.program);
-        co_return tl::unexpected(
-            makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+        abandonCall(call, result);
+        const refusal why = commitRefusal(result);
+        stream->finish(toProblem(why));
+        co_return tl::unexpected(why);
     }
-    const auto stream = call.stream;
     m_runCall(std::move(call));
     co_return call_start(stream);
 }
 
+bool control::isRunning(const running_call &call) const
+{
+    const auto it = m_streams.find(call.spec.request.program);
+    return it != m_streams.end() && it->second == call.stream;
+}
+
+void control::abandonCall(const running_call &call, commit_result begun)
+{
+    const call_request &r = call.spec.request;
+    // A view that took the program away has dropped it already.
+    if (!isRunning(call))
+        return;
+    if (begun == commit_result::Lost) {
+        dropFamily(r.program);
+        return;
+    }
+    // The call was not sent and never will be. Its begin record, if there is one, needs an end, or
+    // the turn would stay open for ever.
+    const call_failed end{r.program, r.turn, r.key, outcome::DidNotRun, 0};
+    m_streams.erase(r.program);
+    m_book.apply(end);
+    if (begun == commit_result::Refused)
+        return;
+    std::vector<journal_record> records(1, journal_record(end));
+    m_batcher.append(std::move(records), commit_need::Kept, runtime_clock::now());
+    m_commitTimer.cancel();
+}
+
 awaitable<bool> control::finishCall(running_call call, journal_record end)
 {
     m_router.onDone(call.upstreamId);
-    const program_id id = call.spec.request.program;
-    const commit_result result = co_await commit(std::vector<journal_record>(1, end));
-    m_streams.erase(id);
+    // Failure: the program went to another daemon and came back while the call ran. That daemon has
+    // settled the call as unknown, so an end written now would stand in the history twice.
+    if (!isRunning(call))
+        co_return false;
+    const call_request &r = call.spec.request;
+    if (auto *finished = std::get_if<call_finished>(&end);
+        finished && r.kind == call_kind::Model && finished->spentTokens <= 0)
+        finished->spentTokens = r.reserveTokens;
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (!isRunning(call))
+        co_return result == commit_result::Durable;
     if (result == commit_result::Durable)
         m_book.apply(end);
+    else if (result == commit_result::Refused)
+        co_await closeTooLarge(call);
     else
-        m_book.forget(id);
+        dropFamily(r.program);
+    if (isRunning(call))
+        m_streams.erase(r.program);
     co_return result == commit_result::Durable;
 }
 
-awaitable<void> control::drain()
+awaitable<void> control::closeTooLarge(running_call call)
 {
-    m_draining = true;
-    m_membership.drain();
-    while (!m_streams.empty() || !m_commitWaits.empty())
-        co_await sleepFor(milliseconds(20));
+    // The answer is too large to be kept, so the caller is told that the call ran.
+    const call_request &r = call.spec.request;
+    const journal_record end = call_failed{r.program, r.turn, r.key, outcome::Ran, r.reserveTokens};
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (result == commit_result::Durable && isRunning(call))
+        m_book.apply(end);
+    else if (result != commit_result::Durable)
+        dropFamily(r.program);
 }
 
 } // namespace azurehill
