--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -93,6 +93,16 @@
     std::atomic<std::int64_t> &m_bytes;
 };
 
+config_document makeDocument(int tenants)
+{
+    config_document document;
+    document.head.number = 1;
+    document.head.id = "bench";
+    document.head.author = "bench";
+    document.head.config = std::make_shared<const configuration>(makeConfiguration(tenants));
+    return document;
+}
+
 http_request hostRequest(const replica &r)
 {
     const endpoint address = *parseEndpoint(r.address);
@@ -179,7 +189,7 @@
 {
     platform_client client(address(), seconds(5));
     transaction t;
-    t.puts.push_back({"config/" + std::string(cell), toText(makeConfiguration(tenants))});
+    t.puts.push_back({"config/" + std::string(cell), toText(makeDocument(tenants))});
     co_await client.transact(std::move(t));
     for (const replica &r : makeReplicas(replicas)) {
         http_request request = hostRequest(r);
@@ -238,17 +248,17 @@
 double control_group::changeConfiguration(int tenants)
 {
     control &first = *m_daemons.front();
-    const row_version known = ask([&] { return first.configVersion(); });
+    const config_number known = ask([&] { return first.configVersion(); });
+    const auto wanted = std::make_shared<const configuration>(makeConfiguration(tenants));
     const auto stored
-        = asio::co_spawn(m_context, first.storeConfig(toText(makeConfiguration(tenants)), known),
-                         asio::use_future)
+        = asio::co_spawn(m_context, first.storeConfig(wanted, "bench", known), asio::use_future)
               .get();
     const time_point accepted = runtime_clock::now();
     if (!stored)
         return -1;
     const auto inForce = [&] {
         return std::all_of(m_daemons.begin(), m_daemons.end(),
-                           [&](const auto &d) { return d->configVersion() >= *stored; });
+                           [&](const auto &d) { return d->configVersion() >= stored->number; });
     };
     while (!ask(inForce))
         std::this_thread::sleep_for(pollPause);
