--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -204,14 +204,10 @@
         // Heartbeats find an answer there, though not one of a daemon.
         self.innerAddress = toText(platform.address());
         m_daemons.push_back(std::make_unique<control>(
-            m_context, makeSettings(platform, self), self, [this](running_call call) {
-                const program_id id = call.spec.request.program;
-                for (auto &d : m_daemons) {
-                    if (!d->otherOwner(id)) {
-                        spawn(m_context.get_executor(), "endCall", endCall(*d, std::move(call)));
-                        return;
-                    }
-                }
+            m_context, makeSettings(platform, self), self,
+            [this, at = m_daemons.size()](running_call call) {
+                control &owner = *m_daemons[at];
+                spawn(m_context.get_executor(), "endCall", endCall(owner, std::move(call)));
             }));
     }
     for (auto &d : m_daemons)
