--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -93,6 +93,16 @@
     std::atomic<std::int64_t> &m_bytes;
 };
 
+config_document makeDocument(int tenants)
+{
+    config_document document;
+    document.head.number = 1;
+    document.head.id = "bench";
+    document.head.author = "bench";
+    document.head.config = std::make_shared<const configuration>(makeConfiguration(tenants));
+    return document;
+}
+
 http_request hostRequest(const replica &r)
 {
     const endpoint address = *parseEndpoint(r.address);
@@ -179,7 +189,7 @@
 {
     platform_client client(address(), seconds(5));
     transaction t;
-    t.puts.push_back({"config/" + std::string(cell), toText(makeConfiguration(tenants))});
+    t.puts.push_back({"config/" + std::string(cell), toText(makeDocument(tenants))});
     co_await client.transact(std::move(t));
     for (const replica &r : makeReplicas(replicas)) {
         http_request request = hostRequest(r);
@@ -190,16 +200,14 @@
 control_group::control_group(const counted_platform &platform, int first, int count)
 {
     for (int i = first; i < first + count; ++i) {
-        const member self = makeMember(i);
+        member self = makeMember(i);
+        // Heartbeats find an answer there, though not one of a daemon.
+        self.innerAddress = toText(platform.address());
         m_daemons.push_back(std::make_unique<control>(
-            m_context, makeSettings(platform, self), self, [this](running_call call) {
-                const program_id id = call.spec.request.program;
-                for (auto &d : m_daemons) {
-                    if (!d->otherOwner(id)) {
-                        spawn(m_context.get_executor(), "endCall", endCall(*d, std::move(call)));
-                        return;
-                    }
-                }
+            m_context, makeSettings(platform, self), self,
+            [this, at = m_daemons.size()](running_call call) {
+                control &owner = *m_daemons[at];
+                spawn(m_context.get_executor(), "endCall", endCall(owner, std::move(call)));
             }));
     }
     for (auto &d : m_daemons)
@@ -238,10 +246,10 @@
 double control_group::changeConfiguration(int tenants)
 {
     control &first = *m_daemons.front();
-    const row_version known = ask([&] { return first.configVersion(); });
-    const auto config = std::make_shared<const configuration>(makeConfiguration(tenants));
+    const config_number known = ask([&] { return first.configVersion(); });
+    const auto wanted = std::make_shared<const configuration>(makeConfiguration(tenants));
     const auto stored
-        = asio::co_spawn(m_context, first.storeConfig(config, "capacity", known), asio::use_future)
+        = asio::co_spawn(m_context, first.storeConfig(wanted, "bench", known), asio::use_future)
               .get();
     const time_point accepted = runtime_clock::now();
     if (!stored)
@@ -316,8 +324,12 @@
     std::vector<program_id> ids;
     while (ids.size() < programsInTurn) {
         const auto id = co_await owner.createProgram(request);
-        if (id)
+        if (id) {
             ids.push_back(*id);
+            continue;
+        }
+        fmt::print(stderr, "{{\"refused\":\"{}\"}}\n", toName(id.error().reason));
+        co_await sleepFor(pollPause);
     }
     const duration pause(static_cast<std::int64_t>(1e9 / perSecond));
     time_point next = runtime_clock::now();
