Read the view again before a lapsed lease counts as renewed

Cause: the renewal has a loop of its own. A daemon that went on after a pause renewed first and answered from programs that others had taken over: 409 "turn 3 came, turn 2 comes next", where turn 2 had run elsewhere. Change: a renewal of a lease that isn't active reads the view first. Left open: if that read fails, the renewal still counts.

--- a/src/daemon/control_membership.cpp
+++ b/src/daemon/control_membership.cpp
@@ -21,8 +21,14 @@
             const time_point sentAt = runtime_clock::now();
             transaction t;
             t.puts.push_back({leasePrefix() + m_settings.name, encode(renewal->lease)});
-            if (co_await m_platform.transact(std::move(t)))
+            if (co_await m_platform.transact(std::move(t))) {
+                // Failure: a daemon paused beyond its lease renews before it reads the view again,
+                // and answers from programs that others have taken over. So a lease that had
+                // lapsed counts only once the view was read.
+                if (!m_membership.isActive(runtime_clock::now()))
+                    co_await refreshView();
                 m_membership.onRenewed(sentAt);
+            }
         }
         co_await sleepFor(leasePeriod);
     }
