--- a/bench/bench_capacity_state.cpp
+++ b/bench/bench_capacity_state.cpp
@@ -80,9 +80,9 @@
     for (const int count : {20, 200, 1000, 3000, 6200}) {
         const std::vector<replica> listed = makeReplicas(count);
         held.add(count, heldBytes([&] {
-                     router r({"centre-01"});
-                     r.setReplicas(listed);
-                     return r;
+                     scheduler s({}, {"centre-01"}, 1);
+                     s.setReplicas(listed, time_point());
+                     return s;
                  }));
     }
 }
--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -78,14 +78,14 @@
             end = co_await callService(call);
         if (!mayTryAgain(end, tries))
             co_return end;
-        auto move = [&owner, service = call.spec.service, from = call.upstreamId] {
-            return owner.moveCall(service, from);
+        auto move = [&owner, service = call.spec.service, number = call.placement.number] {
+            return owner.moveCall(service, number);
         };
         const auto other = co_await runOn(controlThread, move);
         if (!other)
             co_return end;
         call.upstream = other->address;
-        call.upstreamId = other->id;
+        call.placement.replica = other->id;
     }
 }
 
--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -16,8 +16,8 @@
       m_platform(s.platform, platformTimeout), m_membership(self, s.lease),
       m_history(self.daemon, self.incarnation),
       m_heartbeats(context, {self.daemon, self.incarnation}, s.innerToken, {}),
-      m_batcher(self.daemon, self.incarnation, s.commit), m_router(self.dataCentre),
-      m_commitTimer(context)
+      m_batcher(self.daemon, self.incarnation, s.commit),
+      m_scheduler({}, self.dataCentre, stableHash(self.daemon.value)), m_commitTimer(context)
 { }
 
 void control::start()
@@ -28,6 +28,7 @@
     spawn(m_context.get_executor(), "commitLoop", commitLoop());
     spawn(m_context.get_executor(), "configLoop", configLoop());
     spawn(m_context.get_executor(), "hostsLoop", hostsLoop());
+    spawn(m_context.get_executor(), "schedulerLoop", schedulerLoop());
 }
 
 } // namespace azurehill
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -204,6 +204,24 @@
         CHECK(std::abs(fitExponent(messages).slope) < constantExponent);
         CHECK(std::abs(fitExponent(bytes).slope) < constantExponent);
     }
+    SUBCASE("a daemon sends as many heartbeats in a large cell as in a small one")
+    {
+        std::vector<sample> beats;
+        for (const int members : memberCounts) {
+            const cell_view view = makeView(members);
+            failure_detector detector(view.members.front().daemon, {});
+            std::size_t sentBeats = 0;
+            for (int second = 0; second < 60; ++second) {
+                const time_point now(seconds(1000 + second));
+                detector.onView(view, now);
+                for (const member &m : view.members)
+                    detector.onSign({m.daemon, m.incarnation}, now);
+                sentBeats += detector.poll(now).size();
+            }
+            beats.push_back({static_cast<double>(members), static_cast<double>(sentBeats)});
+        }
+        CHECK(std::abs(fitExponent(beats).slope) < constantExponent);
+    }
     SUBCASE("the view grows with its members, and not with their pairs")
     {
         std::vector<sample> bytes;
