--- a/src/daemon/control.cpp
+++ b/src/daemon/control.cpp
@@ -25,6 +25,7 @@
     spawn(m_context.get_executor(), "commitLoop", commitLoop());
     spawn(m_context.get_executor(), "configLoop", configLoop());
     spawn(m_context.get_executor(), "hostsLoop", hostsLoop());
+    spawn(m_context.get_executor(), "releaseLoop", releaseLoop());
 }
 
 } // namespace azurehill
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -154,6 +154,14 @@
     awaitable<void> commitLoop();
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
+    awaitable<void> releaseLoop();
+
+    bool isEngine(const std::string &name) const;
+    awaitable<void> endOverdue();
+    awaitable<void> sendReleases();
+    awaitable<bool> sendRelease(release_order order, endpoint engine);
+    void confirmRelease(const release_order &order);
+    awaitable<void> reconcileEngine(std::size_t round);
 
     void stopIfSuperseded();
     awaitable<void> refreshView();
@@ -210,6 +218,8 @@
     ownership_history m_history;
     commit_batcher m_batcher;
     program_book m_book;
+    program_reaper m_reaper;
+    release_planner m_releases;
     router m_router;
     std::shared_ptr<const configuration> m_config;
     config_number m_configVersion = 0;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -224,6 +224,8 @@
     call.spec = std::move(spec);
     call.spec.request.reserveTokens = record.reservedTokens;
 
+    if (record.kind == call_kind::Model)
+        record.engine = call.upstreamId;
     m_book.apply(record);
     m_streams[record.program] = call.stream;
     m_router.onSent(call.upstreamId);
@@ -283,6 +285,9 @@
     if (auto *finished = std::get_if<call_finished>(&end);
         finished && r.kind == call_kind::Model && finished->spentTokens <= 0)
         finished->spentTokens = r.reserveTokens;
+    // The call may have moved to another engine before it ran.
+    if (auto *finished = std::get_if<call_finished>(&end); finished && r.kind == call_kind::Model)
+        finished->engine = call.upstreamId;
     const commit_result result = co_await commit(end, commit_need::Kept);
     if (!isRunning(call))
         co_return result == commit_result::Durable;
--- a/src/journal/record.cpp
+++ b/src/journal/record.cpp
@@ -47,7 +47,8 @@
             {"key", r.key},
             {"kind", toName(r.kind)},
             {"idempotent", r.idempotent},
-            {"reserved", r.reservedTokens}};
+            {"reserved", r.reservedTokens},
+            {"engine", r.engine.value}};
 }
 
 /// \returns whether \p text may stand in JSON. A tool may answer with any bytes, such as a PDF; a
@@ -100,7 +101,8 @@
             {"status", r.status},
             {"messages", r.messages},
             {plain ? "reply" : "reply_base64", plain ? r.reply : toBase64(r.reply)},
-            {"content_type", r.contentType}};
+            {"content_type", r.contentType},
+            {"engine", r.engine.value}};
 }
 
 json::object encodeRecord(const call_failed &r)
@@ -114,6 +116,11 @@
     return {{"type", "program_ended"}, {"program", r.program.value}, {"reason", toName(r.reason)}};
 }
 
+json::object encodeRecord(const program_released &r)
+{
+    return {{"type", "program_released"}, {"program", r.program.value}, {"engine", r.engine.value}};
+}
+
 journal_record decodeRecord(const json::object &o)
 {
     const std::string type = text(o, "type");
@@ -135,7 +142,8 @@
                           text(o, "key"),
                           enumerator<call_kind>(o, "kind"),
                           o.at("idempotent").as_bool(),
-                          number(o, "reserved")};
+                          number(o, "reserved"),
+                          {text(o, "engine")}};
     }
     if (type == "call_finished") {
         return call_finished{program,
@@ -145,7 +153,8 @@
                              static_cast<int>(number(o, "status")),
                              text(o, "messages"),
                              replyIn(o),
-                             text(o, "content_type")};
+                             text(o, "content_type"),
+                             {text(o, "engine")}};
     }
     if (type == "call_failed") {
         return call_failed{program, number(o, "turn"), text(o, "key"),
@@ -153,6 +162,8 @@
     }
     if (type == "program_ended")
         return program_ended{program, enumerator<end_reason>(o, "reason")};
+    if (type == "program_released")
+        return program_released{program, {text(o, "engine")}};
     throw std::runtime_error("unknown record type " + type);
 }
 
--- a/src/journal/record.h
+++ b/src/journal/record.h
@@ -57,6 +57,8 @@
     call_kind kind = call_kind::Model;
     bool idempotent = true;
     std::int64_t reservedTokens = 0;
+    /// Engine that the call goes to, which may hold the program's cache from then on; else empty.
+    upstream_id engine = {};
 };
 
 /// \brief A call has its answer.
@@ -72,6 +74,8 @@
     /// The answer's body, kept for a repeated request.
     std::string reply;
     std::string contentType = "application/json";
+    /// Engine that gave the answer, when that was not the one of the begin record.
+    upstream_id engine = {};
 };
 
 /// \brief A call ended without an answer. Ran and Unknown are charged in full.
@@ -93,8 +97,15 @@
     end_reason reason = end_reason::Finished;
 };
 
-using journal_record
-    = std::variant<program_created, call_begun, call_finished, call_failed, program_ended>;
+/// \brief An engine has confirmed that it holds nothing of an ended program.
+struct program_released
+{
+    program_id program;
+    upstream_id engine;
+};
+
+using journal_record = std::variant<program_created, call_begun, call_finished, call_failed,
+                                    program_ended, program_released>;
 
 /// \returns the program that \p record is about.
 const program_id &programOf(const journal_record &record);
--- a/src/program/program.h
+++ b/src/program/program.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
     std::map<std::string, std::int64_t> keys;
     std::map<std::int64_t, closed_call> closed;
     std::optional<end_reason> ended;
+    /// Engines that may hold the program's cache.
+    std::set<upstream_id> engines;
 
     /// \returns tokens of its own budget that are neither spent nor reserved.
     std::int64_t freeTokens() const;
--- a/src/program/program_book.cpp
+++ b/src/program/program_book.cpp
@@ -190,6 +190,8 @@
         return;
     p.open = open_call{r.turn, r.key, r.kind, r.idempotent, r.reservedTokens};
     p.keys.try_emplace(r.key, r.turn);
+    if (!r.engine.empty())
+        p.engines.insert(r.engine);
     addReserved(p.id, r.reservedTokens);
 }
 
@@ -199,6 +201,8 @@
         return;
     settle(p, r.spentTokens);
     p.lastTurn = r.turn;
+    if (!r.engine.empty())
+        p.engines.insert(r.engine);
     if (!r.messages.empty()) {
         if (!p.history.empty())
             p.history += ',';
@@ -227,6 +231,11 @@
     end(p, r.reason);
 }
 
+void program_book::applyTo(program &p, const program_released &r)
+{
+    p.engines.erase(r.engine);
+}
+
 void program_book::end(program &p, end_reason reason)
 {
     if (!p.ended)
--- a/src/program/program_book.h
+++ b/src/program/program_book.h
@@ -81,6 +81,7 @@
     void applyTo(program &p, const call_finished &r);
     void applyTo(program &p, const call_failed &r);
     void applyTo(program &p, const program_ended &r);
+    void applyTo(program &p, const program_released &r);
     void create(const program_created &r);
     void settle(program &p, std::int64_t spent);
     void addReserved(const program_id &from, std::int64_t tokens);
--- a/src/program/programs.h
+++ b/src/program/programs.h
@@ -5,4 +5,6 @@
 
 #include "program/program.h"
 #include "program/program_book.h"
+#include "program/program_reaper.h"
 #include "program/refusal.h"
+#include "program/release_planner.h"
