--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -4,6 +4,7 @@
 #include "daemon/call_stream.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
+#include "inner/inner.h"
 #include "journal/journal.h"
 #include "ownership/ownership.h"
 #include "platform/platform.h"
@@ -121,6 +122,8 @@
     std::shared_ptr<const configuration> config() const { return m_config; }
     config_number configVersion() const { return m_configVersion; }
     const cell_view &view() const { return m_membership.view(); }
+    /// \returns the response to a request of another daemon.
+    std::string answerInner(const std::string &request) { return m_heartbeats.answer(request); }
     std::vector<replica> replicas() const;
     bool isReady() const;
     metrics &measures() { return m_metrics; }
@@ -133,6 +136,8 @@
     tl::expected<config_version, preset_doubt> configInForce() const;
     /// \returns what to tell a peer that can't read the store.
     std::optional<peer_config> configForPeer() const;
+    /// \returns the newest version known, which may still wait for its activation.
+    std::optional<config_version> configHead() const { return m_follower.head(); }
     /// \brief Reads the store if it can be reached. \returns the newest version known.
     awaitable<std::optional<config_version>> newestConfig();
     /// \returns the last versions, oldest first.
@@ -216,6 +221,7 @@
     platform_client m_platform;
     membership m_membership;
     ownership_history m_history;
+    heartbeats m_heartbeats;
     commit_batcher m_batcher;
     program_book m_book;
     program_reaper m_reaper;
--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+constexpr std::string_view innerPath = "/inner/rpc";
 constexpr std::string_view programsPath = "/v1/programs";
 constexpr duration lookUpTtl = seconds(10);
 constexpr duration passOnConnectLimit = seconds(1);
@@ -111,6 +112,13 @@
         co_await writer.write(toResponse(unauthorizedProblem()));
         co_return;
     }
+    if (request.path() == innerPath) {
+        auto answer = [this, text = request.body] { return m_control.answerInner(text); };
+        std::string text = co_await onControl(answer);
+        http_response response = jsonResponse(200, std::move(text));
+        co_await writer.write(std::move(response));
+        co_return;
+    }
     co_await route(request, writer, origin::Daemon);
 }
 
@@ -176,6 +184,15 @@
     co_await writer.write(std::move(response));
 }
 
+awaitable<void> door::tellConfig(response_writer &writer)
+{
+    auto read = [this] { return m_control.configForPeer(); };
+    const auto known = co_await onControl(read);
+    http_response response
+        = known ? jsonResponse(200, toText(*known)) : toResponse(notReadyProblem());
+    co_await writer.write(std::move(response));
+}
+
 awaitable<void> door::reportMetrics(const http_request &request, response_writer &writer)
 {
     // The labels name the tenants, which is nothing for callers to see.
@@ -191,15 +208,6 @@
     co_await writer.write(std::move(response));
 }
 
-awaitable<void> door::tellConfig(response_writer &writer)
-{
-    auto read = [this] { return m_control.configForPeer(); };
-    const auto known = co_await onControl(read);
-    http_response response
-        = known ? jsonResponse(200, toText(*known)) : toResponse(notReadyProblem());
-    co_await writer.write(std::move(response));
-}
-
 awaitable<void> door::lookUp(const http_request &request, response_writer &writer)
 {
     std::optional<program_id> id;
--- a/test/io/door_world.h
+++ b/test/io/door_world.h
@@ -136,11 +136,13 @@
         for (int i = 0; i < count; ++i)
             daemons.emplace_back(*this, fmt::format("entry-{}", i));
         auto body = [&]() -> awaitable<void> {
-            const auto document = std::make_shared<const configuration>(config);
-            const auto stored = co_await daemons.front().state.storeConfig(document, "test", 0);
+            const auto accepted = std::make_shared<const configuration>(config);
+            const std::string author = "test";
+            const auto stored = co_await daemons.front().state.storeConfig(accepted, author, 0);
             REQUIRE(stored);
             for (daemon &d : daemons) {
-                while (!d.state.isReady() || d.state.view().members.size() != daemons.size()
+                while (!d.state.isReady() || !d.state.presetInForce()
+                       || d.state.view().members.size() != daemons.size()
                        || d.state.replicas().size() != upstreams.size() + deadUpstreams)
                     co_await sleepFor(milliseconds(5));
             }
