--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -178,6 +178,14 @@
     awaitable<void> configLoop();
     awaitable<void> hostsLoop();
     awaitable<void> schedulerLoop();
+    awaitable<void> releaseLoop();
+
+    bool isEngine(const std::string &name) const;
+    awaitable<void> endOverdue();
+    awaitable<void> sendReleases();
+    awaitable<bool> sendRelease(release_order order, endpoint engine);
+    void confirmRelease(const release_order &order);
+    awaitable<void> reconcileEngine(std::size_t round);
 
     void stopIfSuperseded();
     awaitable<void> refreshView();
@@ -247,6 +255,8 @@
     commit_batcher m_batcher;
     program_book m_book;
     scheduler m_scheduler;
+    program_reaper m_reaper;
+    release_planner m_releases;
     std::shared_ptr<const configuration> m_config;
     config_number m_configVersion = 0;
     config_follower m_follower;
