--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -59,8 +59,7 @@
 void runTurn(program_book &book, commit_batcher &batcher, const program_id &id, std::int64_t turn)
 {
     const call_begun begun = makeBegun(id, turn);
-    const auto decision
-        = book.decide({id, turn, begun.key, begun.kind, begun.idempotent, begun.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     keep(decision);
     book.apply(begun);
     const std::string history = book.find(id)->history;
@@ -68,7 +67,7 @@
     const journal_record end = makeFinished(id, turn);
     const std::vector<journal_record> records = {begun, end};
     for (const journal_record &record : records) {
-        batcher.append(std::vector<journal_record>(1, record));
+        batcher.append(std::vector<journal_record>(1, record), commit_need::Kept, time_point());
         for (const commit_action &a : batcher.poll(time_point::max() - seconds(1)))
             keep(encode(std::get<write_batch>(a).batch));
         batcher.onAnswer(batch_answer::Written, time_point());
@@ -84,10 +83,13 @@
         commit_settings noPause;
         noPause.interval = duration(0);
         commit_batcher batcher({"daemon-0001"}, "0123456789ab", noPause);
+        batcher.onView({1, 1, [](const program_id &) { return true; }});
         const program_id id = makeProgramId();
         book.apply(makeCreated(id));
-        for (int turn = 1; turn <= before; ++turn)
+        for (int turn = 1; turn <= before; ++turn) {
+            book.apply(makeBegun(id, turn));
             book.apply(makeFinished(id, turn));
+        }
         const program_book start = book;
         // Copying the book is part of the loop but not of a turn.
         const double copying = microseconds([&] { keep(book = start); });
@@ -166,7 +168,7 @@
                        std::vector<lease_record> read;
                        for (const std::string &text : texts)
                            read.push_back(*decodeLease(text));
-                       me.onLeases(read, time_point());
+                       me.onLeases(read, time_point(), time_point());
                        keep(me.poll(time_point()));
                    }));
         change.add(count, microseconds([&] {
@@ -185,10 +187,18 @@
     series route({"time.route", "us", "replicas"});
     for (const int count : {20, 200, 1000, 3000, 6200}) {
         const std::vector<replica> listed = makeReplicas(count);
-        router r({"centre-01"});
-        r.setReplicas(listed);
-        change.add(count, microseconds([&] { r.setReplicas(listed); }));
-        route.add(count, microseconds([&] { keep(r.choose("model-1")); }));
+        scheduler s({}, {"centre-01"}, 1);
+        const time_point now(seconds(1000));
+        pending_call call;
+        call.number = 1;
+        call.service = "model-1";
+        s.setReplicas(listed, now);
+        change.add(count, microseconds([&] { s.setReplicas(listed, now); }));
+        route.add(count, microseconds([&] {
+                      s.submit(call, now);
+                      keep(s.takeActions());
+                      s.cancel(call.number, now);
+                  }));
     }
 }
 
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -4,6 +4,7 @@
 #include "daemon/call_stream.h"
 #include "daemon/metrics.h"
 #include "daemon/settings.h"
+#include "inner/inner.h"
 #include "journal/journal.h"
 #include "ownership/ownership.h"
 #include "platform/platform.h"
@@ -56,8 +57,6 @@
     /// Tokens of the program that engines have computed before.
     std::int64_t heldTokens = 0;
     std::shared_ptr<call_stream> stream;
-    /// Number of the view under which the call began.
-    fencing_number begunUnder = 0;
 };
 
 /// \brief What a caller's request leads to: following a running call, or a stored answer.
@@ -81,6 +80,16 @@
     std::int64_t deadlineMs = 0;
 };
 
+/// \brief How a change of the configuration failed. After Unknown it may take effect or not.
+enum class config_write_failure { Conflict, Unavailable, TooManyWaiting, Unknown };
+
+struct config_write_error
+{
+    config_write_failure kind = config_write_failure::Unavailable;
+    /// Conflict: the version that is there instead.
+    std::optional<config_version> there;
+};
+
 /// \brief The control state of a daemon. All of it is used on the control thread only.
 class control
 {
@@ -119,24 +128,39 @@
     std::vector<member> lookUp(const std::optional<program_id> &id) const;
     std::optional<program> inspect(const program_id &id) const;
     std::vector<program_id> programIds() const;
+    /// \returns the programs that this daemon owns, without their histories and answers.
+    std::vector<program> programs() const;
     std::shared_ptr<const configuration> config() const { return m_config; }
-    row_version configVersion() const { return m_configVersion; }
+    config_number configVersion() const { return m_configVersion; }
     const cell_view &view() const { return m_membership.view(); }
+    /// \returns the response to a request of another daemon.
+    std::string answerInner(const std::string &request) { return m_heartbeats.answer(request); }
     std::vector<replica> replicas() const;
     bool isReady() const;
     metrics &measures() { return m_metrics; }
     state_gauges gauges() const;
 
-    /// \brief Stores a new configuration if the stored one still has version \p expected.
-    awaitable<tl::expected<row_version, platform_error>> storeConfig(std::string text,
-                                                                     row_version expected);
+    /// \returns the preset that decides now, or why none certainly does: what a preset decides is
+    /// refused then.
+    tl::expected<preset, preset_doubt> presetInForce() const;
+    /// \returns the version that decides now, or why none does.
+    tl::expected<config_version, preset_doubt> configInForce() const;
+    /// \returns what to tell a peer that can't read the store.
+    std::optional<peer_config> configForPeer() const;
+    /// \returns the newest version known, which may still wait for its activation.
+    std::optional<config_version> configHead() const { return m_follower.head(); }
+    /// \brief Reads the store if it can be reached. \returns the newest version known.
+    awaitable<std::optional<config_version>> newestConfig();
+    /// \returns the last versions, oldest first.
+    awaitable<platform_client::result<std::vector<config_version>>> configHistory();
+    /// \brief Stores a new configuration if the stored one still has number \p expected.
+    awaitable<tl::expected<config_version, config_write_error>>
+    storeConfig(std::shared_ptr<const configuration> config, std::string author,
+                config_number expected);
 
 private:
     struct commit_wait
     {
-        std::set<program_id> programs;
-        /// Number of the view under which the records were made.
-        fencing_number since = 0;
         std::optional<commit_result> result;
         notifier changed;
     };
@@ -164,14 +188,24 @@
     awaitable<bool> loadGained();
     awaitable<std::optional<std::vector<journal_batch>>> listBatches(std::string prefix);
     void adopt(const cell_view &view);
-    awaitable<void> readConfig();
+    awaitable<std::optional<row_version>> readConfig();
+    void useCurrentConfig();
+    awaitable<void> askPeers();
+    std::vector<endpoint> configPeers() const;
+    transaction configTransaction(const config_document &document, row_version there) const;
+    awaitable<tl::expected<config_version, config_write_error>> writeConfig(transaction t,
+                                                                            config_version version);
+    awaitable<std::optional<bool>> isStored(config_version version);
 
-    awaitable<commit_result> commit(std::vector<journal_record> records);
+    awaitable<commit_result> commit(journal_record record, commit_need need);
+    void adoptView();
+    void dropFamily(const program_id &id);
+    bool isRunning(const running_call &call) const;
+    awaitable<void> closeTooLarge(running_call call);
+    void abandonCall(const running_call &call, commit_result begun);
     awaitable<void> perform(commit_action action);
-    awaitable<batch_answer> writeBatch(journal_batch batch);
+    awaitable<batch_answer> writeBatch(write_batch write);
     awaitable<batch_answer> readBack(journal_batch batch);
-    bool heldAll(const journal_batch &batch) const;
-    bool heldSinceMade(const program_id &id) const;
     void answerBatch(batch_answer answer);
     void settleTickets(const commit_done &done);
 
@@ -201,6 +235,7 @@
     std::string viewKey() const { return "view/" + m_settings.cell; }
     std::string leasePrefix() const { return "lease/" + m_settings.cell + "/"; }
     std::string configKey() const { return "config/" + m_settings.cell; }
+    std::string configHistoryPrefix() const { return configKey() + "/v"; }
 
     asio::io_context &m_context;
     settings m_settings;
@@ -208,12 +243,21 @@
     platform_client m_platform;
     membership m_membership;
     ownership_history m_history;
+    heartbeats m_heartbeats;
     commit_batcher m_batcher;
     program_book m_book;
     scheduler m_scheduler;
     std::shared_ptr<const configuration> m_config;
-    row_version m_configVersion = 0;
+    config_number m_configVersion = 0;
+    config_follower m_follower;
+    std::size_t m_nextPeer = 0;
     fencing_number m_loadedView = 0;
+    fencing_number m_adoptedView = 0;
+    /// Grows when a program is dropped: a load that began before that is out of date.
+    std::uint64_t m_drops = 0;
+    /// Roots of families that this daemon owns and must read again.
+    std::set<program_id> m_dropped;
+    std::unordered_map<program_id, int> m_turnWaits;
     bool m_draining = false;
     metrics m_metrics;
     /// Tokens that engines have computed for each program; for the measure of wasted cache only.
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -1,5 +1,6 @@
 #include "core/log.h"
 #include "daemon/control.h"
+#include "daemon/problems.h"
 
 #include <algorithm>
 
@@ -8,6 +9,8 @@
 namespace {
 
 constexpr duration retrySoon = seconds(1);
+/// Requests of one program that may wait for the call before them.
+constexpr int maxTurnWaits = 8;
 /// Bound on the search for a name of its own: a joining or draining daemon owns none.
 constexpr int rootNameTries = 10'000;
 
@@ -29,6 +32,15 @@
     return result;
 }
 
+refusal commitRefusal(commit_result result)
+{
+    if (result == commit_result::Refused) {
+        return makeRefusal(refusal_reason::StoreUnavailable, "the store is down or too slow",
+                           retrySoon);
+    }
+    return makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon);
+}
+
 refusal movesNow()
 {
     return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
@@ -61,13 +73,17 @@
 std::vector<member> control::lookUp(const std::optional<program_id> &id) const
 {
     const program_id any{m_settings.name};
+    const std::set<daemon_id> suspects = m_heartbeats.suspects();
     std::vector<member> result;
+    std::vector<member> suspected;
     for (const member *m : preferenceOrder(m_membership.view(), id.value_or(any))) {
         // A drain shows here before the view has it.
-        if (!m_draining || m->daemon != m_membership.self().daemon)
-            result.push_back(*m);
+        if (m_draining && m->daemon == m_membership.self().daemon)
+            continue;
+        (suspects.count(m->daemon) > 0U ? suspected : result).push_back(*m);
     }
-    return result;
+    // Suspicion of all others says more of this daemon's own network than of theirs.
+    return result.empty() ? suspected : result;
 }
 
 std::optional<program> control::inspect(const program_id &id) const
@@ -90,7 +106,7 @@
         return makeRefusal(refusal_reason::StoreUnavailable, "the lease can't be renewed now",
                            retrySoon);
     }
-    if (!owns(id) || !m_history.heldSince(id, m_loadedView))
+    if (!owns(id) || !m_history.heldSince(id, m_loadedView) || m_dropped.count(rootOf(id)) > 0)
         return movesNow();
     return std::nullopt;
 }
@@ -99,6 +115,12 @@
 {
     if (!m_config || !isReady())
         co_return tl::unexpected(makeRefusal(refusal_reason::Draining, "not ready", retrySoon));
+    // A new program is work that a preset decides, so one must certainly be in force.
+    if (const auto decided = presetInForce(); !decided) {
+        co_return tl::unexpected(makeRefusal(
+            refusal_reason::StoreUnavailable,
+            "no preset is certainly in force: " + std::string(toName(decided.error())), retrySoon));
+    }
     const auto config = m_config;
     const auto tenantRules = config->tenants.find(request.tenant.value);
     const auto classRules = config->classes.find(request.programClass);
@@ -114,9 +136,9 @@
         co_return tl::unexpected(*why);
     if (!mayBegin(created.program))
         co_return tl::unexpected(movesNow());
-    if (!request.parent.empty() && !m_book.find(request.parent))
-        co_return tl::unexpected(makeRefusal(refusal_reason::UnknownProgram, "unknown parent"));
     created.parent = request.parent;
+    if (const auto may = m_book.mayCreate(created, unixMilliseconds()); !may)
+        co_return tl::unexpected(may.error());
     created.tenant = request.tenant;
     created.programClass = request.programClass;
     const std::int64_t wanted
@@ -127,6 +149,8 @@
     const std::int64_t limit
         = request.deadlineMs > 0 ? std::min(request.deadlineMs, longest) : longest;
     created.deadlineUnixMs = created.createdUnixMs + limit;
+    created.maxTurns = classRules->second.maxTurns;
+    created.idleMs = toMilliseconds(classRules->second.idle);
 
     const program_id id = created.program;
     // A sub-agent belongs to a program under way, so it has its room.
@@ -136,12 +160,12 @@
     }
     m_book.apply(created);
     m_scheduler.startProgram(makeProgramRequest(*m_book.find(id)), runtime_clock::now());
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(created)));
+    const journal_record record = created;
+    const commit_result result = co_await commit(record, commit_need::Refusable);
     if (result == commit_result::Durable)
         co_return id;
     m_book.forget(id);
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<void, refusal>> control::endProgram(program_id id, end_reason reason)
@@ -157,12 +181,15 @@
     m_book.apply(ended);
     m_scheduler.endProgram(id, runtime_clock::now());
     performScheduled();
-    if (co_await commit(std::vector<journal_record>(1, journal_record(ended)))
-        == commit_result::Durable) {
+    const journal_record record = ended;
+    const commit_result result = co_await commit(record, commit_need::Kept);
+    if (result == commit_result::Durable) {
         measureEnd(id);
         co_return tl::expected<void, refusal>();
     }
-    co_return tl::unexpected(makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+    if (const program *now = m_book.find(id); now && now->ended)
+        dropFamily(id);
+    co_return tl::unexpected(commitRefusal(result));
 }
 
 awaitable<tl::expected<call_start, refusal>> control::startCall(call_spec spec)
@@ -193,9 +220,17 @@
         }
         if (std::holds_alternative<attach_to_call>(*decision))
             co_return call_start(stream->second);
-        // The call before this one is still under way.
+        // The call before this one is still under way; it ends within its service's limit.
         const auto before = stream->second;
+        int &waits = m_turnWaits[spec.request.program];
+        if (waits >= maxTurnWaits) {
+            co_return tl::unexpected(
+                makeRefusal(refusal_reason::Overloaded, "too many wait for the turn", retrySoon));
+        }
+        ++waits;
         co_await before->waitForEnd();
+        if (--m_turnWaits[spec.request.program] == 0)
+            m_turnWaits.erase(spec.request.program);
     }
 }
 
@@ -227,6 +262,7 @@
         co_return tl::unexpected(
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
+    record = std::get<begin_call>(*decision).record;
     running_call call;
     const program &p = *m_book.find(record.program);
     call.history = p.history;
@@ -236,45 +272,92 @@
     call.placement = *placement;
     call.limits = rules->second;
     call.stream = std::make_shared<call_stream>(randomHex(6));
-    call.begunUnder = m_membership.view().number;
     call.spec = std::move(spec);
+    call.spec.request.reserveTokens = record.reservedTokens;
 
     m_book.apply(record);
     m_streams[record.program] = call.stream;
-    const commit_result result
-        = co_await commit(std::vector<journal_record>(1, journal_record(record)));
-    // The commit may have taken long: look at the lease again, immediately before the effect.
-    if (result == commit_result::Lost || !m_membership.isActive(runtime_clock::now())) {
+    const journal_record begun = record;
+    const commit_result result = co_await commit(begun, commit_need::Refusable);
+    // The commit may have taken long: look at ownership and the lease again, immediately before the
+    // effect.
+    const auto stream = call.stream;
+    if (result != commit_result::Durable || !isRunning(call)
+        || !m_membership.isActive(runtime_clock::now())) {
         m_scheduler.cancel(call.placement.number, runtime_clock::now());
-        m_streams.erase(record.program);
-        if (result == commit_result::Lost)
-            m_book.forget(record.program);
-        co_return tl::unexpected(
-            makeRefusal(refusal_reason::NotOwner, "ownership moved", retrySoon));
+        abandonCall(call, result);
+        const refusal why = commitRefusal(result);
+        stream->finish(toProblem(why));
+        co_return tl::unexpected(why);
     }
-    const auto stream = call.stream;
     m_runCall(std::move(call));
     co_return call_start(stream);
 }
 
+bool control::isRunning(const running_call &call) const
+{
+    const auto it = m_streams.find(call.spec.request.program);
+    return it != m_streams.end() && it->second == call.stream;
+}
+
+void control::abandonCall(const running_call &call, commit_result begun)
+{
+    const call_request &r = call.spec.request;
+    // A view that took the program away has dropped it already.
+    if (!isRunning(call))
+        return;
+    if (begun == commit_result::Lost) {
+        dropFamily(r.program);
+        return;
+    }
+    // The call was not sent and never will be. Its begin record, if there is one, needs an end, or
+    // the turn would stay open for ever.
+    const call_failed end{r.program, r.turn, r.key, outcome::DidNotRun, 0};
+    m_streams.erase(r.program);
+    m_book.apply(end);
+    if (begun == commit_result::Refused)
+        return;
+    std::vector<journal_record> records(1, journal_record(end));
+    m_batcher.append(std::move(records), commit_need::Kept, runtime_clock::now());
+    m_commitTimer.cancel();
+}
+
 awaitable<bool> control::finishCall(running_call call, journal_record end)
 {
     m_scheduler.onEnd(call.placement.number, makeCallResult(call, end), runtime_clock::now());
     performScheduled();
-    const program_id id = call.spec.request.program;
-    if (!m_history.heldSince(id, call.begunUnder)) {
-        // The program moved in between; its new owner settled this call as unknown, also when the
-        // program has come back since.
-        m_streams.erase(id);
+    // Failure: the program went to another daemon and came back while the call ran. That daemon has
+    // settled the call as unknown, so an end written now would stand in the history twice.
+    if (!isRunning(call))
         co_return false;
-    }
-    const commit_result result = co_await commit(std::vector<journal_record>(1, end));
-    m_streams.erase(id);
+    const call_request &r = call.spec.request;
+    if (auto *finished = std::get_if<call_finished>(&end);
+        finished && r.kind == call_kind::Model && finished->spentTokens <= 0)
+        finished->spentTokens = r.reserveTokens;
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (!isRunning(call))
+        co_return result == commit_result::Durable;
     if (result == commit_result::Durable)
         m_book.apply(end);
+    else if (result == commit_result::Refused)
+        co_await closeTooLarge(call);
     else
-        m_book.forget(id);
+        dropFamily(r.program);
+    if (isRunning(call))
+        m_streams.erase(r.program);
     co_return result == commit_result::Durable;
 }
 
+awaitable<void> control::closeTooLarge(running_call call)
+{
+    // The answer is too large to be kept, so the caller is told that the call ran.
+    const call_request &r = call.spec.request;
+    const journal_record end = call_failed{r.program, r.turn, r.key, outcome::Ran, r.reserveTokens};
+    const commit_result result = co_await commit(end, commit_need::Kept);
+    if (result == commit_result::Durable && isRunning(call))
+        m_book.apply(end);
+    else if (result != commit_result::Durable)
+        dropFamily(r.program);
+}
+
 } // namespace azurehill
--- a/src/daemon/door.h
+++ b/src/daemon/door.h
@@ -27,6 +27,8 @@
     awaitable<void> routeTenant(const http_request &request, response_writer &writer, origin from);
     awaitable<void> reportMetrics(const http_request &request, response_writer &writer);
     awaitable<void> lookUp(const http_request &request, response_writer &writer);
+    /// \brief Tells another daemon, which can't read the store, the configuration.
+    awaitable<void> tellConfig(response_writer &writer);
     awaitable<void> readiness(response_writer &writer);
     awaitable<void> createProgram(const http_request &request, const tenant_id &tenant,
                                   response_writer &writer, origin from);
--- a/test/logic/capacity_growth_test.cpp
+++ b/test/logic/capacity_growth_test.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 using namespace azurehill;
 using namespace azurehill::bench;
@@ -31,35 +32,46 @@
     std::size_t bytes = 0;
 };
 
+void count(sent &s, const renew_lease &renewal)
+{
+    ++s.renewals;
+    s.bytes += encode(renewal.lease).size();
+}
+
 void count(sent &s, const membership_action &action)
 {
-    if (const auto *renew = std::get_if<renew_lease>(&action)) {
-        ++s.renewals;
-        s.bytes += encode(renew->lease).size();
-    } else {
-        ++s.viewChanges;
-        s.bytes += encode(std::get<change_view>(action).next).size();
-    }
+    ++s.viewChanges;
+    if (const auto *change = std::get_if<change_view>(&action))
+        s.bytes += encode(change->next).size();
 }
 
 std::vector<lease_record> leasesOf(const cell_view &view, std::uint64_t counter)
 {
     std::vector<lease_record> leases;
     for (const member &m : view.members)
-        leases.push_back({m.daemon, m.incarnation, counter, 1});
+        leases.push_back({m.daemon, m.incarnation, counter, 1, 1, counter});
     return leases;
 }
 
-/// \returns what the first member sends in a minute in which nothing happens.
+/// \returns what the first member sends in a minute in which no member comes or goes.
 sent quietMinute(int members)
 {
+    constexpr int programsInCell = 4096;
     const cell_view view = makeView(members);
+    std::set<program_id> running;
+    for (int i = 0; i < programsInCell; ++i) {
+        if (ownerOf(view, numberedProgram(i)) == &view.members.front())
+            running.insert(numberedProgram(i));
+    }
     membership me(view.members.front(), {});
     sent result;
     for (int second = 0; second < 60; ++second) {
         const time_point now(seconds(1000 + second));
         me.onView(view, now);
-        me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now);
+        me.onLeases(leasesOf(view, static_cast<std::uint64_t>(second + 1)), now, now);
+        me.setRunning(running);
+        if (const auto renewal = me.pollLease(now))
+            count(result, *renewal);
         for (const membership_action &action : me.poll(now))
             count(result, action);
         me.onRenewed(now);
@@ -70,9 +82,7 @@
 /// \returns what the daemon writes for the next turn of \p id, as the book decides it.
 journal_batch batchOfTurn(const program_book &book, const program_id &id, std::int64_t turn)
 {
-    const call_begun wanted = makeBegun(id, turn);
-    const auto decision = book.decide(
-        {id, turn, wanted.key, wanted.kind, wanted.idempotent, wanted.reservedTokens}, 1);
+    const auto decision = book.decide(makeRequest(id, turn), 1);
     REQUIRE(decision);
     return {{"daemon-0001"},
             "0123456789ab",
@@ -161,8 +171,10 @@
             program_book book;
             const program_id id = numberedProgram(1);
             book.apply(makeCreated(id));
-            for (int turn = 1; turn <= turns; ++turn)
+            for (int turn = 1; turn <= turns; ++turn) {
+                book.apply(makeBegun(id, turn));
                 book.apply(makeFinished(id, turn));
+            }
             std::size_t held = book.find(id)->history.size();
             for (const auto &[turn, call] : book.find(id)->closed)
                 held += call.reply.size() + call.key.size();
@@ -207,11 +219,12 @@
         // Each program has one turn in the second, spread evenly.
         for (const int programs : {64, 128, 256, 512}) {
             commit_batcher batcher({"daemon-0001"}, "0123456789ab", {});
+            batcher.onView({1, 1, [](const program_id &) { return true; }});
             int written = 0;
             for (int ms = 0, turns = 0; ms < 1000; ++ms) {
                 const time_point now(milliseconds(1000 + ms));
                 for (; turns * 1000 < ms * programs; ++turns)
-                    batcher.append({makeBegun(numberedProgram(turns), 1)});
+                    batcher.append({makeBegun(numberedProgram(turns), 1)}, commit_need::Kept, now);
                 for (const commit_action &a : batcher.poll(now))
                     written += std::holds_alternative<write_batch>(a);
                 batcher.onAnswer(batch_answer::Written, now);
