Tell a caller whose call was overtaken to ask again

Cause: while a call waits for its replica, another request for the same turn can begin; the refusal of the first carried no time to come back, though asking again gives the right answer. Seen besides: test_process failed once in 9 runs before this change (a tool call's successor answered did_not_run in place of unknown); the cause is not known.

--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -252,7 +252,7 @@
     if (!decision || !std::holds_alternative<begin_call>(*decision)) {
         m_scheduler.cancel(placement->number, runtime_clock::now());
         co_return tl::unexpected(
-            decision ? makeRefusal(refusal_reason::TurnOutOfOrder, "another call was faster")
+            decision ? makeRefusal(refusal_reason::NotOwner, "another call was faster", retrySoon)
                      : decision.error());
     }
     const auto target = m_scheduler.findReplica(placement->replica);
