--- a/src/sched/scheduler.cpp
+++ b/src/sched/scheduler.cpp
@@ -73,7 +73,7 @@
 
 void scheduler::startProgram(const program_request &request, time_point now)
 {
-    if (m_programs.try_emplace(request.program, request.programClass, now).second)
+    if (m_programs.try_emplace(request.program, known_program{request.programClass, now}).second)
         m_ledger.startProgram(request.program, request.tenant, request.weight);
 }
 
