--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -259,7 +259,7 @@
     if (!decision || !std::holds_alternative<begin_call>(*decision)) {
         m_scheduler.cancel(placement->number, runtime_clock::now());
         co_return tl::unexpected(
-            decision ? makeRefusal(refusal_reason::TurnOutOfOrder, "another call was faster")
+            decision ? makeRefusal(refusal_reason::NotOwner, "another call was faster", retrySoon)
                      : decision.error());
     }
     record = std::get<begin_call>(*decision).record;
@@ -270,6 +270,7 @@
         co_return tl::unexpected(
             makeRefusal(refusal_reason::NoUpstream, "no upstream of " + spec.service, retrySoon));
     }
+    record = std::get<begin_call>(*decision).record;
     running_call call;
     const program &p = *m_book.find(record.program);
     call.history = p.history;
