--- a/src/daemon/door.cpp
+++ b/src/daemon/door.cpp
@@ -321,11 +321,12 @@
 awaitable<void> door::passOn(const member &owner, const http_request &request,
                              response_writer &writer)
 {
-    http_connection connection(co_await asio::this_coro::executor);
+    const auto connection = std::make_shared<http_connection>(co_await asio::this_coro::executor);
+    closeWhenGone(connection, writer);
     // Named, not a temporary: g++ 12 frees a temporary of a co_await expression twice.
     const endpoint peer = parseEndpoint(owner.innerAddress).value_or(endpoint{});
     const auto connected
-        = co_await connection.connect(peer, runtime_clock::now() + passOnConnectLimit);
+        = co_await connection->connect(peer, runtime_clock::now() + passOnConnectLimit);
     if (!connected) {
         co_await writer.write(toResponse(movingProblem()));
         co_return;
@@ -333,13 +334,14 @@
     http_request out = request;
     out.headers = endToEnd(request.headers);
     out.headers.add("Azurehill-Inner-Token", m_settings.innerToken);
-    auto head = co_await connection.open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
+    auto head
+        = co_await connection->open(std::move(out), runtime_clock::now() + passOnSilenceLimit);
     if (!head) {
         co_await writer.write(toResponse(passOnProblem(head.error())));
         co_return;
     }
     // A cut in the middle reaches the caller as a cut: it resumes by the id of its last event.
-    co_await relayResponse(connection, std::move(*head), writer, passOnSilenceLimit);
+    co_await relayResponse(*connection, std::move(*head), writer, passOnSilenceLimit);
 }
 
 } // namespace azurehill
--- a/src/daemon/pass_through.cpp
+++ b/src/daemon/pass_through.cpp
@@ -64,16 +64,17 @@
 awaitable<std::optional<http_error>> tryOnce(upstream_place place, http_request request,
                                              response_writer &writer)
 {
-    http_connection connection(co_await asio::this_coro::executor);
+    const auto connection = std::make_shared<http_connection>(co_await asio::this_coro::executor);
+    closeWhenGone(connection, writer);
     const auto connected
-        = co_await connection.connect(place.address, runtime_clock::now() + connectLimit);
+        = co_await connection->connect(place.address, runtime_clock::now() + connectLimit);
     if (!connected)
         co_return connected.error();
-    auto head = co_await connection.open(std::move(request),
-                                         runtime_clock::now() + place.limits.callLimit);
+    auto head = co_await connection->open(std::move(request),
+                                          runtime_clock::now() + place.limits.callLimit);
     if (!head)
         co_return head.error();
-    co_await relayResponse(connection, std::move(*head), writer, place.limits.silenceLimit);
+    co_await relayResponse(*connection, std::move(*head), writer, place.limits.silenceLimit);
     co_return std::nullopt;
 }
 
@@ -116,6 +117,15 @@
         co_await writer.end();
 }
 
+void closeWhenGone(const std::shared_ptr<http_connection> &connection, response_writer &writer)
+{
+    const std::weak_ptr<http_connection> watched = connection;
+    writer.onPeerGone([watched] {
+        if (const auto open = watched.lock())
+            open->close();
+    });
+}
+
 bool isPassThrough(const http_request &request)
 {
     return request.path().starts_with(servicePrefix) && !request.headers.has("Azurehill-Program");
--- a/src/daemon/pass_through.h
+++ b/src/daemon/pass_through.h
@@ -18,6 +18,10 @@
 awaitable<void> relayResponse(http_connection &connection, response_head head,
                               response_writer &writer, duration silenceLimit);
 
+/// \brief Closes \p connection when the caller of \p writer goes away, so that its session does not
+/// wait for an answer that nobody reads.
+void closeWhenGone(const std::shared_ptr<http_connection> &connection, response_writer &writer);
+
 /// \brief Whether \p request is one for a plain service that belongs to no program.
 bool isPassThrough(const http_request &request);
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -6,6 +6,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+
 namespace azurehill {
 
 namespace beast = boost::beast;
@@ -43,6 +45,8 @@
     beast::flat_buffer buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
     std::string host;
+    /// Where the next piece of a body is read to. It is not cleared for every token of a stream.
+    std::array<char, pieceSize> piece;
     bool reusable = false;
 
     /// Closes the socket at \p until, which ends the operation in progress.
@@ -143,18 +147,17 @@
 {
     namespace http = beast::http;
     auto &parser = *m_state->parser;
-    std::string piece;
+    std::size_t length = 0;
     m_state->watch(deadline);
     beast::error_code code;
-    while (piece.empty() && !parser.is_done()) {
-        piece.resize(pieceSize);
-        parser.get().body().data = piece.data();
-        parser.get().body().size = piece.size();
+    while (length == 0 && !parser.is_done()) {
+        parser.get().body().data = m_state->piece.data();
+        parser.get().body().size = pieceSize;
         co_await http::async_read_some(m_state->socket, m_state->buffer, parser,
                                        asio::redirect_error(use_awaitable, code));
         if (code == http::error::need_buffer)
             code = {};
-        piece.resize(piece.size() - parser.get().body().size);
+        length = pieceSize - parser.get().body().size;
         if (code || m_state->expired())
             break;
     }
@@ -163,7 +166,7 @@
         co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
     if (parser.is_done())
         m_state->reusable = parser.get().keep_alive();
-    co_return piece;
+    co_return std::string(m_state->piece.data(), length);
 }
 
 awaitable<tl::expected<http_response, http_error>> http_connection::exchange(http_request request,
--- a/src/runtime/deadline_guard.cpp
+++ b/src/runtime/deadline_guard.cpp
@@ -4,13 +4,45 @@
 
 namespace azurehill {
 
-struct deadline_guard::state
+struct deadline_guard::state : std::enable_shared_from_this<state>
 {
     explicit state(const asio::any_io_executor &executor) : clock(executor) { }
 
+    void arm()
+    {
+        armedFor = deadline;
+        armed = true;
+        clock.expires_at(deadline);
+        clock.async_wait(
+            [s = shared_from_this(), wait = ++lastWait](boost::system::error_code code) {
+                if (!code && s->lastWait == wait)
+                    s->onTimer();
+            });
+    }
+
+    void onTimer()
+    {
+        armed = false;
+        if (!watching)
+            return;
+        if (runtime_clock::now() < deadline) {
+            arm();
+            return;
+        }
+        watching = false;
+        expired = true;
+        onExpiry();
+    }
+
     timer clock;
-    /// Grows with every start and finish, so that a late expiry sees that it is out of date.
-    unsigned watch = 0;
+    time_point deadline;
+    /// The time that the timer waits for, at or before the deadline while it watches.
+    time_point armedFor;
+    std::function<void()> onExpiry;
+    /// Grows with every wait, so that one that was replaced does nothing any more.
+    unsigned lastWait = 0;
+    bool watching = false;
+    bool armed = false;
     bool expired = false;
 };
 
@@ -20,27 +52,26 @@
 
 deadline_guard::~deadline_guard()
 {
-    finish();
+    m_state->watching = false;
+    ++m_state->lastWait;
+    m_state->clock.cancel();
 }
 
 void deadline_guard::start(time_point until, std::function<void()> onExpiry)
 {
     m_state->expired = false;
-    const unsigned watch = ++m_state->watch;
-    m_state->clock.expires_at(until);
-    m_state->clock.async_wait(
-        [s = m_state, watch, onExpiry = std::move(onExpiry)](boost::system::error_code code) {
-            if (code || s->watch != watch)
-                return;
-            s->expired = true;
-            onExpiry();
-        });
+    m_state->watching = true;
+    m_state->deadline = until;
+    m_state->onExpiry = std::move(onExpiry);
+    // A stream starts and finishes a watch for every token. A timer that is already set for an
+    // earlier time stays: when it fires it is set again for what is left.
+    if (!m_state->armed || until < m_state->armedFor)
+        m_state->arm();
 }
 
 void deadline_guard::finish()
 {
-    ++m_state->watch;
-    m_state->clock.cancel();
+    m_state->watching = false;
 }
 
 bool deadline_guard::expired() const
--- a/src/runtime/deadline_guard.h
+++ b/src/runtime/deadline_guard.h
@@ -22,7 +22,8 @@
 
     /// \brief Calls \p onExpiry at \p until, unless finish() comes first.
     void start(time_point until, std::function<void()> onExpiry);
-    /// \brief Ends the watch; an expiry that is already queued does nothing any more.
+    /// \brief Ends the watch; an expiry that is already queued does nothing any more. The timer
+    /// itself may go on until the deadline or the end of this object.
     void finish();
     /// \returns whether the last watch expired.
     bool expired() const;
--- a/test/io/door_test.cpp
+++ b/test/io/door_test.cpp
@@ -329,3 +329,39 @@
         CHECK(world.exchange(r, &wrong).status == 200);
     }
 }
+
+// A caller reads an answer through a daemon that does not own its program. It goes away, or its
+// connection breaks: the daemon's session ends at once, the call goes on, and the caller joins the
+// rest at the owner itself, by the ids that it was given on the way.
+TEST_CASE("An answer through the wrong daemon can be cut and resumed")
+{
+    scripted_engine engine;
+    engine.pauseAfter = 20;
+    door_world world;
+    world.addUpstream("story-1", "story-model", engine.handler());
+    world.start(2);
+    auto &owner = world.daemons.front();
+    auto &wrong = world.daemons.back();
+    const std::string program = world.createProgram(&owner);
+    const http_request call = world.modelCall(program, 1, "k");
+    std::string first;
+    auto cut = [&]() -> awaitable<void> {
+        raw_client client(world.context);
+        co_await client.connect(wrong.port);
+        co_await client.send(door_world::wire(call));
+        first = co_await client.readUntil("w19 ");
+        client.close();
+        while (wrong.outer.requestsInProgress() > 0 || owner.inner.requestsInProgress() > 0)
+            co_await sleepFor(milliseconds(1));
+        CHECK_FALSE(engine.open);
+    };
+    world.run(cut());
+    first = wholeEvents(first);
+    engine.open = true;
+    http_request again = call;
+    again.headers.add("Last-Event-ID", lastId(first));
+    const http_response rest = world.exchange(again, &owner);
+    CHECK(rest.status == 200);
+    CHECK(contentOf(first + rest.body) == engine.content());
+    CHECK(engine.calls == 1);
+}
--- a/test/io/door_world.h
+++ b/test/io/door_world.h
@@ -5,6 +5,7 @@
 #include "daemon/call_runner.h"
 #include "daemon/control.h"
 #include "daemon/door.h"
+#include "daemon/sse.h"
 #include "io/loopback.h"
 #include "standin/platform_standin.h"
 
@@ -233,6 +234,8 @@
     int pauseAfter = -1;
     bool open = false;
     int calls = 0;
+    /// Bytes that each event has besides its word.
+    std::size_t padding = 0;
     /// Events sent in place of the words, if any.
     std::vector<std::string> events;
 
@@ -264,9 +267,9 @@
             while (i == pauseAfter && !open)
                 co_await sleepFor(milliseconds(1));
             const std::string event = fmt::format(
-                R"(data: {{"choices":[{{"index":0,"delta":{{"content":"{}"}},"finish_reason":null}}]}})"
+                R"(data: {{"pad":"{}","choices":[{{"index":0,"delta":{{"content":"{}"}},"finish_reason":null}}]}})"
                 "\n\n",
-                word(i));
+                std::string(padding, 'x'), word(i));
             if (!co_await writer.writeChunk(event))
                 co_return;
         }
@@ -281,4 +284,44 @@
     }
 };
 
+/// \returns the text of the model in the events of \p stream.
+inline std::string contentOf(const std::string &stream)
+{
+    sse_reader reader;
+    reader.feed(stream);
+    std::string content;
+    while (const auto data = reader.next()) {
+        if (*data == "[DONE]")
+            return content;
+        const auto chunk = boost::json::parse(*data);
+        for (const auto &choice : chunk.at("choices").as_array()) {
+            if (const auto *c = choice.at("delta").as_object().if_contains("content"))
+                content += c->as_string();
+        }
+    }
+    return content + " (unfinished)";
+}
+
+/// \returns the whole events in \p response, a chunked response as far as it came.
+inline std::string wholeEvents(const std::string &response)
+{
+    std::string body;
+    std::size_t at = response.find("\r\n\r\n") + 4;
+    while (at < response.size()) {
+        const std::size_t size = std::stoul(response.substr(at), nullptr, 16);
+        at = response.find("\r\n", at) + 2;
+        body += response.substr(at, size);
+        at += size + 2;
+    }
+    return body.substr(0, body.rfind("\n\n") + 2);
+}
+
+/// \returns the id of the last whole event in \p stream.
+inline std::string lastId(const std::string &stream)
+{
+    const std::size_t end = stream.rfind("\n\n");
+    const std::size_t begin = stream.rfind("id: ", end);
+    return stream.substr(begin + 4, stream.find('\n', begin) - begin - 4);
+}
+
 } // namespace azurehill::test
--- a/test/io/stream_test.cpp
+++ b/test/io/stream_test.cpp
@@ -6,36 +6,6 @@
 using namespace azurehill;
 using namespace azurehill::test;
 
-namespace {
-
-/// \returns the text of the model in the events of \p stream.
-std::string contentOf(const std::string &stream)
-{
-    sse_reader reader;
-    reader.feed(stream);
-    std::string content;
-    while (const auto data = reader.next()) {
-        if (*data == "[DONE]")
-            return content;
-        const auto chunk = boost::json::parse(*data);
-        for (const auto &choice : chunk.at("choices").as_array()) {
-            if (const auto *c = choice.at("delta").as_object().if_contains("content"))
-                content += c->as_string();
-        }
-    }
-    return content + " (unfinished)";
-}
-
-/// \returns the id of the last whole event in \p stream.
-std::string lastId(const std::string &stream)
-{
-    const std::size_t end = stream.rfind("\n\n");
-    const std::size_t begin = stream.rfind("id: ", end);
-    return stream.substr(begin + 4, stream.find('\n', begin) - begin - 4);
-}
-
-} // namespace
-
 TEST_CASE("Events are cut out of a stream")
 {
     sse_reader reader;
@@ -141,7 +111,7 @@
         client.close();
     };
     world.run(cut());
-    first = first.substr(0, first.rfind("\n\n") + 2);
+    first = wholeEvents(first);
 
     SUBCASE("while the call runs")
     {
@@ -181,6 +151,38 @@
     }
 }
 
+// A caller on a slow link stops reading in the middle of a long answer. The engine goes on, another
+// caller of the same call has its whole answer, and the slow one is cut off at the limit for
+// writes.
+TEST_CASE("A caller that does not read stops nobody")
+{
+    scripted_engine engine;
+    engine.words = 400;
+    engine.padding = 30'000;
+    door_world world;
+    world.addUpstream("story-1", "story-model", engine.handler());
+    world.start();
+    auto &daemon = world.daemons.front();
+    const std::string program = world.createProgram();
+    const std::string bytes = door_world::wire(world.modelCall(program, 1, "k"));
+    auto body = [&]() -> awaitable<void> {
+        raw_client slow(world.context);
+        slow.socket().open(asio::ip::tcp::v4());
+        slow.socket().set_option(asio::socket_base::receive_buffer_size(8192));
+        co_await slow.connect(daemon.port);
+        co_await slow.send(bytes);
+        raw_client quick(world.context);
+        co_await quick.connect(daemon.port);
+        co_await quick.send(bytes);
+        const std::string all = co_await quick.readUntil("[DONE]");
+        CHECK(all.size() > 400 * 30'000);
+        while (daemon.outer.requestsInProgress() > 0)
+            co_await sleepFor(milliseconds(100));
+    };
+    world.run(body());
+    CHECK(engine.calls == 1);
+}
+
 TEST_CASE("A repeated request attaches to the running call")
 {
     scripted_engine engine;
