--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -31,10 +31,11 @@
     const std::string_view body = request.body;
     if (body.find("journal/") != body.npos || request.path().find("journal/") != body.npos)
         return traffic_kind::Journal;
-    if (body.find("lease/") != body.npos)
-        return traffic_kind::Lease;
+    // A change of the view also checks leases.
     if (body.find("view/") != body.npos)
         return traffic_kind::View;
+    if (body.find("lease/") != body.npos)
+        return traffic_kind::Lease;
     return body.find("config/") != body.npos ? traffic_kind::Config : traffic_kind::Other;
 }
 
