--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -187,10 +187,20 @@
     series route({"time.route", "us", "replicas"});
     for (const int count : {20, 200, 1000, 3000, 6200}) {
         const std::vector<replica> listed = makeReplicas(count);
-        router r({"centre-01"});
-        r.setReplicas(listed);
-        change.add(count, microseconds([&] { r.setReplicas(listed); }));
-        route.add(count, microseconds([&] { keep(r.choose("model-1")); }));
+        scheduler s({}, {"centre-01"}, 1);
+        s.setReplicas(listed, time_point());
+        change.add(count, microseconds([&] { s.setReplicas(listed, time_point()); }));
+        replica_table table({"centre-01"});
+        table.setReplicas(listed);
+        router choice({}, 1);
+        const prefix_map prefixes;
+        const replica_health health;
+        pending_call call;
+        call.service = "model-1";
+        call.promptTokens = 4000;
+        route.add(count, microseconds([&] {
+                      keep(choice.choose(call, 200, table, prefixes, health, time_point()));
+                  }));
     }
 }
 
--- a/src/daemon/pass_through.cpp
+++ b/src/daemon/pass_through.cpp
@@ -143,13 +143,14 @@
         error = co_await tryOnce(*place, std::move(out), writer);
         if (!error || tries == maxTries)
             break;
-        auto move = [&owner, service, from = place->id] { return owner.moveCall(service, from); };
+        auto move
+            = [&owner, service, number = place->number] { return owner.moveCall(service, number); };
         const auto other = co_await runOn(controlThread, move);
         if (!other)
             break;
         *place = *other;
     }
-    auto close = [&owner, id = place->id] { owner.closeUpstream(id); };
+    auto close = [&owner, number = place->number] { owner.closeUpstream(number); };
     co_await runOn(controlThread, close);
     if (error)
         co_await writer.write(toResponse(upstreamProblem(*error, true)));
