Keep a model's tool calls in the program's history

Cause: the history took the text of an answer only, so the tool's answer of the next turn stood in a prompt without the call that it answers; a stored answer lacked the call as well. Ruled out: keeping the raw chunks, which would make the prompt depend on how an engine cuts them. Change: assistant_message adds up the deltas, text and tool calls; the history, the whole answer and the stored answer come from it. Conclusion: a program with tool calls by the model keeps its history whole.

--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -24,9 +24,8 @@
 
 std::string completionOf(const running_call &call, const upstream_end &end)
 {
-    const json::object message{{"role", "assistant"}, {"content", end.body}};
     const json::object choice{
-        {"index", 0}, {"message", message}, {"finish_reason", end.finishReason}};
+        {"index", 0}, {"message", end.message.toJson()}, {"finish_reason", end.finishReason}};
     const json::object usage{{"prompt_tokens", end.promptTokens},
                              {"completion_tokens", end.completionTokens},
                              {"total_tokens", end.promptTokens + end.completionTokens}};
@@ -47,8 +46,8 @@
     if (r.kind != call_kind::Model)
         return call_finished{r.program,  r.turn, r.key,    0,
                              end.status, "",     end.body, end.contentType};
-    const json::object reply{{"role", "assistant"}, {"content", end.body}};
-    const std::string messages = call.spec.newMessages + "," + json::serialize(reply);
+    const std::string messages
+        = call.spec.newMessages + "," + json::serialize(end.message.toJson());
     const std::int64_t spent = end.promptTokens + end.completionTokens;
     return call_finished{
         r.program, r.turn, r.key, spent, 200, messages, completionOf(call, end), end.contentType};
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -68,10 +68,8 @@
 bool takeChoice(const json::object &choice, upstream_end &end)
 {
     const auto *delta = choice.if_contains("delta");
-    const auto *content
-        = delta && delta->is_object() ? delta->get_object().if_contains("content") : nullptr;
-    if (content && content->is_string())
-        end.body += content->get_string();
+    if (delta && delta->is_object())
+        end.message.add(delta->get_object());
     const auto *reason = choice.if_contains("finish_reason");
     if (!reason || !reason->is_string())
         return false;
@@ -85,7 +83,7 @@
                                           upstream_end &end, std::size_t &count)
 {
     while (const auto data = events.next()) {
-        const auto last = onModelEvent(stream, *data, end);
+        auto last = onModelEvent(stream, *data, end);
         if (!last || *last)
             return last;
         ++count;
--- a/src/daemon/upstream_call.h
+++ b/src/daemon/upstream_call.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "daemon/assistant_message.h"
 #include "daemon/control.h"
 #include "http/http_error.h"
 
@@ -11,7 +12,9 @@
     std::optional<http_error> error;
     int status = 0;
     std::string contentType;
-    /// The text of a model's answer, or a tool's body.
+    /// A model's answer.
+    assistant_message message;
+    /// A tool's or a service's answer.
     std::string body;
     std::string finishReason = "stop";
     std::int64_t promptTokens = 0;
--- a/test/io/door_world.h
+++ b/test/io/door_world.h
@@ -238,6 +238,8 @@
     std::size_t padding = 0;
     /// Events sent in place of the words, if any.
     std::vector<std::string> events;
+    /// Bodies of the calls, in the order in which they came.
+    std::vector<std::string> prompts;
 
     request_handler handler()
     {
@@ -257,7 +259,10 @@
     /// Daemons also ask engines what they hold; that is no call.
     awaitable<void> answer(const http_request &request, response_writer &writer)
     {
-        if (request.path() == "/v1/chat/completions")
+        const bool call = request.path() == "/v1/chat/completions";
+        if (call)
+            prompts.push_back(request.body);
+        if (call)
             co_await serve(writer);
         else
             co_await writer.write(jsonResponse(404, "{}"));
--- a/test/io/stream_test.cpp
+++ b/test/io/stream_test.cpp
@@ -72,7 +72,7 @@
                              R"({"choices":[{"delta":{"content":7},"finish_reason":false}]})",
                              R"({"choices":[],"usage":{"prompt_tokens":"x"}})"})
         CHECK(onModelEvent(stream, data, end) == false);
-    CHECK(end.body.empty());
+    CHECK(end.message.toJson().at("content").as_string().empty());
 
     scripted_engine engine;
     engine.events = {"data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w \"},"
