--- a/bench/bench_capacity_time.cpp
+++ b/bench/bench_capacity_time.cpp
@@ -4,7 +4,7 @@
 #include "bench/capacity_report.h"
 #include "bench/capacity_samples.h"
 #include "daemon/call_stream.h"
-#include "daemon/sse.h"
+#include "http/sse.h"
 #include "program/programs.h"
 
 #include <boost/json.hpp>
--- a/demo/demo_program.cpp
+++ b/demo/demo_program.cpp
@@ -1,7 +1,7 @@
 #include "demo/demo_program.h"
 
 #include "core/ids.h"
-#include "daemon/sse.h"
+#include "http/sse.h"
 #include "http/http_client.h"
 
 #include <boost/json.hpp>
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 packages="g++ cmake make ninja-build ccache clang-format clang-tidy curl
 libboost1.81-all-dev libboost-json1.81-dev libexpected-dev libfmt-dev libpopt-dev libssl-dev
 doctest-dev librapidcheck-dev libxxhash-dev prometheus-cpp-dev libjsonrpccpp-dev libjsoncpp-dev
-zlib1g-dev"
+zlib1g-dev libtomlplusplus-dev"
 
 missing=""
 for p in $packages; do
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -1,6 +1,6 @@
 #include "daemon/upstream_call.h"
 
-#include "daemon/sse.h"
+#include "http/sse.h"
 #include "http/http_client.h"
 
 #include <boost/json.hpp>
--- /dev/null
+++ b/src/entry/entry_call.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "entry/client_request.h"
+#include "http/http_client.h"
+#include "routes/routes.h"
+
+#include <memory>
+
+namespace azurehill {
+
+/// \brief Why a send was ended from outside.
+enum class cut_reason { None, ClientLeft, TimeOver, ReplicaSilent, AttemptTimeOver };
+
+template <>
+struct enum_names<cut_reason>
+{
+    static constexpr std::array<std::string_view, 5> names
+        = {"none", "client_left", "time_over", "replica_silent", "attempt_time_over"};
+};
+
+/// \brief One client request on its way through the daemon. Used on the traffic thread.
+struct entry_call
+{
+    client_request request;
+    /// Holds the route that \c route points into.
+    route_book_ptr routes;
+    const route_rule *route = nullptr;
+    std::string service;
+    time_point arrivedAt;
+    /// When the route's timeout or the client's patience ends.
+    time_point deadline;
+
+    /// The connection of the send under way, or null.
+    http_connection *connection = nullptr;
+    upstream_id replica;
+    time_point sentAt;
+    time_point lastByteAt;
+    /// When the send under way is given up in favour of another replica, if ever.
+    std::optional<time_point> attemptDeadline;
+    cut_reason cut = cut_reason::None;
+    /// Bytes of the answer went out to the client.
+    bool begun = false;
+    int sends = 0;
+    /// Some replica may have worked on the request.
+    bool mayHaveRun = false;
+
+    bool clientLeft() const { return cut == cut_reason::ClientLeft; }
+    /// \brief Ends the send under way.
+    void cutOff(cut_reason reason)
+    {
+        if (cut != cut_reason::ClientLeft)
+            cut = reason;
+        if (connection)
+            connection->close();
+    }
+};
+
+using entry_call_ptr = std::shared_ptr<entry_call>;
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/entry_control.cpp
@@ -0,0 +1,373 @@
+#include "entry/entry_control.h"
+
+#include "platform/config_codec.h"
+#include "platform/ingress.h"
+#include "platform/replica_codec.h"
+#include "platform/store_rows.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+constexpr duration gossipRound = milliseconds(200);
+/// Members told in a round, and states in one message: with these a beat is everywhere in two or
+/// three rounds, at a bounded cost whatever the number of daemons.
+constexpr std::size_t gossipFanout = 4;
+constexpr std::size_t gossipStates = 12;
+
+/// Longest wait of one call to the feed. Short, since a feed may go silent while changes are made.
+constexpr duration feedWait = seconds(2);
+constexpr duration feedSlack = seconds(1);
+/// The replicas' entries are read this often within the time that a leaving one allows.
+constexpr int replicaReadsPerDrain = 4;
+/// The configuration is read this often within the time in which it must be in force, beside the
+/// feed: a feed that went silent would otherwise leave the daemon with an old one.
+constexpr double configReadsPerApply = 1.3;
+constexpr duration membersPause = seconds(2);
+constexpr duration storeCallTime = milliseconds(1000);
+constexpr duration failedPause = milliseconds(200);
+
+constexpr std::string_view memberTable = "members";
+/// Callers keep an answer this long. Short, so that they leave a stopped daemon soon.
+constexpr duration lookupTtl = seconds(1);
+constexpr std::size_t maxAddresses = 64;
+
+member_state makeSelf(const host_settings &s)
+{
+    member_state m;
+    m.name = s.name;
+    m.incarnation = unixMilliseconds();
+    m.clients = s.clients;
+    m.peers = s.peers;
+    m.gossip = s.gossip;
+    m.dataCentre = s.dataCentre;
+    return m;
+}
+
+row_name memberRow(const daemon_id &name)
+{
+    return {std::string(memberTable), "", name.value};
+}
+
+time_point soon()
+{
+    return runtime_clock::now() + storeCallTime;
+}
+
+duration part(duration whole, double count)
+{
+    return std::chrono::duration_cast<duration>(whole / count);
+}
+
+} // namespace
+
+entry_control::entry_control(asio::io_context &context, const host_settings &settings,
+                             control_events events)
+    : m_context(context), m_settings(settings), m_events(std::move(events)),
+      m_transport(
+          std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress)),
+      m_store(m_transport),
+      m_readinessServer(context.get_executor(), {},
+                        [this](const http_request &r, response_writer &w) { return answer(r, w); }),
+      m_lookupServer(context.get_executor(), {},
+                     [this](const http_request &r, response_writer &w) { return answer(r, w); }),
+      m_peerServer(context.get_executor(), {},
+                   [this](const http_request &r, response_writer &w) { return answerPeer(r, w); }),
+      m_members(makeSelf(settings), stableHash(settings.name.value)),
+      m_gossip(context.get_executor(), [this](const std::vector<member_state> &states) {
+          logMembers(m_members.onHeard(states, runtime_clock::now()));
+      })
+{ }
+
+bool entry_control::start()
+{
+    const bool bound = m_readinessServer.listen(m_settings.readiness) != 0
+        && m_lookupServer.listen(m_settings.lookups) != 0 && m_peerServer.listen(m_settings.peers) != 0
+        && m_gossip.listen(m_settings.gossip) != 0;
+    if (!bound)
+        return false;
+    const auto executor = m_context.get_executor();
+    spawn(executor, "followConfiguration", followConfiguration());
+    spawn(executor, "pollConfiguration", pollConfiguration());
+    spawn(executor, "pollReplicas", pollReplicas());
+    spawn(executor, "pollMembers", pollMembers());
+    spawn(executor, "gossip", gossip());
+    return true;
+}
+
+void entry_control::leave()
+{
+    m_isLeaving = true;
+    m_members.self().serving = false;
+    ++m_members.self().beat;
+    const std::string message = encodeMembers({m_members.self()});
+    for (const member_state &m : m_members.alive())
+        m_gossip.send(m.gossip, message);
+}
+
+awaitable<void> entry_control::unregister()
+{
+    store_transaction t;
+    t.removals.push_back(memberRow(m_settings.name));
+    const auto done = co_await m_store.transact(std::move(t), soon());
+    if (!done)
+        logEvent(log_level::Warning, "not_unregistered", {{"detail", done.error().detail}});
+}
+
+http_response entry_control::answerLookup() const
+{
+    std::vector<member_state> all = m_members.alive();
+    all.push_back(m_members.self());
+    std::vector<endpoint> reaching;
+    std::vector<endpoint> serving;
+    for (const member_state &m : all) {
+        if (!m.serving)
+            continue;
+        serving.push_back(m.clients);
+        if (m.storeReachable)
+            reaching.push_back(m.clients);
+    }
+    // A daemon that the store turns away is slower, so callers go elsewhere, unless too few would be
+    // left to carry them.
+    constexpr std::size_t enoughShare = 3;
+    std::vector<endpoint> &chosen
+        = reaching.size() * enoughShare >= serving.size() ? reaching : serving;
+    if (chosen.empty())
+        return encodeOwnAnswer(own_answer::Refused, "no daemon serves", failedPause);
+    if (chosen.size() > maxAddresses)
+        chosen.resize(maxAddresses);
+    return encodeAddresses(chosen, std::min<duration>(lookupTtl, m_settings.lookupTtl));
+}
+
+awaitable<void> entry_control::answer(const http_request &request, response_writer &writer)
+{
+    http_response response;
+    if (isLookup(request.path())) {
+        response = answerLookup();
+    } else if (isReadinessCheck(request.path())) {
+        const bool ready = m_members.self().serving;
+        response = ready ? jsonResponse(200, "{}")
+                         : encodeOwnAnswer(own_answer::Refused, "not ready", failedPause);
+    } else {
+        response = encodeOwnAnswer(own_answer::NoRoute, "", {});
+    }
+    co_await writer.write(std::move(response));
+}
+
+awaitable<void> entry_control::answerPeer(const http_request &request, response_writer &writer)
+{
+    http_response response;
+    if (isRelayedCall(request)) {
+        http_request call = unwrapRelayedCall(request);
+        auto reply = co_await m_transport->exchangeDirectly(std::move(call), soon());
+        constexpr int nothingDone = 503;
+        constexpr int unknown = 502;
+        if (reply)
+            response = std::move(*reply);
+        else
+            response = jsonResponse(
+                reply.error().ran == outcome::DidNotRun ? nothingDone : unknown, "{}");
+    } else {
+        response = encodeOwnAnswer(own_answer::NoRoute, "", {});
+    }
+    co_await writer.write(std::move(response));
+}
+
+void entry_control::adoptConfiguration(const stored_row &row, std::string_view source)
+{
+    auto book = decodeConfiguration(row.value);
+    if (!book) {
+        logEvent(log_level::Error, "configuration_unreadable",
+                 {{"row_version", static_cast<std::int64_t>(row.version)},
+                  {"detail", book.error()}});
+        return;
+    }
+    // An older version may be read after a newer one; it must never come back into force.
+    if (m_routes && (*book)->version() <= m_routes->version())
+        return;
+    m_routes = *book;
+    m_members.self().configVersion = m_routes->version();
+    logEvent(log_level::Info, "configuration_adopted",
+             {{"version", static_cast<std::int64_t>(m_routes->version())},
+              {"row_version", static_cast<std::int64_t>(row.version)},
+              {"routes", static_cast<std::int64_t>(m_routes->routes().size())},
+              {"source", std::string(source)}});
+    m_events.onRoutes(m_routes);
+}
+
+awaitable<void> entry_control::readConfiguration()
+{
+    row_range range = configurationRange();
+    const auto page = co_await m_store.read(std::move(range), soon());
+    if (!page)
+        co_return;
+    for (const stored_row &row : page->rows)
+        adoptConfiguration(row, "read");
+}
+
+awaitable<void> entry_control::pollConfiguration()
+{
+    while (true) {
+        co_await readConfiguration();
+        const duration pause = m_routes ? part(m_settings.configApply, configReadsPerApply)
+                                        : failedPause;
+        co_await sleepFor(pause);
+    }
+}
+
+awaitable<void> entry_control::followConfiguration()
+{
+    store_version after = 0;
+    while (true) {
+        if (after == 0) {
+            row_range range = configurationRange();
+            const auto page = co_await m_store.read(std::move(range), soon());
+            if (page) {
+                after = page->version;
+                for (const stored_row &row : page->rows)
+                    adoptConfiguration(row, "read");
+            } else {
+                co_await sleepFor(failedPause);
+            }
+            continue;
+        }
+        std::string table = configurationTable();
+        const time_point deadline = runtime_clock::now() + feedWait + feedSlack;
+        const auto page = co_await m_store.changes(std::move(table), after, feedWait, deadline);
+        if (page) {
+            after = std::max(after, page->version);
+            for (const stored_row &row : page->rows) {
+                if (row.name.key == configurationRange().from && !row.deleted)
+                    adoptConfiguration(row, "feed");
+            }
+            continue;
+        }
+        if (page.error().kind == store_error_kind::HistoryGone)
+            after = 0;
+        co_await sleepFor(failedPause);
+    }
+}
+
+void entry_control::adoptReplicas(const row_page &page)
+{
+    // An answer that lags behind an earlier one would bring back replicas that are leaving.
+    if (page.version < m_replicasVersion)
+        return;
+    m_replicasVersion = page.version;
+    std::map<upstream_id, replica_entry> next;
+    for (const stored_row &row : page.rows) {
+        auto entry = decodeReplica(row);
+        if (!entry)
+            continue;
+        const auto old = m_replicas.find(entry->id);
+        if (old == m_replicas.end()) {
+            logEvent(log_level::Info, "replica_listed",
+                     {{"replica", entry->id.value}, {"service", entry->service}});
+        } else if (entry->draining && !old->second.draining) {
+            logEvent(log_level::Info, "replica_draining", {{"replica", entry->id.value}});
+        }
+        upstream_id id = entry->id;
+        next.emplace(std::move(id), std::move(*entry));
+    }
+    for (const auto &[id, old] : m_replicas) {
+        if (!next.contains(id))
+            logEvent(log_level::Info, "replica_gone", {{"replica", id.value}});
+    }
+    m_replicas = std::move(next);
+    m_hasReplicas = true;
+    std::vector<replica_entry> listed;
+    for (const auto &[id, entry] : m_replicas)
+        listed.push_back(entry);
+    m_events.onReplicas(std::move(listed));
+}
+
+awaitable<void> entry_control::pollReplicas()
+{
+    const duration pause = part(m_settings.replicaDrain, replicaReadsPerDrain);
+    while (true) {
+        row_range range = replicaRange();
+        const auto page = co_await m_store.read(std::move(range), soon());
+        if (page)
+            adoptReplicas(*page);
+        const bool reachable = m_transport->isDirectWorking();
+        if (reachable != m_storeWasReachable) {
+            logEvent(reachable ? log_level::Info : log_level::Warning,
+                     reachable ? "store_regained" : "store_lost",
+                     {{"detail", page ? std::string() : page.error().detail}});
+            m_storeWasReachable = reachable;
+        }
+        co_await sleepFor(pause);
+    }
+}
+
+awaitable<void> entry_control::pollMembers()
+{
+    bool isRegistered = false;
+    while (true) {
+        if (!isRegistered) {
+            store_transaction t;
+            t.writes.push_back({memberRow(m_settings.name), encodeMembers({m_members.self()})});
+            const auto done = co_await m_store.transact(std::move(t), soon());
+            isRegistered = done.has_value();
+        }
+        row_range range{std::string(memberTable), "", "", ""};
+        const auto page = co_await m_store.read(std::move(range), soon());
+        if (page) {
+            for (const stored_row &row : page->rows) {
+                const auto states = decodeMembers(row.value);
+                if (states && !states->empty())
+                    m_members.onListed(states->front());
+            }
+        }
+        co_await sleepFor(isRegistered ? membersPause : failedPause);
+    }
+}
+
+void entry_control::logMembers(const std::vector<member_change> &changes)
+{
+    for (const member_change &c : changes) {
+        logEvent(log_level::Info, c.isAlive ? "member_back" : "member_gone",
+                 {{"member", c.member.name.value},
+                  {"beat", static_cast<std::int64_t>(c.member.beat)},
+                  {"silent_ms", toMilliseconds(c.silence)}});
+    }
+}
+
+void entry_control::publishPeers()
+{
+    std::vector<endpoint> reaching;
+    for (const member_state &m : m_members.alive()) {
+        if (m.storeReachable)
+            reaching.push_back(m.peers);
+    }
+    if (reaching == m_peersReachingStore)
+        return;
+    m_peersReachingStore = reaching;
+    m_transport->setPeers(reaching);
+    m_events.onPeers(std::move(reaching));
+}
+
+awaitable<void> entry_control::gossip()
+{
+    while (true) {
+        logMembers(m_members.onRound(runtime_clock::now()));
+        member_state &self = m_members.self();
+        self.serving = !m_isLeaving && m_routes && m_hasReplicas;
+        self.storeReachable = m_transport->isDirectWorking();
+        const std::string message = encodeMembers(m_members.digest(gossipStates));
+        for (const member_state &peer : m_members.pickPeers(gossipFanout))
+            m_gossip.send(peer.gossip, message);
+        // Before the store has named any member, the seeds are the only way to the others. They
+        // name other hosts' inner addresses; all hosts use the same ports.
+        if (m_members.known() == 0) {
+            for (const endpoint &seed : m_settings.seeds)
+                m_gossip.send({seed.host, m_settings.gossip.port}, message);
+        }
+        publishPeers();
+        co_await sleepFor(gossipRound);
+    }
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/entry_control.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "entry/host_settings.h"
+#include "http/http_server.h"
+#include "members/members.h"
+#include "platform/platform_store.h"
+#include "replicas/replicas.h"
+#include "routes/routes.h"
+
+#include <functional>
+#include <memory>
+
+namespace azurehill {
+
+/// \brief What the control thread tells the traffic thread. All calls come on the control thread.
+struct control_events
+{
+    std::function<void(route_book_ptr)> onRoutes;
+    std::function<void(std::vector<replica_entry>)> onReplicas;
+    /// The addresses of the peers that reach the store.
+    std::function<void(std::vector<endpoint>)> onPeers;
+};
+
+/// \brief What a daemon believes of the system: configuration, replicas, members. It answers
+/// look-ups and readiness checks. Lives on the control thread.
+class entry_control
+{
+public:
+    entry_control(asio::io_context &context, const host_settings &settings, control_events events);
+
+    /// \brief Listens and begins to follow the store. \returns whether all addresses could be bound.
+    bool start();
+    /// \brief Leaves look-ups and the readiness check, and tells the others.
+    void leave();
+    /// \brief Takes the daemon's row out of the store.
+    awaitable<void> unregister();
+    bool isLeaving() const { return m_isLeaving; }
+
+private:
+    awaitable<void> answer(const http_request &request, response_writer &writer);
+    awaitable<void> answerPeer(const http_request &request, response_writer &writer);
+    http_response answerLookup() const;
+
+    awaitable<void> followConfiguration();
+    awaitable<void> pollConfiguration();
+    awaitable<void> readConfiguration();
+    awaitable<void> pollReplicas();
+    awaitable<void> pollMembers();
+    awaitable<void> gossip();
+
+    void adoptConfiguration(const stored_row &row, std::string_view source);
+    void adoptReplicas(const row_page &page);
+    void publishPeers();
+    void logMembers(const std::vector<member_change> &changes);
+
+    asio::io_context &m_context;
+    host_settings m_settings;
+    control_events m_events;
+    std::shared_ptr<peer_transport> m_transport;
+    platform_store m_store;
+    http_server m_readinessServer;
+    http_server m_lookupServer;
+    http_server m_peerServer;
+    member_list m_members;
+    gossip_socket m_gossip;
+    route_book_ptr m_routes;
+    store_version m_replicasVersion = 0;
+    std::map<upstream_id, replica_entry> m_replicas;
+    std::vector<endpoint> m_peersReachingStore;
+    bool m_hasReplicas = false;
+    bool m_isLeaving = false;
+    bool m_storeWasReachable = true;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/entry_service.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "entry/host_settings.h"
+#include "entry/upstream_sender.h"
+#include "http/http_server.h"
+#include "members/members.h"
+#include "platform/platform_store.h"
+#include "turns/turns.h"
+
+#include <random>
+
+namespace azurehill {
+
+/// \brief Serves clients: finds the route, builds prompts, sends to replicas and relays answers.
+/// Lives on the traffic thread.
+class entry_service
+{
+public:
+    entry_service(asio::io_context &context, const host_settings &settings);
+
+    /// \brief Listens for clients. \returns whether the address could be bound.
+    bool start();
+    /// \brief Tells clients to close their connections after the answers under way.
+    void announceClose();
+    /// \returns the number of requests being answered. May be called from any thread.
+    int requestsInProgress() const { return m_server.requestsInProgress(); }
+
+    void setRoutes(route_book_ptr routes);
+    void setReplicas(const std::vector<replica_entry> &listed);
+    void setPeers(std::vector<endpoint> reachingStore);
+
+private:
+    awaitable<void> serve(const http_request &request, response_writer &writer);
+    awaitable<void> servePlain(entry_call_ptr call, const http_request &request,
+                               response_writer &writer);
+    awaitable<void> serveStream(entry_call_ptr call, const http_request &request,
+                                response_writer &writer);
+    awaitable<void> serveTurn(entry_call_ptr call, const http_request &request,
+                              response_writer &writer);
+    awaitable<void> sweep();
+
+    /// \brief How the relay of a stream ended.
+    struct stream_end
+    {
+        bool isWhole = false;
+        /// Data of the events, each followed by a line feed.
+        std::string output;
+        std::int64_t events = 0;
+    };
+    awaitable<stream_end> relayStream(entry_call_ptr call, open_reply &reply,
+                                      response_writer &writer);
+    awaitable<void> relayFailure(entry_call_ptr call, open_reply reply, response_writer &writer);
+    awaitable<bool> readBody(entry_call_ptr call, open_reply &reply, std::string &body);
+    awaitable<void> refuse(entry_call_ptr call, own_answer answer, std::string detail,
+                           response_writer &writer);
+    awaitable<void> giveUp(entry_call_ptr call, send_failure failure, response_writer &writer);
+
+    std::string pickService(const route_rule &route);
+    placement_request wantedOf(const entry_call &call) const;
+    duration comeBack(own_answer answer) const;
+
+    host_settings m_settings;
+    asio::any_io_executor m_executor;
+    std::minstd_rand m_random;
+    std::shared_ptr<peer_transport> m_transport;
+    platform_store m_store;
+    turn_ledger m_ledger;
+    replica_board m_board;
+    upstream_sender m_sender;
+    http_server m_server;
+    route_book_ptr m_routes;
+    time_point m_storeFailedSince;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,99 @@
+#include "entry/entry_control.h"
+#include "entry/entry_service.h"
+#include "platform/settings_file.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <thread>
+
+namespace azurehill {
+
+namespace {
+
+constexpr int exitBadSettings = 2;
+constexpr int exitCantListen = 71;
+
+/// Callers keep a look-up for its time to live, some three times as long; after that nobody comes
+/// any more who could know better.
+constexpr duration staleLookups = milliseconds(3500);
+/// Share of the grace time after which the process ends in any case.
+constexpr double graceShare = 0.8;
+constexpr duration drainStep = milliseconds(50);
+
+awaitable<void> shutDown(entry_control &control, entry_service &service, const host_settings &s,
+                         asio::io_context &controlContext, asio::io_context &trafficContext)
+{
+    logEvent(log_level::Info, "stopping", {{"in_progress", service.requestsInProgress()}});
+    const time_point began = runtime_clock::now();
+    control.leave();
+    asio::post(trafficContext, [&service] { service.announceClose(); });
+    co_await control.unregister();
+    const auto latest = std::chrono::duration_cast<duration>(s.grace * graceShare);
+    const duration stale = std::min<duration>(staleLookups, latest);
+    int quietSteps = 0;
+    constexpr int enoughQuietSteps = 4;
+    while (runtime_clock::now() < began + latest) {
+        quietSteps = service.requestsInProgress() == 0 ? quietSteps + 1 : 0;
+        if (runtime_clock::now() > began + stale && quietSteps >= enoughQuietSteps)
+            break;
+        co_await sleepFor(drainStep);
+    }
+    logEvent(log_level::Info, "stopped",
+             {{"in_progress", service.requestsInProgress()},
+              {"ms", toMilliseconds(runtime_clock::now() - began)}});
+    trafficContext.stop();
+    controlContext.stop();
+}
+
+int run(const host_settings &s)
+{
+    asio::io_context controlContext(1);
+    asio::io_context trafficContext(1);
+    entry_service service(trafficContext, s);
+    control_events events;
+    events.onRoutes = [&](route_book_ptr routes) {
+        asio::post(trafficContext, [&service, routes] { service.setRoutes(routes); });
+    };
+    events.onReplicas = [&](std::vector<replica_entry> listed) {
+        asio::post(trafficContext,
+                   [&service, l = std::move(listed)] { service.setReplicas(l); });
+    };
+    events.onPeers = [&](std::vector<endpoint> peers) {
+        asio::post(trafficContext, [&service, p = std::move(peers)] { service.setPeers(p); });
+    };
+    entry_control control(controlContext, s, std::move(events));
+    if (!service.start() || !control.start()) {
+        logEvent(log_level::Error, "cant_listen", {{"ip", s.ip}});
+        return exitCantListen;
+    }
+    asio::signal_set signals(controlContext, SIGTERM, SIGINT);
+    signals.async_wait([&](boost::system::error_code code, int) {
+        if (!code) {
+            spawn(controlContext.get_executor(), "shutDown",
+                  shutDown(control, service, s, controlContext, trafficContext));
+        }
+    });
+    logEvent(log_level::Info, "started", {{"daemon", s.name.value}, {"ip", s.ip}});
+    const auto keepTraffic = asio::make_work_guard(trafficContext);
+    std::thread traffic([&] { trafficContext.run(); });
+    controlContext.run();
+    trafficContext.stop();
+    traffic.join();
+    return 0;
+}
+
+} // namespace
+
+} // namespace azurehill
+
+int main()
+{
+    const auto settings = azurehill::readSettingsFile();
+    if (!settings) {
+        azurehill::logEvent(azurehill::log_level::Error, "bad_settings",
+                            {{"detail", settings.error()}});
+        return azurehill::exitBadSettings;
+    }
+    return azurehill::run(*settings);
+}
--- /dev/null
+++ b/src/entry/upstream_sender.cpp
@@ -0,0 +1,218 @@
+#include "entry/upstream_sender.h"
+
+#include "platform/ingress.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// A replica's connection that lies idle for longer is not used again: it may have gone silent.
+constexpr duration maxIdle = seconds(6);
+constexpr std::size_t maxIdlePerReplica = 32;
+/// Replicas are a few milliseconds away. A lost opening packet is sent again after a second, by
+/// which time another replica has long answered.
+constexpr duration connectTime = milliseconds(300);
+/// A stream whose replica shows no sign of life on any connection for this long is given up, so
+/// that its program can ask again. Between the events of a stream lie tens of milliseconds.
+constexpr duration silenceTime = milliseconds(1200);
+/// Replicas that refuse are no attempts, but somewhere the search must end.
+constexpr int maxRefusals = 4;
+/// Least time for one attempt of an idempotent request, and its share of the time that is left.
+constexpr duration leastAttemptTime = milliseconds(250);
+constexpr int attemptsInTime = 3;
+
+duration attemptTime(const entry_call &call, const replica_board &board, time_point now)
+{
+    const duration share = (call.deadline - now) / attemptsInTime;
+    const auto typical = board.typicalWait(call.service);
+    const duration wanted = typical ? std::max<duration>(2 * *typical, leastAttemptTime) : share;
+    return std::min(wanted, std::max<duration>(share, leastAttemptTime));
+}
+
+send_end endOf(const entry_call &call, const http_error &error)
+{
+    switch (call.cut) {
+    case cut_reason::ClientLeft:
+    case cut_reason::TimeOver:
+        return send_end::Cancelled;
+    case cut_reason::ReplicaSilent:
+        return send_end::Silent;
+    case cut_reason::AttemptTimeOver:
+        return send_end::Broken;
+    case cut_reason::None:
+        break;
+    }
+    return error.kind == http_error_kind::TimedOut ? send_end::Cancelled : send_end::Broken;
+}
+
+} // namespace
+
+upstream_sender::upstream_sender(const asio::any_io_executor &executor, replica_board &board)
+    : m_executor(executor), m_board(board), m_pool(executor, maxIdle, maxIdlePerReplica)
+{ }
+
+bool upstream_sender::isSilent(const entry_call &call, time_point now) const
+{
+    if (call.route->kind != route_kind::Stream)
+        return false;
+    const time_point heard
+        = std::max({call.lastByteAt, call.sentAt, m_board.lastHeard(call.replica)});
+    return now - heard > std::max<duration>(silenceTime, 2 * call.route->eventGap);
+}
+
+void upstream_sender::sweep(time_point now)
+{
+    m_pool.expire(now);
+    const std::set<entry_call_ptr> calls = m_underWay;
+    for (const entry_call_ptr &call : calls) {
+        if (call->cut != cut_reason::None)
+            continue;
+        if (now >= call->deadline)
+            call->cutOff(cut_reason::TimeOver);
+        else if (call->attemptDeadline && now >= *call->attemptDeadline)
+            call->cutOff(cut_reason::AttemptTimeOver);
+        else if (isSilent(*call, now))
+            call->cutOff(cut_reason::ReplicaSilent);
+    }
+}
+
+awaitable<tl::expected<open_reply, send_failure>>
+upstream_sender::sendOnce(entry_call_ptr call, placement where, const placement_request &wanted,
+                          const http_request &original, std::string body)
+{
+    const endpoint address = where.replica.address;
+    auto connection = std::make_shared<http_connection>(
+        m_pool.take(address, runtime_clock::now()));
+    call->connection = connection.get();
+    call->replica = where.replica.id;
+    call->sentAt = runtime_clock::now();
+    call->lastByteAt = call->sentAt;
+    call->attemptDeadline.reset();
+    m_board.onSent(where, wanted, call->sentAt);
+    m_underWay.insert(call);
+    open_reply reply{where, {}, connection};
+
+    const bool isNew = !connection->isReusable();
+    if (isNew) {
+        const time_point until = std::min(call->deadline, call->sentAt + connectTime);
+        const auto connected = co_await connection->connect(address, until);
+        if (!connected) {
+            finish(*call, reply, call->clientLeft() ? send_end::Cancelled : send_end::Unreachable);
+            co_return tl::unexpected(send_failure{send_end::Unreachable, connected.error().detail});
+        }
+    }
+    if (call->clientLeft()) {
+        finish(*call, reply, send_end::Cancelled);
+        co_return tl::unexpected(send_failure{send_end::Cancelled, "the client left"});
+    }
+    const time_point now = runtime_clock::now();
+    if (call->route->kind == route_kind::Idempotent)
+        call->attemptDeadline = now + attemptTime(*call, m_board, now);
+    const forward_fields fields{where.replica.id, call->deadline - now,
+                                std::clamp(call->route->priority, 0, 9)};
+    http_request out = encodeForward(original, fields, std::move(body));
+    logEvent(log_level::Info, "sent",
+             {{"request", call->request.id},
+              {"program", call->request.program.value},
+              {"replica", where.replica.id.value},
+              {"outstanding", std::int64_t(where.outstanding)},
+              {"candidates", std::int64_t(where.candidates)},
+              {"cached_tokens", where.cachedTokens},
+              {"cost_ms", where.cost},
+              {"new_connection", isNew},
+              {"left_ms", toMilliseconds(fields.timeLeft)}});
+    auto head = co_await connection->open(std::move(out), call->deadline);
+    if (!head) {
+        // Only a request of which no byte left did certainly not run.
+        const bool didNotRun = head.error().ran == outcome::DidNotRun;
+        const send_end end = didNotRun && !call->clientLeft() ? send_end::NotRun
+                                                              : endOf(*call, head.error());
+        if (!didNotRun)
+            call->mayHaveRun = true;
+        finish(*call, reply, end);
+        co_return tl::unexpected(send_failure{end, head.error().detail});
+    }
+    call->lastByteAt = runtime_clock::now();
+    const reply_kind kind = judgeReply(*head, call->request.id);
+    if (kind == reply_kind::Answer) {
+        m_board.onFirstByte(where, wanted, call->lastByteAt - call->sentAt, call->lastByteAt);
+        call->mayHaveRun = true;
+        reply.head = std::move(*head);
+        co_return reply;
+    }
+    if (kind == reply_kind::Foreign) {
+        call->mayHaveRun = true;
+        connection->close();
+        finish(*call, reply, send_end::Broken);
+        co_return tl::unexpected(send_failure{send_end::Broken, "not the replica's answer"});
+    }
+    if (kind == reply_kind::WrongReplica)
+        m_board.setLeaving(where.replica.id);
+    // The rest of a refusal is read so that the connection can be used again.
+    while (true) {
+        const auto piece = co_await connection->readSome(call->deadline);
+        if (!piece || piece->empty())
+            break;
+    }
+    finish(*call, reply, send_end::NotRun);
+    co_return tl::unexpected(
+        send_failure{send_end::NotRun, std::string(toName(kind))});
+}
+
+void upstream_sender::finish(entry_call &call, open_reply &reply, send_end end)
+{
+    const time_point now = runtime_clock::now();
+    m_board.onDone(reply.where, end, now);
+    call.connection = nullptr;
+    call.attemptDeadline.reset();
+    std::erase_if(m_underWay, [&](const entry_call_ptr &c) { return c.get() == &call; });
+    const bool keep = end == send_end::Answered || end == send_end::NotRun;
+    if (keep)
+        m_pool.give(reply.where.replica.address, std::move(*reply.connection), now);
+    else
+        reply.connection->close();
+    if (end == send_end::Unreachable || end == send_end::Silent)
+        m_pool.drop(reply.where.replica.address);
+    logEvent(log_level::Info, "send_ended",
+             {{"request", call.request.id},
+              {"replica", reply.where.replica.id.value},
+              {"end", std::string(toName(end))},
+              {"cut", std::string(toName(call.cut))},
+              {"ms", toMilliseconds(now - call.sentAt)}});
+}
+
+awaitable<tl::expected<open_reply, send_failure>>
+upstream_sender::open(entry_call_ptr call, placement_request &wanted, const http_request &original,
+                      std::string body)
+{
+    send_failure last{send_end::Unreachable, "no replica may take requests"};
+    int refusals = 0;
+    while (runtime_clock::now() < call->deadline && !call->clientLeft()) {
+        if (call->sends >= call->route->maxAttempts || refusals > maxRefusals)
+            break;
+        const auto where = m_board.choose(wanted, runtime_clock::now());
+        if (!where)
+            break;
+        wanted.tried.insert(where->replica.id);
+        std::string copy = body;
+        auto reply = co_await sendOnce(call, *where, wanted, original, std::move(copy));
+        if (reply)
+            co_return reply;
+        last = reply.error();
+        if (last.end == send_end::NotRun || last.end == send_end::Unreachable) {
+            ++refusals;
+            continue;
+        }
+        ++call->sends;
+        const bool mayRepeat = call->route->kind == route_kind::Idempotent;
+        if (call->cut == cut_reason::AttemptTimeOver && mayRepeat)
+            call->cut = cut_reason::None;
+        if (!mayRepeat || call->cut != cut_reason::None)
+            break;
+    }
+    co_return tl::unexpected(last);
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/upstream_sender.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "entry/entry_call.h"
+#include "http/connection_pool.h"
+#include "replicas/replicas.h"
+
+#include <set>
+
+namespace azurehill {
+
+/// \brief A replica's answer whose body is still to come.
+struct open_reply
+{
+    placement where;
+    response_head head;
+    std::shared_ptr<http_connection> connection;
+};
+
+/// \brief Why no replica answered.
+struct send_failure
+{
+    send_end end = send_end::Unreachable;
+    std::string detail;
+};
+
+/// \brief Sends requests to replicas: chooses one, keeps connections, judges the head of the answer
+/// and tries another replica where that is certainly allowed. Used on the traffic thread.
+class upstream_sender
+{
+public:
+    upstream_sender(const asio::any_io_executor &executor, replica_board &board);
+
+    /// \brief Sends \p call to replicas until one answers.
+    /// \param wanted what is asked of a replica; the replicas that were tried are added to it.
+    /// \param original the client's request.
+    /// \param body what the replica is to read.
+    awaitable<tl::expected<open_reply, send_failure>> open(entry_call_ptr call,
+                                                           placement_request &wanted,
+                                                           const http_request &original,
+                                                           std::string body);
+    /// \brief The answer of \p reply is over. Its connection is kept if it can be.
+    void finish(entry_call &call, open_reply &reply, send_end end);
+
+    /// \brief Looks after the sends under way: replicas that went silent, times that are over.
+    void sweep(time_point now);
+    /// \returns the number of sends under way.
+    std::size_t underWay() const { return m_underWay.size(); }
+
+private:
+    awaitable<tl::expected<open_reply, send_failure>> sendOnce(entry_call_ptr call, placement where,
+                                                               const placement_request &wanted,
+                                                               const http_request &original,
+                                                               std::string body);
+    bool isSilent(const entry_call &call, time_point now) const;
+
+    asio::any_io_executor m_executor;
+    replica_board &m_board;
+    connection_pool m_pool;
+    std::set<entry_call_ptr> m_underWay;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/http/connection_pool.cpp
@@ -0,0 +1,63 @@
+#include "http/connection_pool.h"
+
+namespace azurehill {
+
+namespace {
+
+/// The peer's clock for its idle time-out began before ours: a request must not cross its close.
+constexpr duration keepAliveMargin = milliseconds(500);
+
+} // namespace
+
+connection_pool::connection_pool(asio::any_io_executor executor, duration maxIdle,
+                                 std::size_t maxPerPeer)
+    : m_executor(std::move(executor)), m_maxIdle(maxIdle), m_maxPerPeer(maxPerPeer)
+{ }
+
+http_connection connection_pool::take(const endpoint &peer, time_point now)
+{
+    const auto found = m_idle.find(peer);
+    while (found != m_idle.end() && !found->second.empty()) {
+        // The newest one first, so that those that are not needed run out.
+        idle_connection last = std::move(found->second.back());
+        found->second.pop_back();
+        if (now < last.until && last.connection.isReusable())
+            return std::move(last.connection);
+    }
+    return http_connection(m_executor);
+}
+
+void connection_pool::give(const endpoint &peer, http_connection connection, time_point now)
+{
+    if (!connection.isReusable())
+        return;
+    duration keep = m_maxIdle;
+    if (const auto said = connection.keepAliveTime())
+        keep = std::min(keep, *said - keepAliveMargin);
+    auto &list = m_idle[peer];
+    if (keep > duration::zero() && list.size() < m_maxPerPeer)
+        list.push_back({std::move(connection), now + keep});
+}
+
+void connection_pool::expire(time_point now)
+{
+    for (auto it = m_idle.begin(); it != m_idle.end();) {
+        std::erase_if(it->second, [now](const idle_connection &c) { return c.until <= now; });
+        it = it->second.empty() ? m_idle.erase(it) : std::next(it);
+    }
+}
+
+void connection_pool::drop(const endpoint &peer)
+{
+    m_idle.erase(peer);
+}
+
+std::size_t connection_pool::idle() const
+{
+    std::size_t count = 0;
+    for (const auto &[peer, list] : m_idle)
+        count += list.size();
+    return count;
+}
+
+} // namespace azurehill
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace azurehill {
 
@@ -45,6 +46,12 @@
     beast::flat_buffer buffer;
     std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
     std::string host;
+    /// The request that is on its way out.
+    beast::http::request<beast::http::string_body> out;
+    beast::error_code writeError;
+    std::size_t sent = 0;
+    bool writing = false;
+    std::optional<duration> keepAlive;
     /// Where the next piece of a body is read to. It is not cleared for every token of a stream.
     std::array<char, pieceSize> piece;
     bool reusable = false;
@@ -60,8 +67,47 @@
     bool expired() const { return guard.expired(); }
 };
 
+namespace {
+
+/// \returns the "timeout" of a Keep-Alive header.
+std::optional<duration> keepAliveOf(const header_list &headers)
+{
+    const std::string_view value = headers.get("Keep-Alive");
+    constexpr std::string_view name = "timeout=";
+    const std::size_t place = value.find(name);
+    if (place == std::string_view::npos)
+        return std::nullopt;
+    int whole = 0;
+    const std::string_view digits = value.substr(place + name.size());
+    if (std::from_chars(digits.data(), digits.data() + digits.size(), whole).ec != std::errc())
+        return std::nullopt;
+    return seconds(whole);
+}
+
+void startWrite(const std::shared_ptr<http_connection::state> &s, http_request request)
+{
+    namespace http = beast::http;
+    s->out = {http::string_to_verb(request.method), request.target, 11};
+    for (const auto &[name, value] : request.headers)
+        s->out.insert(name, value);
+    if (!request.headers.has("Host"))
+        s->out.set(http::field::host, s->host);
+    s->out.body() = std::move(request.body);
+    s->out.prepare_payload();
+    s->writing = true;
+    s->sent = 0;
+    http::async_write(s->socket, s->out, [s](beast::error_code code, std::size_t sent) {
+        s->writing = false;
+        s->sent = sent;
+        s->writeError = code;
+        s->out.body() = {};
+    });
+}
+
+} // namespace
+
 http_connection::http_connection(const asio::any_io_executor &executor)
-    : m_state(std::make_unique<state>(executor))
+    : m_state(std::make_shared<state>(executor))
 { }
 http_connection::~http_connection() = default;
 http_connection::http_connection(http_connection &&) noexcept = default;
@@ -69,7 +115,21 @@
 
 bool http_connection::isReusable() const
 {
-    return m_state->reusable && m_state->socket.is_open();
+    if (!m_state->reusable || m_state->writing || !m_state->socket.is_open())
+        return false;
+    // A second answer to an earlier request would be taken for the answer to the next one.
+    if (m_state->buffer.size() > 0)
+        return false;
+    beast::error_code code;
+    char byte = 0;
+    m_state->socket.non_blocking(true, code);
+    m_state->socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    return code == asio::error::would_block || code == asio::error::try_again;
+}
+
+std::optional<duration> http_connection::keepAliveTime() const
+{
+    return m_state->keepAlive;
 }
 
 void http_connection::close()
@@ -107,39 +167,30 @@
                                                                          time_point deadline)
 {
     namespace http = beast::http;
-    http::request<http::string_body> out(http::string_to_verb(request.method), request.target, 11);
-    for (const auto &[name, value] : request.headers)
-        out.insert(name, value);
-    out.set(http::field::host, m_state->host);
-    out.body() = std::move(request.body);
-    out.prepare_payload();
-
-    const bool head = out.method() == http::verb::head;
+    const auto s = m_state;
     beast::error_code code;
-    m_state->reusable = false;
-    m_state->watch(deadline);
-    const std::size_t sent = co_await http::async_write(m_state->socket, out,
-                                                        asio::redirect_error(use_awaitable, code));
-    if (code || m_state->expired()) {
-        m_state->guard.finish();
-        const outcome ran = sent == 0 ? outcome::DidNotRun : outcome::Unknown;
-        co_return tl::unexpected(makeError(code, m_state->expired(), ran));
-    }
-    auto &parser = m_state->parser.emplace();
+    s->reusable = false;
+    s->watch(deadline);
+    startWrite(s, std::move(request));
+    auto &parser = s->parser.emplace();
     // Bodies that are streamed have no bound: finished books are large.
     parser.body_limit(boost::none);
-    parser.skip(head);
+    parser.skip(s->out.method() == http::verb::head);
     parser.header_limit(maxResponseHeader);
-    co_await http::async_read_header(m_state->socket, m_state->buffer, parser,
+    // The peer may answer before it has read a long request: the write goes on beside the read.
+    co_await http::async_read_header(s->socket, s->buffer, parser,
                                      asio::redirect_error(use_awaitable, code));
-    m_state->guard.finish();
-    if (code || m_state->expired())
-        co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
-
+    s->guard.finish();
+    if (code || s->expired()) {
+        const bool noByteLeft = !s->writing && s->sent == 0;
+        const outcome ran = noByteLeft ? outcome::DidNotRun : outcome::Unknown;
+        co_return tl::unexpected(makeError(code, s->expired(), ran));
+    }
     response_head result;
     result.status = parser.get().result_int();
     for (const auto &field : parser.get())
         result.headers.add(field.name_string(), field.value());
+    s->keepAlive = keepAliveOf(result.headers);
     co_return result;
 }
 
@@ -165,7 +216,7 @@
     if (code || m_state->expired())
         co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
     if (parser.is_done())
-        m_state->reusable = parser.get().keep_alive();
+        m_state->reusable = parser.get().keep_alive() && !parser.get().need_eof();
     co_return std::string(m_state->piece.data(), length);
 }
 
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -8,6 +8,7 @@
 #include <tl/expected.hpp>
 
 #include <memory>
+#include <optional>
 
 namespace azurehill {
 
@@ -38,14 +39,18 @@
     /// \brief Reads the next piece of the body. \returns an empty string at its end.
     awaitable<tl::expected<std::string, http_error>> readSome(time_point deadline);
 
-    /// \returns whether another request may go out on this connection.
+    /// \returns whether another request may go out on this connection: the last response was whole,
+    /// the peer wants to go on, and no byte has come that belongs to no request.
     bool isReusable() const;
+    /// \returns for how long the peer keeps the idle connection, if it said so.
+    std::optional<duration> keepAliveTime() const;
     /// \brief Closes the connection at once.
     void close();
 
-private:
     struct state;
-    std::unique_ptr<state> m_state;
+
+private:
+    std::shared_ptr<state> m_state;
 };
 
 /// \brief Makes one exchange on a connection of its own.
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -29,6 +29,7 @@
     /// On a strand, since stopAccepting() closes it from another thread than accepts.
     tcp::acceptor acceptor;
     std::atomic<bool> stopping{false};
+    std::atomic<bool> closing{false};
     std::atomic<int> connections{0};
     std::atomic<int> refusing{0};
     std::atomic<int> inProgress{0};
@@ -96,13 +97,18 @@
             "",  outcome::DidNotRun,     retryWhenBusy};
 }
 
-http_request toRequest(http::request<http::string_body> in)
+/// \param fieldCount fields of the head. Those of a trailer come after them and are left out: they
+/// would pass for fields that were checked.
+http_request toRequest(http::request<http::string_body> in, std::size_t fieldCount)
 {
     http_request request;
     request.method = std::string(in.method_string());
     request.target = std::string(in.target());
-    for (const auto &field : in)
+    for (const auto &field : in) {
+        if (fieldCount-- == 0)
+            break;
         request.headers.add(field.name_string(), field.value());
+    }
     request.body = std::move(in.body());
     return request;
 }
@@ -116,10 +122,12 @@
                                asio::redirect_error(use_awaitable, ignored));
 }
 
-/// \brief Takes in what \p buffer holds.
+/// \brief Takes in what \p buffer holds; stops once at the end of the head, so that its fields can
+/// be told from those of a trailer.
 void parseSome(beast::flat_buffer &buffer, request_parser &parser, beast::error_code &code)
 {
-    while (buffer.size() > 0 && !parser.is_done()) {
+    const bool headWasDone = parser.is_header_done();
+    while (buffer.size() > 0 && !parser.is_done() && parser.is_header_done() == headWasDone) {
         const std::size_t used = parser.put(buffer.data(), code);
         buffer.consume(used);
         if (code == http::error::need_more)
@@ -131,7 +139,7 @@
 
 awaitable<read_result> readRequest(timed_socket &socket, beast::flat_buffer &buffer,
                                    request_parser &parser, body_share &share,
-                                   beast::error_code &code)
+                                   beast::error_code &code, std::size_t &fieldCount)
 {
     bool headSeen = false;
     while (true) {
@@ -140,11 +148,15 @@
             co_return read_result::Malformed;
         if (!headSeen && parser.is_header_done()) {
             headSeen = true;
+            fieldCount
+                = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
             if (!share.take(parser))
                 co_return read_result::NoRoom;
             if (!parser.is_done()
                 && beast::iequals(parser.get()[http::field::expect], "100-continue"))
                 co_await sendContinue(socket);
+            if (!parser.is_done() && buffer.size() > 0)
+                continue;
         }
         if (parser.is_done())
             co_return read_result::Whole;
@@ -158,15 +170,15 @@
 }
 
 awaitable<bool> answer(http_server::state &server, timed_socket &socket,
-                       http::request<http::string_body> in)
+                       http::request<http::string_body> in, std::size_t fieldCount)
 {
-    const bool keepAlive = in.keep_alive() && !server.stopping;
+    const bool keepAlive = in.keep_alive() && !server.stopping && !server.closing;
     const bool headOnly = in.method() == http::verb::head;
     server_writer writer(socket, keepAlive, headOnly, server.limits.writeTime);
     ++server.inProgress;
     bool failed = false;
     try {
-        co_await server.handler(toRequest(std::move(in)), writer);
+        co_await server.handler(toRequest(std::move(in), fieldCount), writer);
     } catch (const std::exception &e) {
         logEvent(log_level::Error, "handler_failed", {{"detail", std::string(e.what())}});
         failed = true;
@@ -195,17 +207,18 @@
             co_return false;
     }
     request_parser parser;
-    parser.eager(true);
     parser.header_limit(static_cast<std::uint32_t>(server.limits.maxHeaderBytes));
     parser.body_limit(server.limits.maxBodyBytes);
     body_share share(server);
     socket.startRead(server.limits.requestTime);
-    const read_result result = co_await readRequest(socket, buffer, parser, share, code);
+    std::size_t fieldCount = 0;
+    const read_result result
+        = co_await readRequest(socket, buffer, parser, share, code, fieldCount);
     socket.finish();
     if (result == read_result::Quiet)
         co_return false;
     if (result == read_result::Whole)
-        co_return co_await answer(server, socket, parser.release());
+        co_return co_await answer(server, socket, parser.release(), fieldCount);
     server_writer writer(socket, false, false, server.limits.writeTime);
     http_response reply = toResponse(problemOf(result, code));
     if (co_await writer.write(std::move(reply)))
@@ -317,6 +330,16 @@
     });
 }
 
+void http_server::announceClose()
+{
+    m_state->closing = true;
+}
+
+void http_server::setLimits(const http_limits &limits)
+{
+    m_state->limits = limits;
+}
+
 int http_server::requestsInProgress() const
 {
     return m_state->inProgress;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -61,6 +61,11 @@
     std::uint16_t listen(const endpoint &address);
     /// \brief Accepts no more connections; those that are open end after their current request.
     void stopAccepting();
+    /// \brief Goes on to accept and to answer, but tells every client to open no further request on
+    /// its connection.
+    void announceClose();
+    /// \brief Sets new bounds for the requests to come. Call it on the server's executor.
+    void setLimits(const http_limits &limits);
     /// \returns the number of requests now being answered.
     int requestsInProgress() const;
     /// \returns the number of connections that are open.
--- a/src/daemon/sse.cpp
+++ b/src/http/sse.cpp
@@ -1,4 +1,4 @@
-#include "daemon/sse.h"
+#include "http/sse.h"
 
 #include <utility>
 
--- /dev/null
+++ b/src/members/member_state.cpp
@@ -0,0 +1,75 @@
+#include "members/member_state.h"
+
+#include <boost/json.hpp>
+
+namespace azurehill {
+
+namespace json = boost::json;
+
+namespace {
+
+json::object encode(const member_state &m)
+{
+    json::object o;
+    o["name"] = m.name.value;
+    o["started"] = m.incarnation;
+    o["beat"] = m.beat;
+    o["clients"] = toText(m.clients);
+    o["peers"] = toText(m.peers);
+    o["gossip"] = toText(m.gossip);
+    o["dc"] = m.dataCentre.value;
+    o["serving"] = m.serving;
+    o["store"] = m.storeReachable;
+    o["config"] = m.configVersion;
+    return o;
+}
+
+endpoint addressIn(const json::object &o, std::string_view key)
+{
+    const auto address = parseEndpoint(std::string(o.at(key).as_string()));
+    if (!address)
+        throw std::runtime_error("not an address: " + std::string(key));
+    return *address;
+}
+
+member_state decode(const json::object &o)
+{
+    member_state m;
+    m.name = {std::string(o.at("name").as_string())};
+    m.incarnation = o.at("started").to_number<std::int64_t>();
+    m.beat = o.at("beat").to_number<std::uint64_t>();
+    m.clients = addressIn(o, "clients");
+    m.peers = addressIn(o, "peers");
+    m.gossip = addressIn(o, "gossip");
+    m.dataCentre = {std::string(o.at("dc").as_string())};
+    m.serving = o.at("serving").as_bool();
+    m.storeReachable = o.at("store").as_bool();
+    m.configVersion = o.at("config").to_number<std::uint64_t>();
+    return m;
+}
+
+} // namespace
+
+std::string encodeMembers(const std::vector<member_state> &states)
+{
+    json::array list;
+    for (const member_state &m : states)
+        list.push_back(encode(m));
+    return json::serialize(list);
+}
+
+std::optional<std::vector<member_state>> decodeMembers(std::string_view message)
+{
+    try {
+        std::vector<member_state> states;
+        const json::value document = json::parse(message);
+        for (const json::value &m : document.as_array())
+            states.push_back(decode(m.as_object()));
+        return states;
+    } catch (const std::exception &) {
+        // The caller counts it and says where it came from.
+        return std::nullopt;
+    }
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/members/members.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// \file
+/// \brief The other daemons: who they are, which live, and calls of the store through them.
+
+#include "members/gossip_socket.h"
+#include "members/member_list.h"
+#include "members/peer_transport.h"
--- /dev/null
+++ b/src/members/peer_transport.cpp
@@ -0,0 +1,122 @@
+#include "members/peer_transport.h"
+
+namespace azurehill {
+
+namespace {
+
+constexpr std::string_view relayPath = "/inner/store";
+constexpr std::string_view methodHeader = "Store-Method";
+constexpr std::string_view targetHeader = "Store-Target";
+
+/// How long a direct call may take when a peer could make it. A store that is fifty times slower
+/// than usual still answers in this time.
+constexpr duration directTime = milliseconds(400);
+/// How long calls go through a peer before the direct way is tried again.
+constexpr duration directPause = milliseconds(700);
+constexpr duration connectTime = milliseconds(200);
+constexpr duration maxIdle = seconds(5);
+constexpr std::size_t maxIdleConnections = 8;
+
+bool turnsAway(int status)
+{
+    return status == 429 || status == 503;
+}
+
+http_request wrap(http_request request)
+{
+    http_request out;
+    out.method = "POST";
+    out.target = relayPath;
+    out.headers.add(methodHeader, request.method);
+    out.headers.add(targetHeader, request.target);
+    out.headers.add("Content-Type", "application/octet-stream");
+    out.body = std::move(request.body);
+    return out;
+}
+
+} // namespace
+
+bool isRelayedCall(const http_request &request)
+{
+    return request.path() == relayPath;
+}
+
+http_request unwrapRelayedCall(const http_request &request)
+{
+    http_request out;
+    out.method = request.headers.get(methodHeader);
+    out.target = request.headers.get(targetHeader);
+    if (!request.body.empty())
+        out.headers.add("Content-Type", "application/json");
+    out.body = request.body;
+    return out;
+}
+
+peer_transport::peer_transport(const asio::any_io_executor &executor, endpoint storeAddress)
+    : m_direct(executor, std::move(storeAddress)), m_pool(executor, maxIdle, maxIdleConnections)
+{ }
+
+awaitable<tl::expected<http_response, http_error>>
+peer_transport::exchangeDirectly(http_request request, time_point deadline)
+{
+    auto response = co_await m_direct.exchange(std::move(request), deadline);
+    if (response && !turnsAway(response->status)) {
+        m_directFailures = 0;
+    } else {
+        ++m_directFailures;
+        m_directFailedAt = runtime_clock::now();
+    }
+    co_return response;
+}
+
+awaitable<tl::expected<http_response, http_error>>
+peer_transport::exchangeThroughPeer(http_request request, time_point deadline)
+{
+    const endpoint peer = m_peers[m_nextPeer++ % m_peers.size()];
+    http_connection connection = m_pool.take(peer, runtime_clock::now());
+    if (!connection.isReusable()) {
+        const time_point until = std::min(deadline, runtime_clock::now() + connectTime);
+        const auto connected = co_await connection.connect(peer, until);
+        if (!connected)
+            co_return tl::unexpected(connected.error());
+    }
+    http_request wrapped = wrap(std::move(request));
+    auto response = co_await connection.exchange(std::move(wrapped), deadline);
+    if (response)
+        m_pool.give(peer, std::move(connection), runtime_clock::now());
+    co_return response;
+}
+
+awaitable<tl::expected<http_response, http_error>>
+peer_transport::exchange(http_request request, time_point deadline)
+{
+    const time_point now = runtime_clock::now();
+    const bool peerFirst
+        = !m_peers.empty() && m_directFailures > 0 && now < m_directFailedAt + directPause;
+    const time_point firstDeadline
+        = m_peers.empty() ? deadline : std::min(deadline, now + directTime);
+    http_request copy = request;
+    exchange_result first;
+    if (peerFirst)
+        first = co_await exchangeThroughPeer(std::move(copy), deadline);
+    else
+        first = co_await exchangeDirectly(std::move(copy), firstDeadline);
+    const bool failed = !first || turnsAway(first->status);
+    if (!failed || m_peers.empty() || runtime_clock::now() >= deadline)
+        co_return first;
+    // The other way: every call may be made again, since reads change nothing and writes have
+    // conditions that fail if the first try took effect.
+    exchange_result second;
+    if (peerFirst)
+        second = co_await exchangeDirectly(std::move(request), deadline);
+    else
+        second = co_await exchangeThroughPeer(std::move(request), deadline);
+    const bool isInDoubt = !first && first.error().ran != outcome::DidNotRun;
+    const bool secondFailed = !second || turnsAway(second->status);
+    // "Nothing was done" would be false if the first try may still take effect.
+    if (isInDoubt && secondFailed)
+        co_return first;
+    co_return second;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/members/peer_transport.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "members/member_state.h"
+#include "store/store_transport.h"
+
+namespace azurehill {
+
+/// \brief Reaches the store directly, or through another daemon that can.
+///
+/// The store may turn away some hosts, or a host may be cut off from the store alone, while others
+/// work: calls then fail or hang here only. A peer that reaches the store makes the call for us.
+class peer_transport : public store_transport
+{
+public:
+    peer_transport(const asio::any_io_executor &executor, endpoint storeAddress);
+
+    awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
+                                                                time_point deadline) override;
+    /// \brief Takes in which peers reach the store.
+    void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
+    /// \returns whether the last direct call was answered.
+    bool isDirectWorking() const { return m_directFailures == 0; }
+
+    /// \brief Makes a call for a peer, directly only, so that calls don't go in circles.
+    awaitable<tl::expected<http_response, http_error>> exchangeDirectly(http_request request,
+                                                                        time_point deadline);
+
+private:
+    using exchange_result = tl::expected<http_response, http_error>;
+
+    awaitable<tl::expected<http_response, http_error>>
+    exchangeThroughPeer(http_request request, time_point deadline);
+
+    direct_transport m_direct;
+    connection_pool m_pool;
+    std::vector<endpoint> m_peers;
+    std::size_t m_nextPeer = 0;
+    int m_directFailures = 0;
+    time_point m_directFailedAt;
+};
+
+/// \returns whether \p request asks for a call of the store on behalf of a peer.
+bool isRelayedCall(const http_request &request);
+/// \returns the call inside \p request.
+http_request unwrapRelayedCall(const http_request &request);
+
+} // namespace azurehill
--- /dev/null
+++ b/src/replicas/replica_board.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "replicas/replica_entry.h"
+#include "replicas/replica_trust.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief One part of a prompt. Replicas keep parts in their cache by id.
+struct prompt_part
+{
+    std::string id;
+    std::int64_t tokens = 0;
+};
+
+/// \brief What a request needs of a replica.
+struct placement_request
+{
+    std::string service;
+    /// The parts of the prompt in order; empty for plain services.
+    std::vector<prompt_part> parts;
+    /// The replica that answered the turn before, which has read all of the prompt but the last
+    /// part; or empty.
+    upstream_id lastReplica;
+    /// Tokens of the prompt up to the turn before.
+    std::int64_t lastTokens = 0;
+    /// Tokens of the whole prompt.
+    std::int64_t promptTokens = 0;
+    /// Replicas that the request was sent to already.
+    std::set<upstream_id> tried;
+    /// Key of the object that the request is about, where the route keeps to one replica; or empty.
+    std::string affinityKey;
+};
+
+/// \brief How a request ended at a replica.
+enum class send_end { Answered, NotRun, Broken, Silent, Unreachable, Cancelled };
+
+template <>
+struct enum_names<send_end>
+{
+    static constexpr std::array<std::string_view, 6> names
+        = {"answered", "not_run", "broken", "silent", "unreachable", "cancelled"};
+};
+
+/// \brief Where a request goes, and why.
+struct placement
+{
+    replica_entry replica;
+    /// Requests of this daemon that are under way there.
+    int outstanding = 0;
+    /// Prompt tokens that the replica is expected to have.
+    std::int64_t cachedTokens = 0;
+    /// Expected time until the answer begins, in milliseconds.
+    double cost = 0;
+    int candidates = 0;
+};
+
+/// \brief The replicas of all services, this daemon's work on them, and the choice among them.
+class replica_board
+{
+public:
+    replica_board(data_centre_id here, std::uint64_t seed);
+
+    /// \brief Takes in the entries that the store lists now.
+    void setReplicas(const std::vector<replica_entry> &listed, time_point now);
+    /// \brief The replica said itself that it is leaving, or another one has its address.
+    void setLeaving(const upstream_id &id);
+
+    /// \returns the replica on which the request is expected to be answered first, or nothing when
+    /// none may take it.
+    std::optional<placement> choose(const placement_request &request, time_point now);
+
+    /// \brief The request of \p p goes out.
+    void onSent(const placement &p, const placement_request &request, time_point now);
+    /// \brief The first bytes of the answer came \p waited after the request went out.
+    void onFirstByte(const placement &p, const placement_request &request, duration waited,
+                     time_point now);
+    /// \brief Bytes of an answer came.
+    void onHeard(const upstream_id &id, time_point now);
+    /// \brief The request of \p p is over.
+    void onDone(const placement &p, send_end end, time_point now);
+
+    /// \returns when the replica was last heard of on any connection.
+    time_point lastHeard(const upstream_id &id) const;
+    /// \returns the time that answers of \p service typically take to begin, with their spread.
+    std::optional<duration> typicalWait(std::string_view service) const;
+    std::size_t size() const { return m_replicas.size(); }
+    /// \returns the number of replicas of \p service that may take requests.
+    int open(std::string_view service, time_point now) const;
+
+private:
+    struct replica_state
+    {
+        replica_entry entry;
+        bool leaving = false;
+        int outstanding = 0;
+        replica_trust trust;
+        /// Typical time to the first byte as a multiple of that of the service.
+        double slowness = 1;
+        /// When each part of a prompt was last sent to the replica.
+        std::unordered_map<std::string, time_point> parts;
+    };
+    struct service_state
+    {
+        /// Average milliseconds to the first byte, and their average deviation.
+        double waitMs = 0;
+        double deviationMs = 0;
+        /// Average milliseconds for a prompt token that is not in the replica's cache.
+        double msPerToken = defaultMsPerToken;
+        int samples = 0;
+    };
+
+    static constexpr double defaultMsPerToken = 0.03;
+
+    bool mayTake(const replica_state &r, time_point now) const;
+    std::int64_t cachedTokens(const replica_state &r, const placement_request &request) const;
+    double cost(const replica_state &r, const placement_request &request, std::int64_t cached,
+                const service_state &service);
+
+    data_centre_id m_here;
+    std::minstd_rand m_random;
+    std::unordered_map<upstream_id, replica_state> m_replicas;
+    std::map<std::string, std::vector<upstream_id>, std::less<>> m_byService;
+    std::map<std::string, service_state, std::less<>> m_services;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/replicas/replicas.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// \file
+/// \brief The replicas as the store lists them, what requests show of them, and the choice of one.
+
+#include "replicas/replica_board.h"
--- /dev/null
+++ b/src/routes/route_book.h
@@ -0,0 +1,113 @@
+#pragma once
+
+/// \file
+/// \brief The operator's configuration of routes and services, and the choice of a route.
+
+#include "core/core.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief What may be repeated on a route.
+enum class route_kind { Idempotent, NonIdempotent, Stream };
+
+template <>
+struct enum_names<route_kind>
+{
+    static constexpr std::array<std::string_view, 3> names
+        = {"idempotent", "non_idempotent", "streaming"};
+};
+
+/// \brief A service and its share of a route's traffic.
+struct weighted_service
+{
+    std::string service;
+    double weight = 1;
+};
+
+struct route_rule
+{
+    std::string name;
+    std::string hostname;
+    std::string prefix;
+    route_kind kind = route_kind::NonIdempotent;
+    /// Longest time that a request is kept waiting.
+    duration timeout = seconds(30);
+    /// Time within which an answer earns full credit.
+    duration objective = seconds(1);
+    /// Longest pause between the events of a stream that is still on time.
+    duration eventGap = seconds(1);
+    /// Rank; 0 goes first.
+    int priority = 0;
+    std::vector<weighted_service> services;
+    /// Most replicas that one request may be sent to.
+    int maxAttempts = 1;
+    /// A request carries only its new input; the prompt is built from the turns before it.
+    bool keepsHistory = false;
+    /// How long a turn and its chain are kept.
+    duration retention = seconds(0);
+    bool sessionAffinity = false;
+};
+
+/// \brief What the configuration says of a service's model engines.
+struct engine_rule
+{
+    int slots = 1;
+    std::int64_t cacheTokens = 0;
+    int tokensPerEvent = 1;
+};
+
+struct service_rule
+{
+    std::string name;
+    std::string healthPath;
+    /// Connections that one replica accepts from all daemons together.
+    int maxConnections = 1;
+    std::optional<engine_rule> engine;
+};
+
+/// \brief Bounds on what a client may send.
+struct client_limits
+{
+    std::size_t headerBytes = 16U << 10U;
+    std::size_t bodyBytes = 4U << 20U;
+    duration headerTime = seconds(10);
+    duration idleTime = seconds(60);
+};
+
+/// \brief One version of the configuration. It never changes once made.
+class route_book
+{
+public:
+    route_book(std::uint64_t version, std::vector<route_rule> routes,
+               std::vector<service_rule> services, client_limits limits);
+
+    std::uint64_t version() const { return m_version; }
+    const client_limits &limits() const { return m_limits; }
+    const std::vector<route_rule> &routes() const { return m_routes; }
+
+    /// \returns the route of \p hostname with the longest prefix of \p path, or nothing.
+    const route_rule *find(std::string_view hostname, std::string_view path) const;
+    /// \returns the service called \p name, or nothing.
+    const service_rule *service(std::string_view name) const;
+
+private:
+    std::uint64_t m_version;
+    std::vector<route_rule> m_routes;
+    std::map<std::string, service_rule, std::less<>> m_services;
+    client_limits m_limits;
+    /// Indices of the routes of a host by prefix. Prefixes end in a slash, so that a path is looked
+    /// up with one search for each of its slashes, however many routes there are.
+    std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_byHost;
+};
+
+using route_book_ptr = std::shared_ptr<const route_book>;
+
+} // namespace azurehill
--- /dev/null
+++ b/src/store/store_transport.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "http/connection_pool.h"
+
+namespace azurehill {
+
+/// \brief Carries one HTTP exchange to the platform's store.
+class store_transport
+{
+public:
+    virtual ~store_transport() = default;
+    virtual awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
+                                                                        time_point deadline) = 0;
+};
+
+/// \brief Speaks to the store on kept connections of its own.
+class direct_transport : public store_transport
+{
+public:
+    direct_transport(const asio::any_io_executor &executor, endpoint store);
+    awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
+                                                                time_point deadline) override;
+
+private:
+    endpoint m_store;
+    connection_pool m_pool;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/turns/token_account.cpp
@@ -0,0 +1,59 @@
+#include "turns/token_account.h"
+
+#include <boost/json.hpp>
+
+namespace azurehill {
+
+namespace json = boost::json;
+
+std::int64_t token_account::committed() const
+{
+    std::int64_t sum = spent;
+    for (const auto &[id, tokens] : holds)
+        sum += tokens;
+    return sum;
+}
+
+std::string encodeAccount(const token_account &account)
+{
+    json::object held;
+    for (const auto &[id, tokens] : account.holds)
+        held[id] = tokens;
+    json::object o;
+    o["spent"] = account.spent;
+    o["holds"] = std::move(held);
+    return json::serialize(o);
+}
+
+std::optional<token_account> decodeAccount(std::string_view text)
+{
+    try {
+        const json::value document = json::parse(text);
+        token_account account;
+        account.spent = document.at("spent").to_number<std::int64_t>();
+        for (const auto &[id, tokens] : document.at("holds").as_object())
+            account.holds[id] = tokens.to_number<std::int64_t>();
+        return account;
+    } catch (const std::exception &) {
+        // The caller logs the row's name: nothing of the program may run on a guess.
+        return std::nullopt;
+    }
+}
+
+std::optional<token_account> hold(token_account account, const turn_id &id, std::int64_t most,
+                                  std::int64_t budget)
+{
+    if (account.committed() + most > budget)
+        return std::nullopt;
+    account.holds[id.value] = most;
+    return account;
+}
+
+token_account settle(token_account account, const turn_id &id, std::int64_t used)
+{
+    account.holds.erase(id.value);
+    account.spent += used;
+    return account;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/turns/turn_ledger.cpp
@@ -0,0 +1,373 @@
+#include "turns/turn_ledger.h"
+
+#include "turns/turn_rows.h"
+
+namespace azurehill {
+
+namespace {
+
+/// Longest wait for one answer of the store. It answers in a few milliseconds; fifty times slower
+/// is still below this, and a connection that went silent costs no more than this.
+constexpr duration callTime = milliseconds(800);
+/// Pause before a call that the store refused is made again.
+constexpr duration refusedPause = milliseconds(60);
+/// How long the account of a broken turn is tried to be settled. What fails stays held, which is
+/// safe: the program may only spend less.
+constexpr duration settleTime = seconds(20);
+/// A transaction may carry 1 MB, a third of which base64 takes.
+constexpr std::size_t maxTransactionBytes = 700U << 10U;
+/// Accounts that were not used for this long are read again from the store.
+constexpr duration accountMemory = seconds(90);
+
+time_point callDeadline(time_point deadline)
+{
+    return std::min(deadline, runtime_clock::now() + callTime);
+}
+
+std::size_t bytesOf(const store_transaction &t)
+{
+    std::size_t sum = 0;
+    for (const row_value &row : t.writes)
+        sum += row.value.size();
+    return sum;
+}
+
+const stored_row *findRow(const std::vector<stored_row> &rows, const row_name &name)
+{
+    for (const stored_row &row : rows) {
+        if (row.name == name && row.version != 0 && !row.deleted)
+            return &row;
+    }
+    return nullptr;
+}
+
+} // namespace
+
+struct turn_ledger::account_step
+{
+    enum class step_kind { Reserve, Commit, Settle };
+
+    step_kind kind = step_kind::Reserve;
+    turn_claim claim;
+    std::int64_t used = 0;
+    /// The turn that a commit adds.
+    turn_ptr added;
+    /// The row is written even if nothing is held: a reservation whose answer was lost may still be
+    /// on its way, and only a newer version makes its condition fail.
+    bool always = false;
+
+    /// \returns whether \p account shows that the step took effect.
+    bool isDone(const token_account &account) const
+    {
+        const bool isHeld = account.holds.contains(claim.id.value);
+        if (kind == step_kind::Reserve)
+            return isHeld;
+        return kind == step_kind::Settle && !isHeld && !always;
+    }
+
+    /// \returns \p account after the step, or nothing if the budget does not allow it.
+    std::optional<token_account> apply(const token_account &account) const
+    {
+        if (kind == step_kind::Reserve)
+            return hold(account, claim.id, claim.most, claim.budget);
+        return settle(account, claim.id, used);
+    }
+};
+
+turn_ledger::turn_ledger(store &rows, const ledger_settings &settings)
+    : m_store(rows), m_settings(settings), m_cache(settings.cacheBytes)
+{ }
+
+turn_ledger::account_ptr turn_ledger::accountOf(const program_id &program)
+{
+    account_ptr &state = m_accounts[program];
+    if (!state)
+        state = std::make_shared<account_state>();
+    state->usedAt = runtime_clock::now();
+    return state;
+}
+
+void turn_ledger::expire(time_point now)
+{
+    m_cache.expire(now);
+    std::erase_if(m_accounts, [now](const auto &item) {
+        return !item.second->busy && item.second.use_count() == 1
+            && item.second->usedAt + accountMemory < now;
+    });
+}
+
+void turn_ledger::adoptAccount(account_state &state, const std::vector<stored_row> &rows)
+{
+    for (const stored_row &row : rows) {
+        // Versions never go back: an answer may be older than what is known here.
+        if (!turn_rows::isAccount(row.name) || row.deleted || row.version <= state.version)
+            continue;
+        auto account = decodeAccount(row.value);
+        if (!account) {
+            logEvent(log_level::Error, "account_row_unreadable", {{"program", row.name.part}});
+            continue;
+        }
+        state.account = std::move(*account);
+        state.version = row.version;
+    }
+}
+
+turn_ptr turn_ledger::adoptRows(const program_id &program, const std::vector<stored_row> &rows,
+                                const turn_id &wanted)
+{
+    const account_ptr state = accountOf(program);
+    if (!state->busy)
+        adoptAccount(*state, rows);
+    std::map<turn_id, decoded_turn> turns = turn_rows::readTurns(rows);
+    // The chain from the wanted turn back to its start, then built from the start on.
+    std::vector<decoded_turn *> chain;
+    turn_ptr last;
+    for (turn_id id = wanted; !id.empty();) {
+        const auto found = turns.find(id);
+        if (found == turns.end()) {
+            last = m_cache.find(id);
+            if (!last)
+                return nullptr;
+            break;
+        }
+        chain.push_back(&found->second);
+        id = found->second.previous;
+    }
+    const time_point until = runtime_clock::now() + m_retention;
+    for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
+        auto t = std::make_shared<turn>(std::move((*it)->value));
+        t->program = program;
+        t->previous = last;
+        last = t;
+        m_cache.insert(last, until);
+    }
+    return last;
+}
+
+awaitable<store_result<turn_ptr>> turn_ledger::readProgram(program_id program, turn_id wanted,
+                                                           time_point deadline)
+{
+    row_range range = turn_rows::ofProgram(program);
+    const auto page = co_await m_store.read(std::move(range), deadline);
+    if (!page)
+        co_return tl::unexpected(page.error());
+    co_return adoptRows(program, page->rows, wanted);
+}
+
+awaitable<store_result<turn_ptr>> turn_ledger::readByIndex(turn_id wanted, time_point deadline)
+{
+    const row_name name = turn_rows::index(wanted);
+    row_range range{name.table, name.part, name.key, name.key + '\0'};
+    const auto page = co_await m_store.read(std::move(range), deadline);
+    if (!page)
+        co_return tl::unexpected(page.error());
+    const stored_row *row = findRow(page->rows, name);
+    if (!row)
+        co_return nullptr;
+    program_id program{row->value};
+    co_return co_await readProgram(std::move(program), wanted, deadline);
+}
+
+awaitable<bool> turn_ledger::confirmAbsent(turn_id wanted, time_point deadline)
+{
+    store_transaction t;
+    t.conditions.push_back({turn_rows::index(wanted), 0});
+    const auto done = co_await m_store.transact(std::move(t), deadline);
+    co_return done.has_value();
+}
+
+awaitable<tl::expected<turn_ptr, turn_refusal>>
+turn_ledger::load(program_id program, turn_id previous, time_point deadline)
+{
+    if (turn_ptr known = m_cache.find(previous))
+        co_return known;
+    // One lost answer must not refuse the turn: the second try takes a new connection.
+    constexpr int tries = 2;
+    for (int i = 0; i < tries && runtime_clock::now() < deadline; ++i) {
+        const time_point until = callDeadline(deadline);
+        auto found = co_await readProgram(program, previous, until);
+        if (found && !*found)
+            found = co_await readByIndex(previous, until);
+        if (found && *found)
+            co_return *found;
+        if (found) {
+            // A read may lag behind; only a condition says for certain that there is no such turn.
+            const bool absent = co_await confirmAbsent(previous, until);
+            if (absent)
+                co_return tl::unexpected(turn_refusal::NoSuchTurn);
+        }
+        if (!m_store.isReachable())
+            break;
+    }
+    co_return tl::unexpected(turn_refusal::StoreUnavailable);
+}
+
+awaitable<tl::expected<void, turn_refusal>> turn_ledger::reserve(turn_claim claim,
+                                                                 time_point deadline)
+{
+    account_ptr state = accountOf(claim.program);
+    account_step step;
+    step.kind = account_step::step_kind::Reserve;
+    step.claim = std::move(claim);
+    co_return co_await apply(std::move(state), std::move(step), deadline);
+}
+
+awaitable<tl::expected<void, turn_refusal>> turn_ledger::commit(turn_ptr t, std::int64_t used,
+                                                                duration retention,
+                                                                time_point deadline)
+{
+    m_retention = std::max(m_retention, retention);
+    account_ptr state = accountOf(t->program);
+    account_step step;
+    step.kind = account_step::step_kind::Commit;
+    step.claim.id = t->id;
+    step.claim.program = t->program;
+    step.used = used;
+    step.added = t;
+    if (!m_settings.spansParts) {
+        const bool indexed = co_await indexFirst(t, deadline);
+        if (!indexed)
+            co_return tl::unexpected(turn_refusal::StoreUnavailable);
+    }
+    const auto done = co_await apply(std::move(state), std::move(step), deadline);
+    if (done)
+        m_cache.insert(t, runtime_clock::now() + retention);
+    co_return done;
+}
+
+awaitable<bool> turn_ledger::indexFirst(turn_ptr t, time_point deadline)
+{
+    // Before the turn itself: a turn that is there and can't be found would be lost, while an entry
+    // without its turn only costs a read.
+    while (runtime_clock::now() < deadline) {
+        store_transaction entry;
+        entry.writes.push_back({turn_rows::index(t->id), t->program.value});
+        const auto version = co_await m_store.transact(std::move(entry), callDeadline(deadline));
+        if (version)
+            co_return true;
+        co_await sleepFor(refusedPause);
+    }
+    co_return false;
+}
+
+awaitable<void> turn_ledger::settleBroken(turn_claim claim, std::int64_t used)
+{
+    account_ptr state = accountOf(claim.program);
+    account_step step;
+    step.kind = account_step::step_kind::Settle;
+    step.claim = claim;
+    step.used = used;
+    step.always = used == 0;
+    const auto done
+        = co_await apply(std::move(state), std::move(step), runtime_clock::now() + settleTime);
+    if (!done) {
+        logEvent(log_level::Warning, "hold_not_settled",
+                 {{"request", claim.id.value},
+                  {"program", claim.program.value},
+                  {"tokens", claim.most}});
+    }
+}
+
+awaitable<tl::expected<void, turn_refusal>> turn_ledger::apply(account_ptr state, account_step step,
+                                                               time_point deadline)
+{
+    // The daemon's own changes of one account go one after the other: two at once would only make
+    // each other's condition fail.
+    while (state->busy) {
+        const std::uint64_t seen = state->freed.version();
+        if (!state->busy)
+            break;
+        co_await state->freed.waitPast(seen);
+    }
+    state->busy = true;
+    const auto done = co_await applyAlone(state, std::move(step), deadline);
+    state->busy = false;
+    state->freed.notifyAll();
+    co_return done;
+}
+
+store_transaction turn_ledger::transactionOf(const account_state &state, const account_step &step,
+                                             const token_account &next) const
+{
+    const row_name accountRow = turn_rows::account(step.claim.program);
+    store_transaction t;
+    t.conditions.push_back({accountRow, state.version});
+    t.writes.push_back({accountRow, encodeAccount(next)});
+    if (!step.added)
+        return t;
+    // The same turn must not be added twice by a try whose answer was lost.
+    t.conditions.push_back({turn_rows::firstPiece(step.claim.program, step.claim.id), 0});
+    for (const turn_ptr &one : chainOf(step.added)) {
+        // A turn of another program is copied, so that a part holds whole chains.
+        if (one != step.added && one->program == step.claim.program)
+            continue;
+        for (row_value &row : turn_rows::pieces(*one, step.claim.program, m_settings.rowBytes))
+            t.writes.push_back(std::move(row));
+    }
+    if (m_settings.spansParts)
+        t.writes.push_back({turn_rows::index(step.claim.id), step.claim.program.value});
+    return t;
+}
+
+awaitable<bool> turn_ledger::refreshAccount(account_ptr state, program_id program,
+                                            time_point deadline)
+{
+    const row_name name = turn_rows::account(program);
+    row_range range{name.table, name.part, name.key, name.key + '\0'};
+    const auto page = co_await m_store.read(std::move(range), deadline);
+    if (page)
+        adoptAccount(*state, page->rows);
+    co_return page.has_value();
+}
+
+awaitable<tl::expected<void, turn_refusal>>
+turn_ledger::applyAlone(account_ptr state, account_step step, time_point deadline)
+{
+    const auto unavailable = tl::unexpected(turn_refusal::StoreUnavailable);
+    const bool isReserve = step.kind == account_step::step_kind::Reserve;
+    const row_name accountRow = turn_rows::account(step.claim.program);
+    const row_name firstPiece = turn_rows::firstPiece(step.claim.program, step.claim.id);
+    bool isFresh = false;
+    while (runtime_clock::now() < deadline) {
+        if (step.isDone(state->account))
+            co_return tl::expected<void, turn_refusal>();
+        const auto next = step.apply(state->account);
+        if (!next && isFresh)
+            co_return tl::unexpected(turn_refusal::BudgetSpent);
+        if (!next) {
+            // What is known here may be old: only the store's own row may refuse a turn.
+            isFresh = co_await refreshAccount(state, step.claim.program, callDeadline(deadline));
+            if (!isFresh && !m_store.isReachable())
+                co_return unavailable;
+            continue;
+        }
+        store_transaction t = transactionOf(*state, step, *next);
+        if (bytesOf(t) > maxTransactionBytes)
+            co_return tl::unexpected(turn_refusal::TooLarge);
+        const auto version = co_await m_store.transact(std::move(t), callDeadline(deadline));
+        if (version) {
+            state->account = *next;
+            state->version = *version;
+            co_return tl::expected<void, turn_refusal>();
+        }
+        if (version.error().kind == store_error_kind::Conflict) {
+            isFresh = true;
+            if (!findRow(version.error().current, accountRow)) {
+                state->account = {};
+                state->version = 0;
+            }
+            adoptAccount(*state, version.error().current);
+            if (step.added && findRow(version.error().current, firstPiece))
+                co_return tl::expected<void, turn_refusal>(); // an earlier try took effect
+            continue;
+        }
+        isFresh = false;
+        if (isReserve && !m_store.isReachable())
+            co_return unavailable;
+        if (version.error().kind == store_error_kind::Refused)
+            co_await sleepFor(refusedPause);
+    }
+    co_return unavailable;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/turns/turn_ledger.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "runtime/runtime.h"
+#include "store/store.h"
+#include "turns/token_account.h"
+#include "turns/turn_cache.h"
+
+#include <memory>
+#include <unordered_map>
+
+namespace azurehill {
+
+/// \brief Why a turn can't go on.
+enum class turn_refusal { StoreUnavailable, NoSuchTurn, BudgetSpent, TooLarge };
+
+template <>
+struct enum_names<turn_refusal>
+{
+    static constexpr std::array<std::string_view, 4> names
+        = {"store_unavailable", "no_such_turn", "budget_spent", "too_large"};
+};
+
+/// \brief Bounds of the ledger.
+struct ledger_settings
+{
+    /// Largest value of one row.
+    std::size_t rowBytes = 64U << 10U;
+    /// Whether a transaction may span parts.
+    bool spansParts = true;
+    /// Bound on the turns kept in memory.
+    std::size_t cacheBytes = 16U << 20U;
+};
+
+/// \brief What a turn asks of its program's budget.
+struct turn_claim
+{
+    turn_id id;
+    program_id program;
+    /// Tokens that all turns of the program may generate.
+    std::int64_t budget = 0;
+    /// Tokens that this turn generates at the most.
+    std::int64_t most = 0;
+};
+
+/// \brief Makes turns and budgets durable in the store, so that any daemon can go on from them.
+///
+/// A program has a part of its own. It holds the program's account and its turns, so that one
+/// transaction settles and adds a turn, and one read finds a whole program. A second table finds the
+/// program of a turn by the turn's id alone. Used from one thread.
+class turn_ledger
+{
+public:
+    turn_ledger(store &rows, const ledger_settings &settings);
+
+    /// \brief Finds the turn \p previous, in memory or in the store.
+    /// \param program the program that asks, where the turn is looked for first.
+    /// \returns the turn with its chain. NoSuchTurn is certain: the store confirmed it.
+    awaitable<tl::expected<turn_ptr, turn_refusal>> load(program_id program, turn_id previous,
+                                                         time_point deadline);
+
+    /// \brief Holds the most that a turn can generate. Nothing may run before this is durable.
+    awaitable<tl::expected<void, turn_refusal>> reserve(turn_claim claim, time_point deadline);
+
+    /// \brief Adds a turn that was answered whole and settles its account. The client may learn of
+    /// the end of its answer only after that.
+    awaitable<tl::expected<void, turn_refusal>> commit(turn_ptr t, std::int64_t used,
+                                                       duration retention, time_point deadline);
+
+    /// \brief Settles a turn that did not end whole.
+    /// \param used tokens that may have reached the client; 0 if it did not run.
+    awaitable<void> settleBroken(turn_claim claim, std::int64_t used);
+
+    void expire(time_point now);
+
+private:
+    struct account_state
+    {
+        token_account account;
+        /// Version of the account's row; 0 when it does not exist yet.
+        store_version version = 0;
+        bool busy = false;
+        notifier freed;
+        time_point usedAt;
+    };
+    using account_ptr = std::shared_ptr<account_state>;
+    /// \brief One change of an account with the rows that go with it.
+    struct account_step;
+
+    account_ptr accountOf(const program_id &program);
+    awaitable<tl::expected<void, turn_refusal>> apply(account_ptr state, account_step step,
+                                                      time_point deadline);
+    awaitable<tl::expected<void, turn_refusal>> applyAlone(account_ptr state, account_step step,
+                                                           time_point deadline);
+    store_transaction transactionOf(const account_state &state, const account_step &step,
+                                    const token_account &next) const;
+    awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
+    awaitable<bool> indexFirst(turn_ptr t, time_point deadline);
+    awaitable<store_result<turn_ptr>> readProgram(program_id program, turn_id wanted,
+                                                  time_point deadline);
+    awaitable<store_result<turn_ptr>> readByIndex(turn_id wanted, time_point deadline);
+    awaitable<bool> confirmAbsent(turn_id wanted, time_point deadline);
+    turn_ptr adoptRows(const program_id &program, const std::vector<stored_row> &rows,
+                       const turn_id &wanted);
+    void adoptAccount(account_state &state, const std::vector<stored_row> &rows);
+
+    store &m_store;
+    ledger_settings m_settings;
+    turn_cache m_cache;
+    std::unordered_map<program_id, account_ptr> m_accounts;
+    /// How long a turn is remembered here after it was read or added.
+    duration m_retention = seconds(60);
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/turns/turn_rows.cpp
@@ -0,0 +1,80 @@
+#include "turns/turn_rows.h"
+
+#include <fmt/format.h>
+
+namespace azurehill::turn_rows {
+
+namespace {
+
+constexpr std::string_view turnTable = "turns";
+constexpr std::string_view indexTable = "turn-index";
+constexpr std::string_view accountKey = "account";
+constexpr std::string_view turnPrefix = "turn/";
+/// Parts of the index: transactions of one part go one after the other, so it is spread over many.
+constexpr std::uint64_t indexParts = 256;
+
+std::string pieceKey(const turn_id &id, std::size_t piece)
+{
+    // Fixed width, so that the pieces come in order.
+    return fmt::format("{}{}#{:04}", turnPrefix, id.value, piece);
+}
+
+} // namespace
+
+row_name account(const program_id &program)
+{
+    return {std::string(turnTable), program.value, std::string(accountKey)};
+}
+
+row_name firstPiece(const program_id &program, const turn_id &id)
+{
+    return {std::string(turnTable), program.value, pieceKey(id, 0)};
+}
+
+row_name index(const turn_id &id)
+{
+    return {std::string(indexTable), fmt::format("{:02x}", stableHash(id.value) % indexParts),
+            id.value};
+}
+
+row_range ofProgram(const program_id &program)
+{
+    return {std::string(turnTable), program.value, "", ""};
+}
+
+std::vector<row_value> pieces(const turn &t, const program_id &program, std::size_t rowBytes)
+{
+    const std::string value = encodeTurn(t);
+    std::vector<row_value> rows;
+    for (std::size_t start = 0; start < value.size(); start += rowBytes) {
+        rows.push_back({{std::string(turnTable), program.value, pieceKey(t.id, rows.size())},
+                        value.substr(start, rowBytes)});
+    }
+    return rows;
+}
+
+std::map<turn_id, decoded_turn> readTurns(const std::vector<stored_row> &rows)
+{
+    std::map<std::string, std::string> values;
+    for (const stored_row &row : rows) {
+        const std::string &key = row.name.key;
+        if (key.starts_with(turnPrefix))
+            values[key.substr(0, key.rfind('#'))] += row.value;
+    }
+    std::map<turn_id, decoded_turn> turns;
+    for (const auto &[key, value] : values) {
+        auto decoded = decodeTurn(value);
+        if (decoded)
+            turns.emplace(decoded->value.id, std::move(*decoded));
+        else
+            logEvent(log_level::Error, "turn_row_unreadable", {{"key", key}});
+    }
+    return turns;
+}
+
+bool isAccount(const row_name &row)
+{
+    return row.table == turnTable && row.key == accountKey;
+}
+
+} // namespace azurehill::turn_rows
--- a/test/io/door_world.h
+++ b/test/io/door_world.h
@@ -5,7 +5,7 @@
 #include "daemon/call_runner.h"
 #include "daemon/control.h"
 #include "daemon/door.h"
-#include "daemon/sse.h"
+#include "http/sse.h"
 #include "io/loopback.h"
 #include "standin/platform_standin.h"
 
--- a/test/io/stream_test.cpp
+++ b/test/io/stream_test.cpp
@@ -1,5 +1,5 @@
 #include "daemon/call_stream.h"
-#include "daemon/sse.h"
+#include "http/sse.h"
 #include "daemon/upstream_call.h"
 #include "io/door_world.h"
 
--- a/test/process/caller.cpp
+++ b/test/process/caller.cpp
@@ -1,6 +1,6 @@
 #include "process/caller.h"
 
-#include "daemon/sse.h"
+#include "http/sse.h"
 
 #include <fmt/format.h>
 
