Price requests under way at a replica; learn prefill time; count shared parts as cached

Cause: with 4 ms a request under way, the replicas that had a prompt's beginning took all the work of a release's second half: 6.6 requests of one daemon on one replica, answers of 750 ms and more.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -338,15 +338,18 @@
 void entry_control::publishPeers()
 {
     std::vector<endpoint> reaching;
-    for (const member_state &m : m_members.alive()) {
+    const std::vector<member_state> alive = m_members.alive();
+    for (const member_state &m : alive) {
         if (m.storeReachable)
             reaching.push_back(m.peers);
     }
-    if (reaching == m_peersReachingStore)
+    const int count = static_cast<int>(alive.size()) + 1;
+    if (reaching == m_peersReachingStore && count == m_aliveCount)
         return;
     m_peersReachingStore = reaching;
+    m_aliveCount = count;
     m_transport->setPeers(reaching);
-    m_events.onPeers(std::move(reaching));
+    m_events.onPeers(std::move(reaching), count);
 }
 
 awaitable<void> entry_control::gossip()
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -17,8 +17,8 @@
 {
     std::function<void(route_book_ptr)> onRoutes;
     std::function<void(std::vector<replica_entry>)> onReplicas;
-    /// The addresses of the peers that reach the store.
-    std::function<void(std::vector<endpoint>)> onPeers;
+    /// The addresses of the peers that reach the store, and the number of daemons that live.
+    std::function<void(std::vector<endpoint>, int)> onPeers;
 };
 
 /// \brief What a daemon believes of the system: configuration, replicas, members. It answers
@@ -67,6 +67,7 @@
     store_version m_replicasVersion = 0;
     std::map<upstream_id, replica_entry> m_replicas;
     std::vector<endpoint> m_peersReachingStore;
+    int m_aliveCount = 0;
     bool m_hasReplicas = false;
     bool m_isLeaving = false;
     bool m_storeWasReachable = true;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -87,6 +87,10 @@
 {
     m_routes = std::move(routes);
     m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
+    for (const service_rule &service : m_routes->services()) {
+        if (service.engine)
+            m_board.setCacheTokens(service.name, service.engine->cacheTokens);
+    }
 }
 
 void entry_service::setReplicas(const std::vector<replica_entry> &listed)
@@ -94,8 +98,9 @@
     m_board.setReplicas(listed, runtime_clock::now());
 }
 
-void entry_service::setPeers(std::vector<endpoint> reachingStore)
+void entry_service::setPeers(std::vector<endpoint> reachingStore, int alive)
 {
+    m_board.setDaemons(alive);
     m_transport->setPeers(std::move(reachingStore));
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -27,7 +27,8 @@
 
     void setRoutes(route_book_ptr routes);
     void setReplicas(const std::vector<replica_entry> &listed);
-    void setPeers(std::vector<endpoint> reachingStore);
+    /// \param alive daemons that live, this one included.
+    void setPeers(std::vector<endpoint> reachingStore, int alive);
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -59,8 +59,9 @@
         asio::post(trafficContext,
                    [&service, l = std::move(listed)] { service.setReplicas(l); });
     };
-    events.onPeers = [&](std::vector<endpoint> peers) {
-        asio::post(trafficContext, [&service, p = std::move(peers)] { service.setPeers(p); });
+    events.onPeers = [&](std::vector<endpoint> peers, int alive) {
+        asio::post(trafficContext,
+                   [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
     };
     entry_control control(controlContext, s, std::move(events));
     if (!service.start() || !control.start()) {
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -1,23 +1,31 @@
 #include "replicas/replica_board.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace azurehill {
 
 namespace {
 
-/// Weight of a new sample in an average.
-constexpr double sampleWeight = 0.05;
-/// Milliseconds that a request costs more for each other one that is under way there. A batch gets
-/// slower by a step's share for each member; small against a prompt that is read again.
-constexpr double msPerOutstanding = 4;
+/// What one more request of ours at a replica costs, in parts of the time that an answer takes to
+/// begin. Each daemon sees its own requests only, and the others have about as many there.
+/// Too low a price, and a few replicas that have a prompt's beginning take all the work.
+constexpr double waitsPerOutstanding = 0.5;
 /// Milliseconds charged for another data centre: the way there and back, and bytes that are priced.
 constexpr double msForDistance = 6;
 /// Costs are drawn this far apart, so that daemons that know the same don't all choose alike.
-constexpr double costJitter = 0.05;
-/// Parts of prompts remembered for each replica.
-constexpr std::size_t maxParts = 4096;
+constexpr double costJitter = 0.1;
+/// A replica's cache also holds the prompts that it works on; this share of it is for earlier ones.
+constexpr double cacheShare = 0.7;
+/// Until the configuration says what a replica caches.
+constexpr std::int64_t unknownCache = 100'000;
+/// Uses of a part after which it counts as shared by many programs, and for how long.
+constexpr int usesUntilShared = 6;
+constexpr duration sharedTime = seconds(10);
+/// A replica that has been listed this long has read the parts that many programs share.
+constexpr duration warmUpTime = seconds(3);
+constexpr std::size_t maxSharedParts = 4096;
+/// Answers after which the times of a service are known.
+constexpr int enoughSamples = 20;
 /// Most that a replica counts as slower than its peers.
 constexpr double maxSlowness = 8;
 
@@ -38,6 +46,8 @@
             state = std::move(old->second);
         else
             state.trust.onAnswer(now);
+        if (old == m_replicas.end() || state.entry.id.empty())
+            state.listedAt = now;
         // A replica never comes back from draining; an older entry may be read again.
         const bool wasDraining = state.entry.draining;
         state.entry = entry;
@@ -69,35 +79,64 @@
                       [&](const upstream_id &id) { return mayTake(m_replicas.at(id), now); }));
 }
 
-std::int64_t replica_board::cachedTokens(const replica_state &r,
-                                         const placement_request &request) const
+void replica_board::setCacheTokens(const std::string &service, std::int64_t tokens)
 {
-    std::int64_t cached = 0;
+    m_services[service].cacheTokens = tokens;
+}
+
+std::int64_t replica_board::ownCapacity(const service_state &service) const
+{
+    const std::int64_t all = service.cacheTokens > 0 ? service.cacheTokens : unknownCache;
+    return static_cast<std::int64_t>(cacheShare * double(all) / m_daemons);
+}
+
+std::int64_t replica_board::cachedTokens(const replica_state &r, const placement_request &request,
+                                         const service_state &service, time_point now) const
+{
+    std::int64_t cached = r.cache.cached(request.parts, ownCapacity(service));
+    if (r.entry.id == request.lastReplica)
+        cached = std::max(cached, request.lastTokens);
+    if (now - r.listedAt < warmUpTime)
+        return cached;
+    // Other daemons sent the parts that many programs share.
+    std::int64_t shared = 0;
     for (const prompt_part &part : request.parts) {
-        if (!r.parts.contains(part.id))
+        const auto found = service.shared.find(part.id);
+        if (found == service.shared.end() || found->second.uses < usesUntilShared
+            || now - found->second.usedAt > sharedTime)
             break;
-        cached += part.tokens;
+        shared += part.tokens;
     }
-    if (r.entry.id == request.lastReplica)
-        cached = std::max(cached, request.lastTokens);
-    return cached;
+    return std::max(cached, shared);
 }
 
 double replica_board::cost(const replica_state &r, const placement_request &request,
                            std::int64_t cached, const service_state &service)
 {
     std::uniform_real_distribution<double> jitter(1, 1 + costJitter);
-    const double reading
-        = double(std::max<std::int64_t>(0, request.promptTokens - cached)) * service.msPerToken;
-    const bool isFar = r.entry.dataCentre != m_here;
+    const double unread = double(std::max<std::int64_t>(0, request.promptTokens - cached));
+    const double base = service.wait.base();
+    const double load = waitsPerOutstanding * base * r.outstanding;
     // Beyond its slots a request waits for others to end.
     const int waiting = std::max(0, r.outstanding + 1 - r.entry.slots);
-    const double queue = double(waiting) * service.waitMs / r.entry.slots;
-    const double load = request.parts.empty()
-        ? service.waitMs * r.outstanding / r.entry.slots
-        : msPerOutstanding * r.outstanding;
-    const double base = service.waitMs + reading + load + queue;
-    return r.slowness * base * jitter(m_random) + (isFar ? msForDistance : 0);
+    const double queue = base * waiting;
+    const bool isFar = r.entry.dataCentre != m_here;
+    const double sum = service.wait.expected(unread) + load + queue;
+    return r.slowness * sum * jitter(m_random) + (isFar ? msForDistance : 0);
+}
+
+void replica_board::noteParts(service_state &service, const std::vector<prompt_part> &parts,
+                              time_point now)
+{
+    if (service.shared.size() > maxSharedParts) {
+        std::erase_if(service.shared,
+                      [now](const auto &item) { return now - item.second.usedAt > sharedTime; });
+    }
+    for (const prompt_part &part : parts) {
+        shared_part &s = service.shared[part.id];
+        s.uses = now - s.usedAt > sharedTime ? 1 : s.uses + 1;
+        s.usedAt = now;
+    }
 }
 
 std::optional<placement> replica_board::choose(const placement_request &request, time_point now)
@@ -113,7 +152,7 @@
         const replica_state &r = m_replicas.at(id);
         if (r.leaving || r.entry.draining || request.tried.contains(id))
             continue;
-        const std::int64_t cached = cachedTokens(r, request);
+        const std::int64_t cached = cachedTokens(r, request, service, now);
         double c = cost(r, request, cached, service);
         // The replica that handled an object lately is the one with the highest hash of both.
         if (!request.affinityKey.empty() && r.outstanding < r.entry.slots)
@@ -143,10 +182,9 @@
     replica_state &r = found->second;
     ++r.outstanding;
     r.trust.onSent(now);
-    if (r.parts.size() + request.parts.size() > maxParts)
-        r.parts.clear();
-    for (const prompt_part &part : request.parts)
-        r.parts[part.id] = now;
+    service_state &service = m_services[request.service];
+    r.cache.use(request.parts, ownCapacity(service));
+    noteParts(service, request.parts, now);
 }
 
 void replica_board::onFirstByte(const placement &p, const placement_request &request,
@@ -157,17 +195,16 @@
         return;
     replica_state &r = found->second;
     r.trust.onAnswer(now);
-    service_state &s = m_services[request.service];
+    service_state &service = m_services[request.service];
     const double ms = std::chrono::duration<double, std::milli>(waited).count();
-    const double reading
-        = double(std::max<std::int64_t>(0, request.promptTokens - p.cachedTokens)) * s.msPerToken;
-    const double plain = std::max(0.1, ms - reading);
-    const double weight = std::max(sampleWeight, 1.0 / (1 + s.samples));
-    ++s.samples;
-    s.deviationMs += weight * (std::abs(plain - s.waitMs) - s.deviationMs);
-    s.waitMs += weight * (plain - s.waitMs);
-    const double slowness = std::clamp(plain / std::max(1.0, s.waitMs), 0.2, maxSlowness);
-    constexpr double slownessWeight = 0.15;
+    const double unread = double(std::max<std::int64_t>(0, request.promptTokens - p.cachedTokens));
+    const double expected = service.wait.expected(unread);
+    const bool isKnown = service.wait.samples() >= enoughSamples;
+    service.wait.add(unread, ms);
+    if (!isKnown)
+        return;
+    constexpr double slownessWeight = 0.1;
+    const double slowness = std::clamp(ms / expected, 0.5, maxSlowness);
     r.slowness += slownessWeight * (slowness - r.slowness);
 }
 
@@ -195,7 +232,7 @@
     case send_end::Silent:
     case send_end::Unreachable:
         r.trust.onUnreachable(now);
-        r.parts.clear();
+        r.cache.clear();
         break;
     case send_end::Cancelled:
         break;
@@ -210,13 +247,13 @@
 
 std::optional<duration> replica_board::typicalWait(std::string_view service) const
 {
-    constexpr int enoughSamples = 20;
     const auto found = m_services.find(service);
-    if (found == m_services.end() || found->second.samples < enoughSamples)
+    if (found == m_services.end() || found->second.wait.samples() < enoughSamples)
         return std::nullopt;
-    const service_state &s = found->second;
+    const wait_estimate &w = found->second.wait;
+    constexpr double deviations = 4;
     return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double, std::milli>(s.waitMs + 4 * s.deviationMs));
+        std::chrono::duration<double, std::milli>(w.base() + deviations * w.deviation()));
 }
 
 } // namespace azurehill
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "replicas/prefix_cache.h"
 #include "replicas/replica_entry.h"
 #include "replicas/replica_trust.h"
+#include "replicas/wait_estimate.h"
 
 #include <map>
 #include <memory>
@@ -14,13 +16,6 @@
 
 namespace azurehill {
 
-/// \brief One part of a prompt. Replicas keep parts in their cache by id.
-struct prompt_part
-{
-    std::string id;
-    std::int64_t tokens = 0;
-};
-
 /// \brief What a request needs of a replica.
 struct placement_request
 {
@@ -71,6 +66,10 @@
 
     /// \brief Takes in the entries that the store lists now.
     void setReplicas(const std::vector<replica_entry> &listed, time_point now);
+    /// \brief Takes in how many daemons send work to the replicas: this one sees its own only.
+    void setDaemons(int count) { m_daemons = std::max(1, count); }
+    /// \brief Takes in how many tokens a replica of \p service caches.
+    void setCacheTokens(const std::string &service, std::int64_t tokens);
     /// \brief The replica said itself that it is leaving, or another one has its address.
     void setLeaving(const upstream_id &id);
 
@@ -97,6 +96,12 @@
     int open(std::string_view service, time_point now) const;
 
 private:
+    /// \brief A part of prompts and how often it was sent lately.
+    struct shared_part
+    {
+        int uses = 0;
+        time_point usedAt;
+    };
     struct replica_state
     {
         replica_entry entry;
@@ -105,28 +110,29 @@
         replica_trust trust;
         /// Typical time to the first byte as a multiple of that of the service.
         double slowness = 1;
-        /// When each part of a prompt was last sent to the replica.
-        std::unordered_map<std::string, time_point> parts;
+        prefix_cache cache;
+        time_point listedAt;
     };
     struct service_state
     {
-        /// Average milliseconds to the first byte, and their average deviation.
-        double waitMs = 0;
-        double deviationMs = 0;
-        /// Average milliseconds for a prompt token that is not in the replica's cache.
-        double msPerToken = defaultMsPerToken;
-        int samples = 0;
+        wait_estimate wait;
+        /// Prompt parts that many requests share, by the time of their last use.
+        std::unordered_map<std::string, shared_part> shared;
+        /// Tokens that a replica's cache holds.
+        std::int64_t cacheTokens = 0;
     };
 
-    static constexpr double defaultMsPerToken = 0.03;
-
     bool mayTake(const replica_state &r, time_point now) const;
-    std::int64_t cachedTokens(const replica_state &r, const placement_request &request) const;
+    std::int64_t ownCapacity(const service_state &service) const;
+    std::int64_t cachedTokens(const replica_state &r, const placement_request &request,
+                              const service_state &service, time_point now) const;
     double cost(const replica_state &r, const placement_request &request, std::int64_t cached,
                 const service_state &service);
+    void noteParts(service_state &service, const std::vector<prompt_part> &parts, time_point now);
 
     data_centre_id m_here;
     std::minstd_rand m_random;
+    int m_daemons = 1;
     std::unordered_map<upstream_id, replica_state> m_replicas;
     std::map<std::string, std::vector<upstream_id>, std::less<>> m_byService;
     std::map<std::string, service_state, std::less<>> m_services;
--- a/src/routes/route_book.cpp
+++ b/src/routes/route_book.cpp
@@ -44,6 +44,14 @@
     return nullptr;
 }
 
+std::vector<service_rule> route_book::services() const
+{
+    std::vector<service_rule> list;
+    for (const auto &[name, rule] : m_services)
+        list.push_back(rule);
+    return list;
+}
+
 const service_rule *route_book::service(std::string_view name) const
 {
     const auto found = m_services.find(name);
--- a/src/routes/route_book.h
+++ b/src/routes/route_book.h
@@ -95,6 +95,7 @@
 
     /// \returns the route of \p hostname with the longest prefix of \p path, or nothing.
     const route_rule *find(std::string_view hostname, std::string_view path) const;
+    std::vector<service_rule> services() const;
     /// \returns the service called \p name, or nothing.
     const service_rule *service(std::string_view name) const;
 
