Bound work at the engines and order it by rank and by what programs can still win

Cause: after a burst every engine worked on 15 requests at once, each answer took four times its idle time, and all programs were late although none was refused; the feed call was cut after 400 ms and went through a peer, which made half of the store calls; SIGHUP ended the process.

--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -2,6 +2,7 @@
 
 #include "entry/client_request.h"
 #include "http/http_client.h"
+#include "runtime/timer.h"
 #include "routes/routes.h"
 
 #include <memory>
@@ -41,6 +42,10 @@
     /// Bytes of the answer went out to the client.
     bool begun = false;
     int sends = 0;
+    /// Whether the request holds a place at the engines of its service.
+    bool isInsideGate = false;
+    /// Ends the wait for a place, or null.
+    timer *gateAlarm = nullptr;
     /// Some replica may have worked on the request.
     bool mayHaveRun = false;
 
@@ -52,6 +57,8 @@
             cut = reason;
         if (connection)
             connection->close();
+        if (gateAlarm)
+            gateAlarm->cancel();
     }
 };
 
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -97,6 +97,15 @@
     return true;
 }
 
+void entry_control::setSettings(const host_settings &settings)
+{
+    m_settings.replicaDrain = settings.replicaDrain;
+    m_settings.configApply = settings.configApply;
+    m_settings.grace = settings.grace;
+    m_settings.lookupTtl = settings.lookupTtl;
+    m_settings.seeds = settings.seeds;
+}
+
 void entry_control::leave()
 {
     m_isLeaving = true;
@@ -285,7 +294,6 @@
 
 awaitable<void> entry_control::pollReplicas()
 {
-    const duration pause = part(m_settings.replicaDrain, replicaReadsPerDrain);
     while (true) {
         row_range range = replicaRange();
         const auto page = co_await m_store.read(std::move(range), soon());
@@ -298,7 +306,7 @@
                      {{"detail", page ? std::string() : page.error().detail}});
             m_storeWasReachable = reachable;
         }
-        co_await sleepFor(pause);
+        co_await sleepFor(part(m_settings.replicaDrain, replicaReadsPerDrain));
     }
 }
 
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -34,6 +34,8 @@
     void leave();
     /// \brief Takes the daemon's row out of the store.
     awaitable<void> unregister();
+    /// \brief Takes over the bounds and times of new settings. Addresses stay as they are.
+    void setSettings(const host_settings &settings);
     bool isLeaving() const { return m_isLeaving; }
 
 private:
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -3,6 +3,8 @@
 #include "http/sse.h"
 #include "platform/ingress.h"
 
+#include <boost/asio/redirect_error.hpp>
+
 #include <algorithm>
 
 namespace azurehill {
@@ -33,6 +35,15 @@
 /// by more than its program can make up.
 constexpr duration storePatience = milliseconds(1500);
 
+/// Share of its time that a request may wait for a place; beyond it, the answer could no longer come
+/// in time, and the client does better to ask again.
+constexpr double gatePatience = 0.4;
+
+duration gateShare(duration left)
+{
+    return std::chrono::duration_cast<duration>(gatePatience * left);
+}
+
 duration clientGap(const route_rule &route)
 {
     return std::max({leastClientGap, objectivesInGap * route.objective,
@@ -88,8 +99,10 @@
     m_routes = std::move(routes);
     m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
     for (const service_rule &service : m_routes->services()) {
-        if (service.engine)
-            m_board.setCacheTokens(service.name, service.engine->cacheTokens);
+        if (!service.engine)
+            continue;
+        m_board.setCacheTokens(service.name, service.engine->cacheTokens);
+        m_gates[service.name];
     }
 }
 
@@ -101,6 +114,7 @@
 void entry_service::setPeers(std::vector<endpoint> reachingStore, int alive)
 {
     m_board.setDaemons(alive);
+    m_daemons = alive;
     m_transport->setPeers(std::move(reachingStore));
 }
 
@@ -110,12 +124,89 @@
         const time_point now = runtime_clock::now();
         m_sender.sweep(now);
         m_ledger.expire(now);
+        for (auto &[name, gate] : m_gates) {
+            gate.setShare(m_board.open(name, now), m_daemons);
+            grantPlaces(gate);
+        }
         if (m_store.isReachable())
             m_storeFailedSince = now;
         co_await sleepFor(sweepPause);
     }
 }
 
+gate_ticket entry_service::ticketOf(const entry_call &call) const
+{
+    gate_ticket ticket;
+    ticket.rank = call.route->priority;
+    const duration said = call.request.programFinish.value_or(duration::max());
+    ticket.slack = said;
+    if (said > duration::zero())
+        return ticket;
+    const program_times times = m_ledger.timesOf(call.request.program);
+    ticket.slack = times.left.value_or(duration::zero());
+    // An answer within twice the program's time still earns something.
+    const bool isLost = times.left && times.aim && *times.left + *times.aim < duration::zero();
+    ticket.hope = isLost ? program_hope::Lost : program_hope::Late;
+    return ticket;
+}
+
+void entry_service::grantPlaces(service_gate &gate)
+{
+    for (const std::uint64_t number : gate.take()) {
+        const auto found = m_gateWaits.find(number);
+        if (found == m_gateWaits.end())
+            continue;
+        found->second->granted = true;
+        found->second->alarm.cancel();
+    }
+}
+
+awaitable<bool> entry_service::enterGate(entry_call_ptr call)
+{
+    const auto gate = m_gates.find(call->service);
+    if (gate == m_gates.end())
+        co_return true;
+    gate_ticket ticket = ticketOf(*call);
+    ticket.number = ++m_lastTicket;
+    if (gate->second.enter(ticket)) {
+        call->isInsideGate = true;
+        co_return true;
+    }
+    auto wait = std::make_shared<gate_wait>(m_executor);
+    m_gateWaits[ticket.number] = wait;
+    call->gateAlarm = &wait->alarm;
+    const time_point now = runtime_clock::now();
+    wait->alarm.expires_at(now + gateShare(call->deadline - now));
+    boost::system::error_code code;
+    co_await wait->alarm.async_wait(asio::redirect_error(use_awaitable, code));
+    call->gateAlarm = nullptr;
+    m_gateWaits.erase(ticket.number);
+    gate->second.withdraw(ticket.number);
+    call->isInsideGate = wait->granted;
+    logEvent(log_level::Info, wait->granted ? "place_granted" : "place_not_granted",
+             {{"request", call->request.id},
+              {"program", call->request.program.value},
+              {"rank", std::int64_t(ticket.rank)},
+              {"hope", std::string(toName(ticket.hope))},
+              {"waiting", std::int64_t(gate->second.waiting())},
+              {"inside", std::int64_t(gate->second.inside())},
+              {"limit", gate->second.limit()},
+              {"inflation", gate->second.inflation()},
+              {"waited_ms", toMilliseconds(runtime_clock::now() - now)}});
+    if (call->clientLeft())
+        leaveGate(*call);
+    co_return wait->granted && !call->clientLeft();
+}
+
+void entry_service::leaveGate(entry_call &call)
+{
+    const auto gate = m_gates.find(call.service);
+    if (!std::exchange(call.isInsideGate, false) || gate == m_gates.end())
+        return;
+    gate->second.leave();
+    grantPlaces(gate->second);
+}
+
 std::string entry_service::pickService(const route_rule &route)
 {
     double total = 0;
@@ -217,6 +308,7 @@
         co_await serveStream(call, request, writer);
     else
         co_await servePlain(call, request, writer);
+    leaveGate(*call);
 }
 
 awaitable<bool> entry_service::readBody(entry_call_ptr call, open_reply &reply, std::string &body)
@@ -320,6 +412,7 @@
 entry_service::relayStream(entry_call_ptr call, open_reply &reply, response_writer &writer)
 {
     stream_end result;
+    std::optional<time_point> firstAt;
     sse_reader events;
     header_list headers = replyHeaders(reply.head);
     call->begun = true;
@@ -333,6 +426,8 @@
             break;
         }
         call->lastByteAt = runtime_clock::now();
+        if (!firstAt)
+            firstAt = call->lastByteAt;
         m_board.onHeard(reply.where.replica.id, call->lastByteAt);
         events.feed(*piece);
         while (auto data = events.next()) {
@@ -342,6 +437,12 @@
         }
         open = co_await writer.writeChunk(*piece);
     }
+    constexpr std::int64_t enoughEvents = 4;
+    const auto gate = m_gates.find(call->service);
+    if (gate != m_gates.end() && firstAt && result.events >= enoughEvents) {
+        const std::chrono::duration<double, std::milli> span = call->lastByteAt - *firstAt;
+        gate->second.onPace(span.count() / double(result.events - 1), call->lastByteAt);
+    }
     send_end end = send_end::Answered;
     if (!result.isWhole) {
         const bool ours = call->clientLeft() || !open || call->cut == cut_reason::TimeOver;
@@ -349,12 +450,19 @@
                    : call->cut == cut_reason::ReplicaSilent ? send_end::Silent : send_end::Broken;
     }
     m_sender.finish(*call, reply, end);
+    leaveGate(*call);
     co_return result;
 }
 
 awaitable<void> entry_service::serveStream(entry_call_ptr call, const http_request &request,
                                            response_writer &writer)
 {
+    const bool hasPlace = co_await enterGate(call);
+    if (!hasPlace) {
+        if (!call->clientLeft())
+            co_await refuse(call, own_answer::Refused, "the engines are busy", writer);
+        co_return;
+    }
     placement_request wanted = wantedOf(*call);
     std::string body = request.body;
     auto reply = co_await m_sender.open(call, wanted, request, std::move(body));
@@ -391,7 +499,9 @@
 turn_claim claimOf(const client_request &r, const program_id &program)
 {
     const std::int64_t budget = r.tokenBudget.value_or(-1);
-    return {{r.id}, program, budget, r.tokens ? r.tokens->mostOutput : std::max<std::int64_t>(0, budget)};
+    const std::int64_t most
+        = r.tokens ? r.tokens->mostOutput : std::max<std::int64_t>(0, budget);
+    return {{r.id}, program, budget, most, r.programFinish, r.previousTurn.empty()};
 }
 
 } // namespace
@@ -428,6 +538,14 @@
             co_return;
         }
     }
+    const bool hasPlace = co_await enterGate(call);
+    if (!hasPlace) {
+        if (hasBudget)
+            spawn(m_executor, "settle", m_ledger.settleBroken(claim, 0));
+        if (!call->clientLeft())
+            co_await refuse(call, own_answer::Refused, "the engines are busy", writer);
+        co_return;
+    }
     placement_request wanted = wantedOf(*call);
     if (previous) {
         wanted.lastReplica = previous->replica;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -40,6 +40,20 @@
                               response_writer &writer);
     awaitable<void> sweep();
 
+    /// \brief A request that waits for a place at the engines.
+    struct gate_wait
+    {
+        explicit gate_wait(const asio::any_io_executor &executor) : alarm(executor) { }
+        timer alarm;
+        bool granted = false;
+    };
+    /// \brief Waits for a place at the engines of the call's service.
+    awaitable<bool> enterGate(entry_call_ptr call);
+    /// \brief Gives the call's place back, if it has one.
+    void leaveGate(entry_call &call);
+    void grantPlaces(service_gate &gate);
+    gate_ticket ticketOf(const entry_call &call) const;
+
     /// \brief How the relay of a stream ended.
     struct stream_end
     {
@@ -70,6 +84,11 @@
     upstream_sender m_sender;
     http_server m_server;
     route_book_ptr m_routes;
+    /// By service; only those with engines have one.
+    std::map<std::string, service_gate, std::less<>> m_gates;
+    std::map<std::uint64_t, std::shared_ptr<gate_wait>> m_gateWaits;
+    std::uint64_t m_lastTicket = 0;
+    int m_daemons = 1;
     time_point m_storeFailedSince;
 };
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -46,7 +46,59 @@
     controlContext.stop();
 }
 
-int run(const host_settings &s)
+constexpr duration settingsPause = seconds(2);
+
+/// \brief Takes over the settings file whenever it has changed: it may change without a signal, so
+/// it is read again now and then.
+class settings_watch
+{
+public:
+    settings_watch(std::string text, entry_control &control)
+        : m_text(std::move(text)), m_control(control)
+    { }
+
+    void check(bool signalled)
+    {
+        const auto text = loadSettingsText();
+        if (!text) {
+            logEvent(log_level::Error, "settings_unreadable", {{"detail", text.error()}});
+            return;
+        }
+        if (*text == m_text && !signalled)
+            return;
+        const auto settings = readSettingsText(*text);
+        if (!settings) {
+            logEvent(log_level::Error, "bad_settings", {{"detail", settings.error()}});
+            return;
+        }
+        logEvent(log_level::Info, "reloaded",
+                 {{"changed", *text != m_text}, {"signal", signalled}});
+        m_text = *text;
+        m_control.setSettings(*settings);
+    }
+
+private:
+    std::string m_text;
+    entry_control &m_control;
+};
+
+awaitable<void> watchSettings(settings_watch &watch)
+{
+    while (true) {
+        co_await sleepFor(settingsPause);
+        watch.check(false);
+    }
+}
+
+awaitable<void> awaitHangups(asio::signal_set &signals, settings_watch &watch)
+{
+    while (true) {
+        co_await signals.async_wait(use_awaitable);
+        watch.check(true);
+    }
+}
+
+int run(const host_settings &s, const std::string &settingsText)
 {
     asio::io_context controlContext(1);
     asio::io_context trafficContext(1);
@@ -75,6 +127,10 @@
                   shutDown(control, service, s, controlContext, trafficContext));
         }
     });
+    settings_watch watch(settingsText, control);
+    asio::signal_set hangups(controlContext, SIGHUP);
+    spawn(controlContext.get_executor(), "awaitHangups", awaitHangups(hangups, watch));
+    spawn(controlContext.get_executor(), "watchSettings", watchSettings(watch));
     logEvent(log_level::Info, "started", {{"daemon", s.name.value}, {"ip", s.ip}});
     const auto keepTraffic = asio::make_work_guard(trafficContext);
     std::thread traffic([&] { trafficContext.run(); });
@@ -90,11 +146,17 @@
 
 int main()
 {
-    const auto settings = azurehill::readSettingsFile();
+    const auto text = azurehill::loadSettingsText();
+    if (!text) {
+        azurehill::logEvent(azurehill::log_level::Error, "settings_unreadable",
+                            {{"detail", text.error()}});
+        return azurehill::exitBadSettings;
+    }
+    const auto settings = azurehill::readSettingsText(*text);
     if (!settings) {
         azurehill::logEvent(azurehill::log_level::Error, "bad_settings",
                             {{"detail", settings.error()}});
         return azurehill::exitBadSettings;
     }
-    return azurehill::run(*settings);
+    return azurehill::run(*settings, *text);
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -119,6 +119,9 @@
               {"replica", where.replica.id.value},
               {"outstanding", std::int64_t(where.outstanding)},
               {"candidates", std::int64_t(where.candidates)},
+              {"finish_ms", call->request.programFinish
+                                ? toMilliseconds(*call->request.programFinish)
+                                : std::int64_t(-1)},
               {"prompt_tokens", wanted.promptTokens},
               {"cached_tokens", where.cachedTokens},
               {"cost_ms", where.cost},
--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -59,7 +59,7 @@
 awaitable<tl::expected<http_response, http_error>>
 peer_transport::exchangeDirectly(http_request request, time_point deadline)
 {
-    auto response = co_await m_direct.exchange(std::move(request), deadline);
+    auto response = co_await m_direct.exchange(std::move(request), deadline, {});
     if (response && !turnsAway(response->status)) {
         m_directFailures = 0;
     } else {
@@ -88,13 +88,13 @@
 }
 
 awaitable<tl::expected<http_response, http_error>>
-peer_transport::exchange(http_request request, time_point deadline)
+peer_transport::exchange(http_request request, time_point deadline, duration hold)
 {
     const time_point now = runtime_clock::now();
     const bool peerFirst
         = !m_peers.empty() && m_directFailures > 0 && now < m_directFailedAt + directPause;
     const time_point firstDeadline
-        = m_peers.empty() ? deadline : std::min(deadline, now + directTime);
+        = m_peers.empty() ? deadline : std::min(deadline, now + directTime + hold);
     http_request copy = request;
     exchange_result first;
     if (peerFirst)
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -14,8 +14,8 @@
 public:
     peer_transport(const asio::any_io_executor &executor, endpoint storeAddress);
 
-    awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
-                                                                time_point deadline) override;
+    awaitable<tl::expected<http_response, http_error>>
+    exchange(http_request request, time_point deadline, duration hold) override;
     /// \brief Takes in which peers reach the store.
     void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
     /// \returns whether the last direct call was answered.
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -6,10 +6,13 @@
 
 namespace {
 
-/// What one more request of ours at a replica costs, in parts of the time that an answer takes to
-/// begin. Each daemon sees its own requests only, and the others have about as many there.
-/// Too low a price, and a few replicas that have a prompt's beginning take all the work.
-constexpr double waitsPerOutstanding = 0.5;
+/// What one more request of ours at a model replica costs, in prompt tokens that it could have read
+/// meanwhile. Each daemon sees its own requests only, and the others have about as many there. Too
+/// low a price, and a few replicas that have a prompt's beginning take all the work; too high, and
+/// prompts are read again elsewhere, which makes all slower.
+constexpr double tokensPerOutstanding = 1000;
+/// The same for a plain replica, in parts of its typical time and for each of its slots.
+constexpr double waitsPerOutstanding = 3;
 /// Milliseconds charged for another data centre: the way there and back, and bytes that are priced.
 constexpr double msForDistance = 6;
 /// Costs are drawn this far apart, so that daemons that know the same don't all choose alike.
@@ -116,7 +119,9 @@
     std::uniform_real_distribution<double> jitter(1, 1 + costJitter);
     const double unread = double(std::max<std::int64_t>(0, request.promptTokens - cached));
     const double base = service.wait.base();
-    const double load = waitsPerOutstanding * base * r.outstanding;
+    const double load = request.promptTokens > 0
+        ? tokensPerOutstanding * service.wait.perToken() * r.outstanding
+        : waitsPerOutstanding * base * r.outstanding / r.entry.slots;
     // Beyond its slots a request waits for others to end.
     const int waiting = std::max(0, r.outstanding + 1 - r.entry.slots);
     const double queue = base * waiting;
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -4,3 +4,4 @@
 /// \brief The replicas as the store lists them, what requests show of them, and the choice of one.
 
 #include "replicas/replica_board.h"
+#include "replicas/service_gate.h"
--- a/src/store/store_transport.cpp
+++ b/src/store/store_transport.cpp
@@ -18,7 +18,7 @@
 { }
 
 awaitable<tl::expected<http_response, http_error>>
-direct_transport::exchange(http_request request, time_point deadline)
+direct_transport::exchange(http_request request, time_point deadline, duration /*hold*/)
 {
     http_connection connection = m_pool.take(m_store, runtime_clock::now());
     if (!connection.isReusable()) {
--- a/src/store/store_transport.h
+++ b/src/store/store_transport.h
@@ -9,8 +9,9 @@
 {
 public:
     virtual ~store_transport() = default;
-    virtual awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
-                                                                        time_point deadline) = 0;
+    /// \param hold time for which the store may keep the call waiting on purpose.
+    virtual awaitable<tl::expected<http_response, http_error>>
+    exchange(http_request request, time_point deadline, duration hold) = 0;
 };
 
 /// \brief Speaks to the store on kept connections of its own.
@@ -18,8 +19,8 @@
 {
 public:
     direct_transport(const asio::any_io_executor &executor, endpoint store);
-    awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
-                                                                time_point deadline) override;
+    awaitable<tl::expected<http_response, http_error>>
+    exchange(http_request request, time_point deadline, duration hold) override;
 
 private:
     endpoint m_store;
--- a/src/turns/token_account.cpp
+++ b/src/turns/token_account.cpp
@@ -22,6 +22,8 @@
     json::object o;
     o["spent"] = account.spent;
     o["holds"] = std::move(held);
+    o["finish"] = account.finishUnixMs;
+    o["aim"] = account.aimMs;
     return json::serialize(o);
 }
 
@@ -33,6 +35,8 @@
         account.spent = document.at("spent").to_number<std::int64_t>();
         for (const auto &[id, tokens] : document.at("holds").as_object())
             account.holds[id] = tokens.to_number<std::int64_t>();
+        account.finishUnixMs = document.at("finish").to_number<std::int64_t>();
+        account.aimMs = document.at("aim").to_number<std::int64_t>();
         return account;
     } catch (const std::exception &) {
         // The caller logs the row's name: nothing of the program may run on a guess.
--- a/src/turns/token_account.h
+++ b/src/turns/token_account.h
@@ -16,6 +16,12 @@
 {
     std::int64_t spent = 0;
     std::map<std::string, std::int64_t> holds;
+    /// When the program should be finished, in milliseconds since 1970 by the clock of the daemon
+    /// that saw its first turn; 0 if unknown. Hosts' clocks differ a little, so this only orders
+    /// work.
+    std::int64_t finishUnixMs = 0;
+    /// Time that the program had for all of its work when it began, in milliseconds.
+    std::int64_t aimMs = 0;
 
     /// \returns spent and held tokens.
     std::int64_t committed() const;
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -9,8 +9,10 @@
 /// Longest wait for one answer of the store. It answers in a few milliseconds; fifty times slower
 /// is still below this, and a connection that went silent costs no more than this.
 constexpr duration callTime = milliseconds(800);
-/// Pause before a call that the store refused is made again.
-constexpr duration refusedPause = milliseconds(60);
+/// Pause before a call that failed is made again; doubled each time, since hundreds of turns may
+/// wait for the same outage to end and the store's calls are limited.
+constexpr duration leastPause = milliseconds(40);
+constexpr duration mostPause = milliseconds(640);
 /// How long the account of a broken turn is tried to be settled. What fails stays held, which is
 /// safe: the program may only spend less.
 constexpr duration settleTime = seconds(20);
@@ -68,8 +70,14 @@
     /// \returns \p account after the step, or nothing if the budget does not allow it.
     std::optional<token_account> apply(const token_account &account) const
     {
-        if (kind == step_kind::Reserve)
-            return hold(account, claim.id, claim.most, claim.budget);
+        if (kind == step_kind::Reserve) {
+            auto held = hold(account, claim.id, claim.most, claim.budget);
+            if (held && held->finishUnixMs == 0 && claim.finish) {
+                held->finishUnixMs = unixMilliseconds() + toMilliseconds(*claim.finish);
+                held->aimMs = claim.isFirst ? toMilliseconds(*claim.finish) : 0;
+            }
+            return held;
+        }
         return settle(account, claim.id, used);
     }
 };
@@ -87,6 +95,19 @@
     return state;
 }
 
+program_times turn_ledger::timesOf(const program_id &program) const
+{
+    const auto found = m_accounts.find(program);
+    if (found == m_accounts.end() || found->second->account.finishUnixMs == 0)
+        return {};
+    const token_account &account = found->second->account;
+    program_times times;
+    times.left = milliseconds(account.finishUnixMs - unixMilliseconds());
+    if (account.aimMs > 0)
+        times.aim = milliseconds(account.aimMs);
+    return times;
+}
+
 void turn_ledger::expire(time_point now)
 {
     m_cache.expire(now);
@@ -239,13 +260,15 @@
 {
     // Before the turn itself: a turn that is there and can't be found would be lost, while an entry
     // without its turn only costs a read.
+    duration pause = leastPause;
     while (runtime_clock::now() < deadline) {
         store_transaction entry;
         entry.writes.push_back({turn_rows::index(t->id), t->program.value});
         const auto version = co_await m_store.transact(std::move(entry), callDeadline(deadline));
         if (version)
             co_return true;
-        co_await sleepFor(refusedPause);
+        co_await sleepFor(pause);
+        pause = std::min(2 * pause, mostPause);
     }
     co_return false;
 }
@@ -328,6 +351,7 @@
     const row_name accountRow = turn_rows::account(step.claim.program);
     const row_name firstPiece = turn_rows::firstPiece(step.claim.program, step.claim.id);
     bool isFresh = false;
+    duration pause = leastPause;
     while (runtime_clock::now() < deadline) {
         if (step.isDone(state->account))
             co_return tl::expected<void, turn_refusal>();
@@ -339,6 +363,8 @@
             isFresh = co_await refreshAccount(state, step.claim.program, callDeadline(deadline));
             if (!isFresh && !m_store.isReachable())
                 co_return unavailable;
+            if (!isFresh)
+                co_await sleepFor(pause);
             continue;
         }
         store_transaction t = transactionOf(*state, step, *next);
@@ -364,8 +390,8 @@
         isFresh = false;
         if (isReserve && !m_store.isReachable())
             co_return unavailable;
-        if (version.error().kind == store_error_kind::Refused)
-            co_await sleepFor(refusedPause);
+        co_await sleepFor(pause);
+        pause = std::min(2 * pause, mostPause);
     }
     co_return unavailable;
 }
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -40,6 +40,19 @@
     std::int64_t budget = 0;
     /// Tokens that this turn generates at the most.
     std::int64_t most = 0;
+    /// Time until the program should be finished, if it said so.
+    std::optional<duration> finish;
+    /// Whether the program begins with this turn.
+    bool isFirst = false;
+};
+
+/// \brief How a program stands against the time that it should be finished.
+struct program_times
+{
+    /// Time that is left; negative once it is over. Nothing if unknown.
+    std::optional<duration> left;
+    /// Time that the program had at its start.
+    std::optional<duration> aim;
 };
 
 /// \brief Makes turns and budgets durable in the store, so that any daemon can go on from them.
@@ -70,6 +83,9 @@
     /// \param used tokens that may have reached the client; 0 if it did not run.
     awaitable<void> settleBroken(turn_claim claim, std::int64_t used);
 
+    /// \returns how \p program stands, as far as its account is known here.
+    program_times timesOf(const program_id &program) const;
+
     void expire(time_point now);
 
 private:
