--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -26,10 +26,11 @@
 constexpr int eventGapsInGap = 8;
 constexpr duration endMargin = milliseconds(300);
 
-/// Times to come back that are worth it: an outage that has just begun is often over soon, and one
-/// that lasts is likely to last as long again.
-constexpr duration leastComeBack = milliseconds(300);
-constexpr duration mostComeBack = seconds(2);
+/// Clients come back after this long when the store can't be reached. Outages last for seconds and a
+/// program gives up after a few tries: with two seconds between them it outlives one of six.
+constexpr duration storeComeBack = seconds(2);
+
+
 
 /// How long a turn may wait for the store before its first send. Later it would miss its objective
 /// by more than its program can make up.
@@ -118,18 +119,29 @@
     m_transport->setPeers(std::move(reachingStore));
 }
 
+void entry_service::tellLoad()
+{
+    std::vector<replica_load> load;
+    for (const auto &[id, requests] : m_board.ownLoad())
+        load.push_back({id, requests});
+    if (load == m_toldLoad)
+        return;
+    m_toldLoad = load;
+    if (m_onLoad)
+        m_onLoad(std::move(load));
+}
+
 awaitable<void> entry_service::sweep()
 {
     while (true) {
         const time_point now = runtime_clock::now();
         m_sender.sweep(now);
         m_ledger.expire(now);
+        tellLoad();
         for (auto &[name, gate] : m_gates) {
             gate.setShare(m_board.open(name, now), m_daemons);
             grantPlaces(gate);
         }
-        if (m_store.isReachable())
-            m_storeFailedSince = now;
         co_await sleepFor(sweepPause);
     }
 }
@@ -233,18 +245,9 @@
     return wanted;
 }
 
-duration entry_service::comeBack(own_answer answer) const
-{
-    if (answer != own_answer::Refused)
-        return duration::zero();
-    const duration outage = runtime_clock::now() - m_storeFailedSince;
-    return std::clamp<duration>(outage, leastComeBack, mostComeBack);
-}
-
 awaitable<void> entry_service::refuse(entry_call_ptr call, own_answer answer, std::string detail,
-                                      response_writer &writer)
+                                      response_writer &writer, duration retryAfter)
 {
-    const duration retryAfter = comeBack(answer);
     logEvent(log_level::Warning, "own_answer",
              {{"request", call->request.id},
               {"program", call->request.program.value},
@@ -517,7 +520,7 @@
         auto loaded = co_await m_ledger.load(r.program, r.previousTurn, storeDeadline);
         if (!loaded) {
             co_await refuse(call, answerFor(loaded.error()), std::string(toName(loaded.error())),
-                            writer);
+                            writer, storeComeBack);
             co_return;
         }
         previous = std::move(*loaded);
@@ -534,7 +537,7 @@
             if (reserved.error() == turn_refusal::StoreUnavailable)
                 spawn(m_executor, "settle", m_ledger.settleBroken(claim, 0));
             co_await refuse(call, answerFor(reserved.error()),
-                            std::string(toName(reserved.error())), writer);
+                            std::string(toName(reserved.error())), writer, storeComeBack);
             co_return;
         }
     }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -29,6 +29,12 @@
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
+    void setOthersLoad(const std::map<upstream_id, int> &load) { m_board.setOthersLoad(load); }
+    /// \brief Calls \p listener on the traffic thread with this daemon's work whenever it changed.
+    void onLoad(std::function<void(std::vector<replica_load>)> listener)
+    {
+        m_onLoad = std::move(listener);
+    }
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
@@ -39,6 +45,7 @@
     awaitable<void> serveTurn(entry_call_ptr call, const http_request &request,
                               response_writer &writer);
     awaitable<void> sweep();
+    void tellLoad();
 
     /// \brief A request that waits for a place at the engines.
     struct gate_wait
@@ -67,12 +74,11 @@
     awaitable<void> relayFailure(entry_call_ptr call, open_reply reply, response_writer &writer);
     awaitable<bool> readBody(entry_call_ptr call, open_reply &reply, std::string &body);
     awaitable<void> refuse(entry_call_ptr call, own_answer answer, std::string detail,
-                           response_writer &writer);
+                           response_writer &writer, duration retryAfter = milliseconds(300));
     awaitable<void> giveUp(entry_call_ptr call, send_failure failure, response_writer &writer);
 
     std::string pickService(const route_rule &route);
     placement_request wantedOf(const entry_call &call) const;
-    duration comeBack(own_answer answer) const;
 
     host_settings m_settings;
     asio::any_io_executor m_executor;
@@ -89,7 +95,8 @@
     std::map<std::uint64_t, std::shared_ptr<gate_wait>> m_gateWaits;
     std::uint64_t m_lastTicket = 0;
     int m_daemons = 1;
-    time_point m_storeFailedSince;
+    std::function<void(std::vector<replica_load>)> m_onLoad;
+    std::vector<replica_load> m_toldLoad;
 };
 
 } // namespace azurehill
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -113,7 +113,8 @@
     /// \brief Waits up to \p wait for changes of \p table after \p after.
     virtual awaitable<store_result<row_page>> changes(std::string table, store_version after,
                                                       duration wait, time_point deadline) = 0;
-    /// \returns whether the last calls were answered; a guess that costs no call.
+    /// \returns whether a call is worth making: the last ones were answered, or none was made for a
+    /// while. It costs no call.
     virtual bool isReachable() const = 0;
 };
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -202,6 +202,8 @@
 {
     if (turn_ptr known = m_cache.find(previous))
         co_return known;
+    if (!m_store.isReachable())
+        co_return tl::unexpected(turn_refusal::StoreUnavailable);
     // One lost answer must not refuse the turn: the second try takes a new connection.
     constexpr int tries = 2;
     for (int i = 0; i < tries && runtime_clock::now() < deadline; ++i) {
@@ -226,6 +228,8 @@
 awaitable<tl::expected<void, turn_refusal>> turn_ledger::reserve(turn_claim claim,
                                                                  time_point deadline)
 {
+    if (!m_store.isReachable())
+        co_return tl::unexpected(turn_refusal::StoreUnavailable);
     account_ptr state = accountOf(claim.program);
     account_step step;
     step.kind = account_step::step_kind::Reserve;
