--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -377,7 +377,6 @@
                 m_gossip.send({seed.host, m_settings.gossip.port}, message);
         }
         publishPeers();
-        m_events.onOthersLoad(m_members.othersLoad());
         co_await sleepFor(gossipRound);
     }
 }
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -19,8 +19,6 @@
     std::function<void(std::vector<replica_entry>)> onReplicas;
     /// The addresses of the peers that reach the store, and the number of daemons that live.
     std::function<void(std::vector<endpoint>, int)> onPeers;
-    /// The other daemons' work at the replicas.
-    std::function<void(std::map<upstream_id, int>)> onOthersLoad;
 };
 
 /// \brief What a daemon believes of the system: configuration, replicas, members. It answers
@@ -38,8 +36,6 @@
     awaitable<void> unregister();
     /// \brief Takes over the bounds and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
-    /// \brief Takes in this daemon's work at the replicas, which the others are told.
-    void setLoad(std::vector<replica_load> load) { m_members.self().load = std::move(load); }
     bool isLeaving() const { return m_isLeaving; }
 
 private:
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -119,25 +119,12 @@
     m_transport->setPeers(std::move(reachingStore));
 }
 
-void entry_service::tellLoad()
-{
-    std::vector<replica_load> load;
-    for (const auto &[id, requests] : m_board.ownLoad())
-        load.push_back({id, requests});
-    if (load == m_toldLoad)
-        return;
-    m_toldLoad = load;
-    if (m_onLoad)
-        m_onLoad(std::move(load));
-}
-
 awaitable<void> entry_service::sweep()
 {
     while (true) {
         const time_point now = runtime_clock::now();
         m_sender.sweep(now);
         m_ledger.expire(now);
-        tellLoad();
         for (auto &[name, gate] : m_gates) {
             gate.setShare(m_board.open(name, now), m_daemons);
             grantPlaces(gate);
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -29,12 +29,6 @@
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
-    void setOthersLoad(const std::map<upstream_id, int> &load) { m_board.setOthersLoad(load); }
-    /// \brief Calls \p listener on the traffic thread with this daemon's work whenever it changed.
-    void onLoad(std::function<void(std::vector<replica_load>)> listener)
-    {
-        m_onLoad = std::move(listener);
-    }
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
@@ -45,7 +39,6 @@
     awaitable<void> serveTurn(entry_call_ptr call, const http_request &request,
                               response_writer &writer);
     awaitable<void> sweep();
-    void tellLoad();
 
     /// \brief A request that waits for a place at the engines.
     struct gate_wait
@@ -95,8 +88,6 @@
     std::map<std::uint64_t, std::shared_ptr<gate_wait>> m_gateWaits;
     std::uint64_t m_lastTicket = 0;
     int m_daemons = 1;
-    std::function<void(std::vector<replica_load>)> m_onLoad;
-    std::vector<replica_load> m_toldLoad;
 };
 
 } // namespace azurehill
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -115,14 +115,7 @@
         asio::post(trafficContext,
                    [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
     };
-    events.onOthersLoad = [&](std::map<upstream_id, int> load) {
-        asio::post(trafficContext,
-                   [&service, l = std::move(load)] { service.setOthersLoad(l); });
-    };
     entry_control control(controlContext, s, std::move(events));
-    service.onLoad([&](std::vector<replica_load> load) {
-        asio::post(controlContext, [&control, l = std::move(load)] { control.setLoad(l); });
-    });
     if (!service.start() || !control.start()) {
         logEvent(log_level::Error, "cant_listen", {{"ip", s.ip}});
         return exitCantListen;
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -118,7 +118,6 @@
               {"program", call->request.program.value},
               {"replica", where.replica.id.value},
               {"outstanding", std::int64_t(where.outstanding)},
-              {"others_outstanding", std::int64_t(where.othersOutstanding)},
               {"candidates", std::int64_t(where.candidates)},
               {"finish_ms", call->request.programFinish
                                 ? toMilliseconds(*call->request.programFinish)
--- a/src/members/member_list.cpp
+++ b/src/members/member_list.cpp
@@ -97,18 +97,6 @@
     return living;
 }
 
-std::map<upstream_id, int> member_list::othersLoad() const
-{
-    std::map<upstream_id, int> sum;
-    for (const auto &[name, e] : m_members) {
-        if (!e.isAlive)
-            continue;
-        for (const replica_load &l : e.state.load)
-            sum[l.replica] += l.requests;
-    }
-    return sum;
-}
-
 std::vector<member_state> member_list::alive() const
 {
     std::vector<member_state> result;
--- a/src/members/member_list.h
+++ b/src/members/member_list.h
@@ -50,8 +50,6 @@
     std::vector<member_state> pickPeers(std::size_t count);
     /// \returns the other members that live.
     std::vector<member_state> alive() const;
-    /// \returns the work of the other members that live, by replica.
-    std::map<upstream_id, int> othersLoad() const;
     std::size_t known() const { return m_members.size(); }
 
 private:
--- a/src/members/member_state.cpp
+++ b/src/members/member_state.cpp
@@ -21,10 +21,6 @@
     o["serving"] = m.serving;
     o["store"] = m.storeReachable;
     o["config"] = m.configVersion;
-    json::object load;
-    for (const replica_load &l : m.load)
-        load[l.replica.value] = l.requests;
-    o["load"] = std::move(load);
     return o;
 }
 
@@ -49,8 +45,6 @@
     m.serving = o.at("serving").as_bool();
     m.storeReachable = o.at("store").as_bool();
     m.configVersion = o.at("config").to_number<std::uint64_t>();
-    for (const auto &[id, requests] : o.at("load").as_object())
-        m.load.push_back({{std::string(id)}, requests.to_number<int>()});
     return m;
 }
 
--- a/src/members/member_state.h
+++ b/src/members/member_state.h
@@ -10,15 +10,6 @@
 
 namespace azurehill {
 
-/// \brief Requests of one daemon that are under way at a replica.
-struct replica_load
-{
-    upstream_id replica;
-    int requests = 0;
-
-    friend bool operator==(const replica_load &, const replica_load &) = default;
-};
-
 /// \brief What a daemon tells the others of itself.
 struct member_state
 {
@@ -36,8 +27,6 @@
     /// Whether the daemon reaches the store itself.
     bool storeReachable = false;
     std::uint64_t configVersion = 0;
-    /// The daemon's work at the replicas where it has any.
-    std::vector<replica_load> load;
 };
 
 /// \returns \p states as one message.
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-/// What each request under way at a model replica costs, in prompt tokens that the replica could
-/// read meanwhile: a step of the batch takes about a millisecond longer for each member, and an
-/// answer takes some tens of steps. Too low a price, and a few replicas that have a prompt's
-/// beginning take all the work; too high, and prompts are read again elsewhere.
+/// What one more request of ours at a model replica costs, in prompt tokens that it could have read
+/// meanwhile. Each daemon sees its own requests only, and the others have about as many there. Too
+/// low a price, and a few replicas that have a prompt's beginning take all the work; too high, and
+/// prompts are read again elsewhere, which makes all slower.
 constexpr double tokensPerOutstanding = 1000;
 /// The same for a plain replica, in parts of its typical time and for each of its slots.
-constexpr double waitsPerOutstanding = 1;
+constexpr double waitsPerOutstanding = 3;
 /// Milliseconds charged for another data centre: the way there and back, and bytes that are priced.
 constexpr double msForDistance = 6;
 /// Costs are drawn this far apart, so that daemons that know the same don't all choose alike.
@@ -61,24 +61,6 @@
     m_replicas = std::move(next);
 }
 
-void replica_board::setOthersLoad(const std::map<upstream_id, int> &load)
-{
-    for (auto &[id, r] : m_replicas) {
-        const auto found = load.find(id);
-        r.othersOutstanding = found == load.end() ? 0 : found->second;
-    }
-}
-
-std::map<upstream_id, int> replica_board::ownLoad() const
-{
-    std::map<upstream_id, int> load;
-    for (const auto &[id, r] : m_replicas) {
-        if (r.outstanding > 0)
-            load[id] = r.outstanding;
-    }
-    return load;
-}
-
 void replica_board::setLeaving(const upstream_id &id)
 {
     if (const auto found = m_replicas.find(id); found != m_replicas.end())
@@ -137,12 +119,11 @@
     std::uniform_real_distribution<double> jitter(1, 1 + costJitter);
     const double unread = double(std::max<std::int64_t>(0, request.promptTokens - cached));
     const double base = service.wait.base();
-    const int underWay = r.outstanding + r.othersOutstanding;
     const double load = request.promptTokens > 0
-        ? tokensPerOutstanding * service.wait.perToken() * underWay
-        : waitsPerOutstanding * base * underWay / r.entry.slots;
+        ? tokensPerOutstanding * service.wait.perToken() * r.outstanding
+        : waitsPerOutstanding * base * r.outstanding / r.entry.slots;
     // Beyond its slots a request waits for others to end.
-    const int waiting = std::max(0, underWay + 1 - r.entry.slots);
+    const int waiting = std::max(0, r.outstanding + 1 - r.entry.slots);
     const double queue = base * waiting;
     const bool isFar = r.entry.dataCentre != m_here;
     const double sum = service.wait.expected(unread) + load + queue;
@@ -181,7 +162,7 @@
         // The replica that handled an object lately is the one with the highest hash of both.
         if (!request.affinityKey.empty() && r.outstanding < r.entry.slots)
             c *= 1 - 0.5 * double(stableHash(request.affinityKey + id.value) % 1000) / 1000;
-        const placement p{r.entry, r.outstanding, r.othersOutstanding, cached, c, 0};
+        const placement p{r.entry, r.outstanding, cached, c, 0};
         if (!r.trust.mayTake(now)) {
             if (!bestDoubted || c < bestDoubted->cost)
                 bestDoubted = p;
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -51,8 +51,6 @@
     replica_entry replica;
     /// Requests of this daemon that are under way there.
     int outstanding = 0;
-    /// The same of the others, as they last told it.
-    int othersOutstanding = 0;
     /// Prompt tokens that the replica is expected to have.
     std::int64_t cachedTokens = 0;
     /// Expected time until the answer begins, in milliseconds.
@@ -70,10 +68,6 @@
     void setReplicas(const std::vector<replica_entry> &listed, time_point now);
     /// \brief Takes in how many daemons send work to the replicas: this one sees its own only.
     void setDaemons(int count) { m_daemons = std::max(1, count); }
-    /// \brief Takes in the work of the other daemons, as they last told it.
-    void setOthersLoad(const std::map<upstream_id, int> &load);
-    /// \returns this daemon's work at the replicas where it has any.
-    std::map<upstream_id, int> ownLoad() const;
     /// \brief Takes in how many tokens a replica of \p service caches.
     void setCacheTokens(const std::string &service, std::int64_t tokens);
     /// \brief The replica said itself that it is leaving, or another one has its address.
@@ -113,8 +107,6 @@
         replica_entry entry;
         bool leaving = false;
         int outstanding = 0;
-        /// Requests of other daemons, as they last told it.
-        int othersOutstanding = 0;
         replica_trust trust;
         /// Typical time to the first byte as a multiple of that of the service.
         double slowness = 1;
