--- a/src/core/core.h
+++ b/src/core/core.h
@@ -6,5 +6,6 @@
 #include "core/enum_names.h"
 #include "core/ids.h"
 #include "core/log.h"
+#include "core/log_event.h"
 #include "core/outcome.h"
 #include "core/runtime_clock.h"
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -1,5 +1,7 @@
 #include "core/log.h"
 
+#include "core/log_line.h"
+#include "core/log_sink.h"
 #include "core/runtime_clock.h"
 
 #include <boost/json.hpp>
@@ -34,18 +36,36 @@
     lowestLevel = lowest;
 }
 
-void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+std::string formatLogLine(log_level level, std::string_view event,
+                          std::initializer_list<log_field> fields)
 {
-    if (level < lowestLevel)
-        return;
     boost::json::object line;
     line["time"] = utcNow();
     line["level"] = toName(level);
     line["event"] = event;
     for (const log_field &field : fields)
         line[field.name] = toJson(field);
+    return boost::json::serialize(line) + '\n';
+}
+
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields)
+{
+    if (level < lowestLevel)
+        return;
     // One write a line, so that lines of several threads don't mix.
-    fmt::print(stderr, "{}\n", boost::json::serialize(line));
+    fmt::print(stderr, "{}", formatLogLine(level, event, fields));
+}
+
+void logDecision(log_event event, std::initializer_list<log_field> fields)
+{
+    const log_level level = levelOf(event);
+    if (level < lowestLevel)
+        return;
+    std::string line = formatLogLine(level, toName(event), fields);
+    if (log_sink *sink = currentLogSink())
+        sink->put(event, std::move(line), unixMilliseconds());
+    else
+        fmt::print(stderr, "{}", line);
 }
 
 } // namespace azurehill
--- /dev/null
+++ b/src/core/log_event.h
@@ -0,0 +1,118 @@
+#pragma once
+
+#include "core/log.h"
+
+#include <array>
+#include <string_view>
+
+namespace azurehill {
+
+/// \brief What a daemon tells in its log: decisions about a request, and changes of what it
+/// believes. docs/LOGS.md explains each with its fields.
+enum class log_event {
+    Started,
+    Stopping,
+    Stopped,
+    Reloaded,
+    BadSettings,
+    CantListen,
+    ConfigurationAdopted,
+    ConfigurationUnreadable,
+    ReplicaListed,
+    ReplicaDraining,
+    ReplicaGone,
+    ReplicaRowUnreadable,
+    ReplicaDoubted,
+    ReplicaTrusted,
+    MemberBack,
+    MemberGone,
+    GossipUnreadable,
+    StoreLost,
+    StoreRegained,
+    NotUnregistered,
+    RowUnreadable,
+    RowsDropped,
+    TokensHeld,
+    HoldNotSettled,
+    PlaceGranted,
+    PlaceNotGranted,
+    Sent,
+    SendEnded,
+    TurnDurable,
+    TurnNotDurable,
+    TurnBrokeOff,
+    Answered,
+    OwnAnswer,
+    LogDropped,
+};
+
+template <>
+struct enum_names<log_event>
+{
+    static constexpr std::array<std::string_view, 34> names = {"started",
+                                                               "stopping",
+                                                               "stopped",
+                                                               "reloaded",
+                                                               "bad_settings",
+                                                               "cant_listen",
+                                                               "configuration_adopted",
+                                                               "configuration_unreadable",
+                                                               "replica_listed",
+                                                               "replica_draining",
+                                                               "replica_gone",
+                                                               "replica_row_unreadable",
+                                                               "replica_doubted",
+                                                               "replica_trusted",
+                                                               "member_back",
+                                                               "member_gone",
+                                                               "gossip_unreadable",
+                                                               "store_lost",
+                                                               "store_regained",
+                                                               "not_unregistered",
+                                                               "row_unreadable",
+                                                               "rows_dropped",
+                                                               "tokens_held",
+                                                               "hold_not_settled",
+                                                               "place_granted",
+                                                               "place_not_granted",
+                                                               "sent",
+                                                               "send_ended",
+                                                               "turn_durable",
+                                                               "turn_not_durable",
+                                                               "turn_broke_off",
+                                                               "answered",
+                                                               "own_answer",
+                                                               "log_dropped"};
+};
+
+/// \returns how serious an event is.
+constexpr log_level levelOf(log_event event)
+{
+    switch (event) {
+    case log_event::BadSettings:
+    case log_event::CantListen:
+    case log_event::ConfigurationUnreadable:
+    case log_event::RowUnreadable:
+        return log_level::Error;
+    case log_event::ReplicaRowUnreadable:
+    case log_event::ReplicaDoubted:
+    case log_event::MemberGone:
+    case log_event::GossipUnreadable:
+    case log_event::StoreLost:
+    case log_event::NotUnregistered:
+    case log_event::HoldNotSettled:
+    case log_event::PlaceNotGranted:
+    case log_event::TurnNotDurable:
+    case log_event::TurnBrokeOff:
+    case log_event::OwnAnswer:
+    case log_event::LogDropped:
+        return log_level::Warning;
+    default:
+        return log_level::Info;
+    }
+}
+
+/// \brief Writes one line for \p event. Never waits: a line too many is dropped and counted.
+void logDecision(log_event event, std::initializer_list<log_field> fields = {});
+
+} // namespace azurehill
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -1,7 +1,7 @@
 #include "daemon/upstream_call.h"
 
-#include "http/sse.h"
 #include "http/http_client.h"
+#include "http/sse.h"
 
 #include <boost/json.hpp>
 #include <fmt/format.h>
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -2,8 +2,8 @@
 
 #include "entry/client_request.h"
 #include "http/http_client.h"
-#include "runtime/timer.h"
 #include "routes/routes.h"
+#include "runtime/timer.h"
 
 #include <memory>
 
@@ -41,6 +41,8 @@
     cut_reason cut = cut_reason::None;
     /// Bytes of the answer went out to the client.
     bool begun = false;
+    /// The answer was the daemon's own.
+    bool isOwnAnswer = false;
     int sends = 0;
     /// Whether the request holds a place at the engines of its service.
     bool isInsideGate = false;
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_control.h"
 
+#include "core/log_event.h"
 #include "platform/config_codec.h"
 #include "platform/ingress.h"
 #include "platform/replica_codec.h"
@@ -15,7 +16,7 @@
 /// Members told in a round, and states in one message: with these a beat is everywhere in two or
 /// three rounds, at a bounded cost whatever the number of daemons.
 constexpr std::size_t gossipFanout = 4;
-constexpr std::size_t gossipStates = 12;
+constexpr std::size_t gossipStates = 40;
 
 /// Longest wait of one call to the feed. Short, since a feed may go silent while changes are made.
 constexpr duration feedWait = seconds(2);
@@ -66,8 +67,7 @@
 entry_control::entry_control(asio::io_context &context, const host_settings &settings,
                              control_events events)
     : m_context(context), m_settings(settings), m_events(std::move(events)),
-      m_transport(
-          std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress)),
+      m_transport(std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress)),
       m_store(m_transport),
       m_readinessServer(context.get_executor(), {},
                         [this](const http_request &r, response_writer &w) { return answer(r, w); }),
@@ -84,8 +84,8 @@
 bool entry_control::start()
 {
     const bool bound = m_readinessServer.listen(m_settings.readiness) != 0
-        && m_lookupServer.listen(m_settings.lookups) != 0 && m_peerServer.listen(m_settings.peers) != 0
-        && m_gossip.listen(m_settings.gossip) != 0;
+        && m_lookupServer.listen(m_settings.lookups) != 0
+        && m_peerServer.listen(m_settings.peers) != 0 && m_gossip.listen(m_settings.gossip) != 0;
     if (!bound)
         return false;
     const auto executor = m_context.get_executor();
@@ -106,6 +106,19 @@
     m_settings.seeds = settings.seeds;
 }
 
+entry_gauges entry_control::gauges() const
+{
+    entry_gauges g;
+    g.members = static_cast<int>(m_members.alive().size()) + 1;
+    g.replicas = static_cast<int>(m_replicas.size());
+    g.drainingReplicas
+        = static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
+                                         [](const auto &item) { return item.second.draining; }));
+    g.configVersion = m_routes ? m_routes->version() : 0;
+    g.storeReachable = m_transport->isDirectWorking();
+    return g;
+}
+
 void entry_control::leave()
 {
     m_isLeaving = true;
@@ -122,7 +135,7 @@
     t.removals.push_back(memberRow(m_settings.name));
     const auto done = co_await m_store.transact(std::move(t), soon());
     if (!done)
-        logEvent(log_level::Warning, "not_unregistered", {{"detail", done.error().detail}});
+        logDecision(log_event::NotUnregistered, {{"detail", done.error().detail}});
 }
 
 http_response entry_control::answerLookup() const
@@ -138,8 +151,8 @@
         if (m.storeReachable)
             reaching.push_back(m.clients);
     }
-    // A daemon that the store turns away is slower, so callers go elsewhere, unless too few would be
-    // left to carry them.
+    // A daemon that the store turns away is slower, so callers go elsewhere, unless too few would
+    // be left to carry them.
     constexpr std::size_t enoughShare = 3;
     std::vector<endpoint> &chosen
         = reaching.size() * enoughShare >= serving.size() ? reaching : serving;
@@ -176,8 +189,8 @@
         if (reply)
             response = std::move(*reply);
         else
-            response = jsonResponse(
-                reply.error().ran == outcome::DidNotRun ? nothingDone : unknown, "{}");
+            response = jsonResponse(reply.error().ran == outcome::DidNotRun ? nothingDone : unknown,
+                                    "{}");
     } else {
         response = encodeOwnAnswer(own_answer::NoRoute, "", {});
     }
@@ -188,9 +201,9 @@
 {
     auto book = decodeConfiguration(row.value);
     if (!book) {
-        logEvent(log_level::Error, "configuration_unreadable",
-                 {{"row_version", static_cast<std::int64_t>(row.version)},
-                  {"detail", book.error()}});
+        logDecision(
+            log_event::ConfigurationUnreadable,
+            {{"row_version", static_cast<std::int64_t>(row.version)}, {"detail", book.error()}});
         return;
     }
     // An older version may be read after a newer one; it must never come back into force.
@@ -198,11 +211,11 @@
         return;
     m_routes = *book;
     m_members.self().configVersion = m_routes->version();
-    logEvent(log_level::Info, "configuration_adopted",
-             {{"version", static_cast<std::int64_t>(m_routes->version())},
-              {"row_version", static_cast<std::int64_t>(row.version)},
-              {"routes", static_cast<std::int64_t>(m_routes->routes().size())},
-              {"source", std::string(source)}});
+    logDecision(log_event::ConfigurationAdopted,
+                {{"version", static_cast<std::int64_t>(m_routes->version())},
+                 {"row_version", static_cast<std::int64_t>(row.version)},
+                 {"routes", static_cast<std::int64_t>(m_routes->routes().size())},
+                 {"source", std::string(source)}});
     m_events.onRoutes(m_routes);
 }
 
@@ -220,8 +233,8 @@
 {
     while (true) {
         co_await readConfiguration();
-        const duration pause = m_routes ? part(m_settings.configApply, configReadsPerApply)
-                                        : failedPause;
+        const duration pause
+            = m_routes ? part(m_settings.configApply, configReadsPerApply) : failedPause;
         co_await sleepFor(pause);
     }
 }
@@ -272,17 +285,17 @@
             continue;
         const auto old = m_replicas.find(entry->id);
         if (old == m_replicas.end()) {
-            logEvent(log_level::Info, "replica_listed",
-                     {{"replica", entry->id.value}, {"service", entry->service}});
+            logDecision(log_event::ReplicaListed,
+                        {{"replica", entry->id.value}, {"service", entry->service}});
         } else if (entry->draining && !old->second.draining) {
-            logEvent(log_level::Info, "replica_draining", {{"replica", entry->id.value}});
+            logDecision(log_event::ReplicaDraining, {{"replica", entry->id.value}});
         }
         upstream_id id = entry->id;
         next.emplace(std::move(id), std::move(*entry));
     }
     for (const auto &[id, old] : m_replicas) {
         if (!next.contains(id))
-            logEvent(log_level::Info, "replica_gone", {{"replica", id.value}});
+            logDecision(log_event::ReplicaGone, {{"replica", id.value}});
     }
     m_replicas = std::move(next);
     m_hasReplicas = true;
@@ -301,9 +314,8 @@
             adoptReplicas(*page);
         const bool reachable = m_transport->isDirectWorking();
         if (reachable != m_storeWasReachable) {
-            logEvent(reachable ? log_level::Info : log_level::Warning,
-                     reachable ? "store_regained" : "store_lost",
-                     {{"detail", page ? std::string() : page.error().detail}});
+            logDecision(reachable ? log_event::StoreRegained : log_event::StoreLost,
+                        {{"detail", page ? std::string() : page.error().detail}});
             m_storeWasReachable = reachable;
         }
         co_await sleepFor(part(m_settings.replicaDrain, replicaReadsPerDrain));
@@ -336,10 +348,10 @@
 void entry_control::logMembers(const std::vector<member_change> &changes)
 {
     for (const member_change &c : changes) {
-        logEvent(log_level::Info, c.isAlive ? "member_back" : "member_gone",
-                 {{"member", c.member.name.value},
-                  {"beat", static_cast<std::int64_t>(c.member.beat)},
-                  {"silent_ms", toMilliseconds(c.silence)}});
+        logDecision(c.isAlive ? log_event::MemberBack : log_event::MemberGone,
+                    {{"member", c.member.name.value},
+                     {"beat", static_cast<std::int64_t>(c.member.beat)},
+                     {"silent_ms", toMilliseconds(c.silence)}});
     }
 }
 
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/entry_metrics.h"
 #include "entry/host_settings.h"
 #include "http/http_server.h"
 #include "members/members.h"
@@ -28,7 +29,8 @@
 public:
     entry_control(asio::io_context &context, const host_settings &settings, control_events events);
 
-    /// \brief Listens and begins to follow the store. \returns whether all addresses could be bound.
+    /// \brief Listens and begins to follow the store. \returns whether all addresses could be
+    /// bound.
     bool start();
     /// \brief Leaves look-ups and the readiness check, and tells the others.
     void leave();
@@ -36,6 +38,8 @@
     awaitable<void> unregister();
     /// \brief Takes over the bounds and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
+    /// \returns what the daemon believes, for the metrics.
+    entry_gauges gauges() const;
     bool isLeaving() const { return m_isLeaving; }
 
 private:
--- /dev/null
+++ b/src/entry/entry_metrics.cpp
@@ -0,0 +1,104 @@
+#include "entry/entry_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <mutex>
+#include <set>
+
+namespace azurehill {
+
+namespace {
+
+/// Seconds; from a store's answer to the longest time that a client waits.
+const prometheus::Histogram::BucketBoundaries bounds
+    = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8};
+
+/// Causes beyond these many are counted as "other": some carry the text of a library's error.
+constexpr std::size_t maxCauses = 64;
+
+} // namespace
+
+struct entry_metrics::state
+{
+    state()
+        : phases(prometheus::BuildHistogram()
+                     .Name("azurehill_request_phase_seconds")
+                     .Help("Time that a step of a request took.")
+                     .Register(registry)),
+          answers(prometheus::BuildCounter()
+                      .Name("azurehill_answers_total")
+                      .Help("Requests by the kind of their answer and its cause.")
+                      .Register(registry)),
+          sends(prometheus::BuildCounter()
+                    .Name("azurehill_sends_total")
+                    .Help("Sends to replicas by how they ended.")
+                    .Register(registry)),
+          gauges(prometheus::BuildGauge()
+                     .Name("azurehill_state")
+                     .Help("What the daemon believes at present.")
+                     .Register(registry))
+    { }
+
+    static std::string bounded(std::set<std::string> &known, std::string name, std::size_t most)
+    {
+        if (known.contains(name))
+            return name;
+        if (known.size() >= most)
+            return "other";
+        known.insert(name);
+        return name;
+    }
+
+    void setGauge(const char *what, double value) { gauges.Add({{"what", what}}).Set(value); }
+
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Histogram> &phases;
+    prometheus::Family<prometheus::Counter> &answers;
+    prometheus::Family<prometheus::Counter> &sends;
+    prometheus::Family<prometheus::Gauge> &gauges;
+    std::mutex mutex;
+    std::set<std::string> routes;
+    std::set<std::string> causes;
+};
+
+entry_metrics::entry_metrics() : m_state(std::make_unique<state>()) { }
+entry_metrics::~entry_metrics() = default;
+
+void entry_metrics::onPhase(const std::string &route, request_phase phase, duration time)
+{
+    const std::lock_guard lock(m_state->mutex);
+    const std::string name = state::bounded(m_state->routes, route, maxRoutes);
+    m_state->phases.Add({{"route", name}, {"phase", std::string(toName(phase))}}, bounds)
+        .Observe(std::chrono::duration<double>(time).count());
+}
+
+void entry_metrics::onAnswer(std::string_view answer, std::string_view cause)
+{
+    const std::lock_guard lock(m_state->mutex);
+    const std::string name = state::bounded(m_state->causes, std::string(cause), maxCauses);
+    m_state->answers.Add({{"answer", std::string(answer)}, {"cause", name}}).Increment();
+}
+
+void entry_metrics::onSend(std::string_view end)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->sends.Add({{"end", std::string(end)}}).Increment();
+}
+
+std::string entry_metrics::toText(const entry_gauges &g)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->setGauge("members", g.members);
+    m_state->setGauge("replicas", g.replicas);
+    m_state->setGauge("draining_replicas", g.drainingReplicas);
+    m_state->setGauge("config_version", double(g.configVersion));
+    m_state->setGauge("store_reachable", g.storeReachable ? 1 : 0);
+    m_state->setGauge("log_lines_dropped", double(g.logLinesDropped));
+    return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/entry_options.cpp
@@ -0,0 +1,63 @@
+#include "entry/entry_options.h"
+
+#include <fmt/format.h>
+#include <popt.h>
+
+#include <cstdlib>
+#include <memory>
+
+namespace azurehill {
+
+namespace {
+
+constexpr const char *metricsPortVariable = "AZUREHILL_METRICS_PORT";
+constexpr int largestPort = 65535;
+
+constexpr const char *helpText
+    = "Usage: azurehill-entry [--metrics-port PORT]\n"
+      "The daemon in front of the users' platform.\n\n"
+      "  --metrics-port PORT  serve metrics at /metrics on this port of the host's address\n"
+      "                       (environment: AZUREHILL_METRICS_PORT; 0 or nothing: none)\n"
+      "  --help, --version\n\n"
+      "The platform's settings come from the file that AZUREHILL_SETTINGS names.\n";
+
+int fromEnvironment()
+{
+    const char *text = std::getenv(metricsPortVariable);
+    return text ? std::atoi(text) : 0;
+}
+
+} // namespace
+
+entry_options readEntryOptions(int argc, const char **argv)
+{
+    int port = fromEnvironment();
+    int help = 0;
+    int version = 0;
+    const poptOption table[] = {
+        {"metrics-port", '\0', POPT_ARG_INT, &port, 0, nullptr, nullptr},
+        {"help", 'h', POPT_ARG_NONE, &help, 0, nullptr, nullptr},
+        {"version", '\0', POPT_ARG_NONE, &version, 0, nullptr, nullptr},
+        POPT_TABLEEND,
+    };
+    const std::unique_ptr<poptContext_s, decltype(&poptFreeContext)> context(
+        poptGetContext("azurehill-entry", argc, argv, table, 0), poptFreeContext);
+    entry_options options;
+    const int result = poptGetNextOpt(context.get());
+    if (result < -1) {
+        options.fault
+            = fmt::format("{}: {}", poptBadOption(context.get(), 0), poptStrerror(result));
+    } else if (const char *extra = poptGetArg(context.get())) {
+        options.fault = fmt::format("unexpected argument {}", extra);
+    } else if (port < 0 || port > largestPort) {
+        options.fault = fmt::format("metrics port {}: must be 0 to {}", port, largestPort);
+    }
+    if (help)
+        options.printAndExit = helpText;
+    else if (version)
+        options.printAndExit = fmt::format("azurehill-entry {}\n", AZUREHILL_VERSION);
+    options.metricsPort = static_cast<std::uint16_t>(port);
+    return options;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/entry_options.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace azurehill {
+
+/// \brief Settings of azurehill's own; the platform's come from its settings file.
+struct entry_options
+{
+    /// Port of the metrics on the host's address; 0 for none.
+    std::uint16_t metricsPort = 0;
+    /// Text to print instead of running, such as the help.
+    std::string printAndExit;
+    /// What is wrong with the command line, or empty.
+    std::string fault;
+};
+
+/// \brief Reads the command line, and for what it leaves out the environment.
+entry_options readEntryOptions(int argc, const char **argv);
+
+} // namespace azurehill
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -1,5 +1,6 @@
 #include "entry/entry_service.h"
 
+#include "core/log_event.h"
 #include "http/sse.h"
 #include "platform/ingress.h"
 
@@ -18,26 +19,24 @@
 /// Share of a process's memory that its turns may take. The rest is for connections and answers.
 constexpr int cacheShare = 8;
 
-/// Clients leave a stream after a gap of two seconds, four objectives or eight event gaps, whichever
-/// is longest. The end of a stream is held back for its durability no longer than that, less what
-/// the way takes.
+/// Clients leave a stream after a gap of two seconds, four objectives or eight event gaps,
+/// whichever is longest. The end of a stream is held back for its durability no longer than that,
+/// less what the way takes.
 constexpr duration leastClientGap = seconds(2);
 constexpr int objectivesInGap = 4;
 constexpr int eventGapsInGap = 8;
 constexpr duration endMargin = milliseconds(300);
 
-/// Clients come back after this long when the store can't be reached. Outages last for seconds and a
-/// program gives up after a few tries: with two seconds between them it outlives one of six.
+/// Clients come back after this long when the store can't be reached. Outages last for seconds and
+/// a program gives up after a few tries: with two seconds between them it outlives one of six.
 constexpr duration storeComeBack = seconds(2);
 
-
-
 /// How long a turn may wait for the store before its first send. Later it would miss its objective
 /// by more than its program can make up.
 constexpr duration storePatience = milliseconds(1500);
 
-/// Share of its time that a request may wait for a place; beyond it, the answer could no longer come
-/// in time, and the client does better to ask again.
+/// Share of its time that a request may wait for a place; beyond it, the answer could no longer
+/// come in time, and the client does better to ask again.
 constexpr double gatePatience = 0.4;
 
 duration gateShare(duration left)
@@ -47,8 +46,8 @@
 
 duration clientGap(const route_rule &route)
 {
-    return std::max({leastClientGap, objectivesInGap * route.objective,
-                     eventGapsInGap * route.eventGap})
+    return std::max(
+               {leastClientGap, objectivesInGap * route.objective, eventGapsInGap * route.eventGap})
         - endMargin;
 }
 
@@ -73,13 +72,13 @@
 
 } // namespace
 
-entry_service::entry_service(asio::io_context &context, const host_settings &settings)
-    : m_settings(settings), m_executor(context.get_executor()),
+entry_service::entry_service(asio::io_context &context, const host_settings &settings,
+                             entry_metrics &metrics)
+    : m_settings(settings), m_metrics(metrics), m_executor(context.get_executor()),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
       m_transport(std::make_shared<peer_transport>(m_executor, settings.storeAddress)),
       m_store(m_transport), m_ledger(m_store, ledgerSettings(settings)),
-      m_board(settings.dataCentre, stableHash(settings.name.value)),
-      m_sender(m_executor, m_board),
+      m_board(settings.dataCentre, stableHash(settings.name.value)), m_sender(m_executor, m_board),
       m_server(m_executor, limitsOf(settings, {}),
                [this](const http_request &r, response_writer &w) { return serve(r, w); })
 { }
@@ -182,16 +181,17 @@
     m_gateWaits.erase(ticket.number);
     gate->second.withdraw(ticket.number);
     call->isInsideGate = wait->granted;
-    logEvent(log_level::Info, wait->granted ? "place_granted" : "place_not_granted",
-             {{"request", call->request.id},
-              {"program", call->request.program.value},
-              {"rank", std::int64_t(ticket.rank)},
-              {"hope", std::string(toName(ticket.hope))},
-              {"waiting", std::int64_t(gate->second.waiting())},
-              {"inside", std::int64_t(gate->second.inside())},
-              {"limit", gate->second.limit()},
-              {"inflation", gate->second.inflation()},
-              {"waited_ms", toMilliseconds(runtime_clock::now() - now)}});
+    logDecision(wait->granted ? log_event::PlaceGranted : log_event::PlaceNotGranted,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"rank", std::int64_t(ticket.rank)},
+                 {"hope", std::string(toName(ticket.hope))},
+                 {"waiting", std::int64_t(gate->second.waiting())},
+                 {"inside", std::int64_t(gate->second.inside())},
+                 {"limit", gate->second.limit()},
+                 {"inflation", gate->second.inflation()},
+                 {"waited_ms", toMilliseconds(runtime_clock::now() - now)}});
+    m_metrics.onPhase(call->route->name, request_phase::Place, runtime_clock::now() - now);
     if (call->clientLeft())
         leaveGate(*call);
     co_return wait->granted && !call->clientLeft();
@@ -235,16 +235,18 @@
 awaitable<void> entry_service::refuse(entry_call_ptr call, own_answer answer, std::string detail,
                                       response_writer &writer, duration retryAfter)
 {
-    logEvent(log_level::Warning, "own_answer",
-             {{"request", call->request.id},
-              {"program", call->request.program.value},
-              {"answer", std::string(toName(answer))},
-              {"detail", detail},
-              {"route", call->route ? call->route->name : std::string()},
-              {"sends", std::int64_t(call->sends)},
-              {"retry_after_ms", toMilliseconds(retryAfter)},
-              {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
+    logDecision(log_event::OwnAnswer,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"answer", std::string(toName(answer))},
+                 {"detail", detail},
+                 {"route", call->route ? call->route->name : std::string()},
+                 {"sends", std::int64_t(call->sends)},
+                 {"retry_after_ms", toMilliseconds(retryAfter)},
+                 {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
+    m_metrics.onAnswer(toName(answer), detail);
     http_response response = encodeOwnAnswer(answer, detail, retryAfter);
+    call->isOwnAnswer = true;
     co_await writer.write(std::move(response));
 }
 
@@ -299,6 +301,18 @@
     else
         co_await servePlain(call, request, writer);
     leaveGate(*call);
+    const duration whole = runtime_clock::now() - call->arrivedAt;
+    m_metrics.onPhase(call->route->name, request_phase::Whole, whole);
+    if (!call->isOwnAnswer)
+        m_metrics.onAnswer("replica", call->clientLeft() ? "client_left" : "");
+    logDecision(log_event::Answered,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"route", call->route->name},
+                 {"config", std::int64_t(call->routes->version())},
+                 {"sends", std::int64_t(call->sends)},
+                 {"client_left", call->clientLeft()},
+                 {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
 }
 
 awaitable<bool> entry_service::readBody(entry_call_ptr call, open_reply &reply, std::string &body)
@@ -416,8 +430,10 @@
             break;
         }
         call->lastByteAt = runtime_clock::now();
-        if (!firstAt)
+        if (!firstAt) {
             firstAt = call->lastByteAt;
+            m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
+        }
         m_board.onHeard(reply.where.replica.id, call->lastByteAt);
         events.feed(*piece);
         while (auto data = events.next()) {
@@ -433,11 +449,14 @@
         const std::chrono::duration<double, std::milli> span = call->lastByteAt - *firstAt;
         gate->second.onPace(span.count() / double(result.events - 1), call->lastByteAt);
     }
+    if (firstAt)
+        m_metrics.onPhase(call->route->name, request_phase::Events, call->lastByteAt - *firstAt);
     send_end end = send_end::Answered;
     if (!result.isWhole) {
         const bool ours = call->clientLeft() || !open || call->cut == cut_reason::TimeOver;
-        end = ours ? send_end::Cancelled
-                   : call->cut == cut_reason::ReplicaSilent ? send_end::Silent : send_end::Broken;
+        end = ours                                   ? send_end::Cancelled
+            : call->cut == cut_reason::ReplicaSilent ? send_end::Silent
+                                                     : send_end::Broken;
     }
     m_sender.finish(*call, reply, end);
     leaveGate(*call);
@@ -489,8 +508,7 @@
 turn_claim claimOf(const client_request &r, const program_id &program)
 {
     const std::int64_t budget = r.tokenBudget.value_or(-1);
-    const std::int64_t most
-        = r.tokens ? r.tokens->mostOutput : std::max<std::int64_t>(0, budget);
+    const std::int64_t most = r.tokens ? r.tokens->mostOutput : std::max<std::int64_t>(0, budget);
     return {{r.id}, program, budget, most, r.programFinish, r.previousTurn.empty()};
 }
 
@@ -500,8 +518,7 @@
                                          response_writer &writer)
 {
     const client_request &r = call->request;
-    const time_point storeDeadline
-        = std::min(call->deadline, runtime_clock::now() + storePatience);
+    const time_point storeDeadline = std::min(call->deadline, runtime_clock::now() + storePatience);
     turn_ptr previous;
     if (!r.previousTurn.empty()) {
         auto loaded = co_await m_ledger.load(r.program, r.previousTurn, storeDeadline);
@@ -536,6 +553,18 @@
             co_await refuse(call, own_answer::Refused, "the engines are busy", writer);
         co_return;
     }
+    m_metrics.onPhase(call->route->name, request_phase::Store,
+                      runtime_clock::now() - call->arrivedAt);
+    if (hasBudget) {
+        const account_view account = m_ledger.accountView(program);
+        logDecision(log_event::TokensHeld,
+                    {{"request", r.id},
+                     {"program", program.value},
+                     {"most", claim.most},
+                     {"budget", claim.budget},
+                     {"committed", account.committed},
+                     {"row_version", std::int64_t(account.version)}});
+    }
     placement_request wanted = wantedOf(*call);
     if (previous) {
         wanted.lastReplica = previous->replica;
@@ -562,12 +591,12 @@
         const std::int64_t used = std::min(claim.most, (end.events + 1) * perEvent);
         if (hasBudget)
             spawn(m_executor, "settle", m_ledger.settleBroken(claim, used));
-        logEvent(log_level::Warning, "turn_broke_off",
-                 {{"request", r.id},
-                  {"program", r.program.value},
-                  {"replica", replica.value},
-                  {"cut", std::string(toName(call->cut))},
-                  {"events", end.events}});
+        logDecision(log_event::TurnBrokeOff,
+                    {{"request", r.id},
+                     {"program", r.program.value},
+                     {"replica", replica.value},
+                     {"cut", std::string(toName(call->cut))},
+                     {"events", end.events}});
         co_return;
     }
     auto done = std::make_shared<turn>();
@@ -579,15 +608,15 @@
     done->replica = replica;
     done->tokens = (r.tokens ? r.tokens->prompt : 0) + end.events * perEvent;
     const time_point commitStart = runtime_clock::now();
-    const auto committed
-        = co_await m_ledger.commit(done, end.events * perEvent, call->route->retention,
-                                   commitStart + clientGap(*call->route));
-    logEvent(committed ? log_level::Info : log_level::Warning,
-             committed ? "turn_durable" : "turn_not_durable",
-             {{"request", r.id},
-              {"program", r.program.value},
-              {"events", end.events},
-              {"waited_ms", toMilliseconds(runtime_clock::now() - commitStart)}});
+    const auto committed = co_await m_ledger.commit(
+        done, end.events * perEvent, call->route->retention, commitStart + clientGap(*call->route));
+    m_metrics.onPhase(call->route->name, request_phase::Durable,
+                      runtime_clock::now() - commitStart);
+    logDecision(committed ? log_event::TurnDurable : log_event::TurnNotDurable,
+                {{"request", r.id},
+                 {"program", r.program.value},
+                 {"events", end.events},
+                 {"waited_ms", toMilliseconds(runtime_clock::now() - commitStart)}});
     if (committed)
         co_await writer.end();
 }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/entry_metrics.h"
 #include "entry/host_settings.h"
 #include "entry/upstream_sender.h"
 #include "http/http_server.h"
@@ -16,7 +17,7 @@
 class entry_service
 {
 public:
-    entry_service(asio::io_context &context, const host_settings &settings);
+    entry_service(asio::io_context &context, const host_settings &settings, entry_metrics &metrics);
 
     /// \brief Listens for clients. \returns whether the address could be bound.
     bool start();
@@ -74,6 +75,7 @@
     placement_request wantedOf(const entry_call &call) const;
 
     host_settings m_settings;
+    entry_metrics &m_metrics;
     asio::any_io_executor m_executor;
     std::minstd_rand m_random;
     std::shared_ptr<peer_transport> m_transport;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,11 +1,17 @@
+#include "core/log_event.h"
+#include "core/log_sink.h"
 #include "entry/entry_control.h"
+#include "entry/entry_metrics.h"
+#include "entry/entry_options.h"
 #include "entry/entry_service.h"
 #include "platform/settings_file.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <fmt/format.h>
 
 #include <thread>
+#include <unistd.h>
 
 namespace azurehill {
 
@@ -24,7 +30,7 @@
 awaitable<void> shutDown(entry_control &control, entry_service &service, const host_settings &s,
                          asio::io_context &controlContext, asio::io_context &trafficContext)
 {
-    logEvent(log_level::Info, "stopping", {{"in_progress", service.requestsInProgress()}});
+    logDecision(log_event::Stopping, {{"in_progress", service.requestsInProgress()}});
     const time_point began = runtime_clock::now();
     control.leave();
     asio::post(trafficContext, [&service] { service.announceClose(); });
@@ -39,9 +45,9 @@
             break;
         co_await sleepFor(drainStep);
     }
-    logEvent(log_level::Info, "stopped",
-             {{"in_progress", service.requestsInProgress()},
-              {"ms", toMilliseconds(runtime_clock::now() - began)}});
+    logDecision(log_event::Stopped,
+                {{"in_progress", service.requestsInProgress()},
+                 {"ms", toMilliseconds(runtime_clock::now() - began)}});
     trafficContext.stop();
     controlContext.stop();
 }
@@ -61,18 +67,17 @@
     {
         const auto text = loadSettingsText();
         if (!text) {
-            logEvent(log_level::Error, "settings_unreadable", {{"detail", text.error()}});
+            logDecision(log_event::BadSettings, {{"detail", text.error()}});
             return;
         }
         if (*text == m_text && !signalled)
             return;
         const auto settings = readSettingsText(*text);
         if (!settings) {
-            logEvent(log_level::Error, "bad_settings", {{"detail", settings.error()}});
+            logDecision(log_event::BadSettings, {{"detail", settings.error()}});
             return;
         }
-        logEvent(log_level::Info, "reloaded",
-                 {{"changed", *text != m_text}, {"signal", signalled}});
+        logDecision(log_event::Reloaded, {{"changed", *text != m_text}, {"signal", signalled}});
         m_text = *text;
         m_control.setSettings(*settings);
     }
@@ -98,26 +103,76 @@
     }
 }
 
-int run(const host_settings &s, const std::string &settingsText)
+/// \brief Writes the log to standard output on a thread of its own for as long as it lives.
+class stdout_log
+{
+public:
+    stdout_log()
+    {
+        setLogSink(m_sink);
+        m_thread = std::thread([sink = m_sink] { sink->run(); });
+    }
+    ~stdout_log()
+    {
+        // A reader that stands still must not keep the process: its thread is then left behind with
+        // the sink, which is never destroyed.
+        constexpr duration flushTime = milliseconds(300);
+        if (m_sink->stop(flushTime))
+            m_thread.join();
+        else
+            m_thread.detach();
+    }
+    stdout_log(const stdout_log &) = delete;
+    stdout_log &operator=(const stdout_log &) = delete;
+
+private:
+    log_sink *m_sink = new log_sink(STDOUT_FILENO, {});
+    std::thread m_thread;
+};
+
+awaitable<void> answerMetrics(entry_metrics &metrics, const entry_control &control,
+                              const http_request &request, response_writer &writer)
+{
+    http_response response;
+    if (request.path() == "/metrics") {
+        entry_gauges gauges = control.gauges();
+        if (const log_sink *sink = currentLogSink())
+            gauges.logLinesDropped = sink->dropped();
+        response.headers.add("Content-Type", "text/plain; version=0.0.4");
+        response.body = metrics.toText(gauges);
+    } else {
+        response.status = 404;
+    }
+    co_await writer.write(std::move(response));
+}
+
+int run(const host_settings &s, const std::string &settingsText, const entry_options &options)
 {
     asio::io_context controlContext(1);
     asio::io_context trafficContext(1);
-    entry_service service(trafficContext, s);
+    entry_metrics metrics;
+    entry_service service(trafficContext, s, metrics);
     control_events events;
     events.onRoutes = [&](route_book_ptr routes) {
         asio::post(trafficContext, [&service, routes] { service.setRoutes(routes); });
     };
     events.onReplicas = [&](std::vector<replica_entry> listed) {
-        asio::post(trafficContext,
-                   [&service, l = std::move(listed)] { service.setReplicas(l); });
+        asio::post(trafficContext, [&service, l = std::move(listed)] { service.setReplicas(l); });
     };
     events.onPeers = [&](std::vector<endpoint> peers, int alive) {
         asio::post(trafficContext,
                    [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
     };
     entry_control control(controlContext, s, std::move(events));
+    http_server metricsServer(controlContext.get_executor(), {},
+                              [&](const http_request &request, response_writer &writer) {
+                                  return answerMetrics(metrics, control, request, writer);
+                              });
+    if (options.metricsPort != 0 && metricsServer.listen({s.ip, options.metricsPort}) == 0)
+        logDecision(log_event::CantListen,
+                    {{"ip", s.ip}, {"port", std::int64_t(options.metricsPort)}});
     if (!service.start() || !control.start()) {
-        logEvent(log_level::Error, "cant_listen", {{"ip", s.ip}});
+        logDecision(log_event::CantListen, {{"ip", s.ip}});
         return exitCantListen;
     }
     asio::signal_set signals(controlContext, SIGTERM, SIGINT);
@@ -131,7 +186,7 @@
     asio::signal_set hangups(controlContext, SIGHUP);
     spawn(controlContext.get_executor(), "awaitHangups", awaitHangups(hangups, watch));
     spawn(controlContext.get_executor(), "watchSettings", watchSettings(watch));
-    logEvent(log_level::Info, "started", {{"daemon", s.name.value}, {"ip", s.ip}});
+    logDecision(log_event::Started, {{"daemon", s.name.value}, {"ip", s.ip}});
     const auto keepTraffic = asio::make_work_guard(trafficContext);
     std::thread traffic([&] { trafficContext.run(); });
     controlContext.run();
@@ -144,19 +199,27 @@
 
 } // namespace azurehill
 
-int main()
+int main(int argc, const char **argv)
 {
+    const azurehill::entry_options options = azurehill::readEntryOptions(argc, argv);
+    if (!options.fault.empty()) {
+        fmt::print(stderr, "azurehill-entry: {}\n", options.fault);
+        return azurehill::exitBadSettings;
+    }
+    if (!options.printAndExit.empty()) {
+        fmt::print("{}", options.printAndExit);
+        return 0;
+    }
+    const azurehill::stdout_log log;
     const auto text = azurehill::loadSettingsText();
     if (!text) {
-        azurehill::logEvent(azurehill::log_level::Error, "settings_unreadable",
-                            {{"detail", text.error()}});
+        azurehill::logDecision(azurehill::log_event::BadSettings, {{"detail", text.error()}});
         return azurehill::exitBadSettings;
     }
     const auto settings = azurehill::readSettingsText(*text);
     if (!settings) {
-        azurehill::logEvent(azurehill::log_level::Error, "bad_settings",
-                            {{"detail", settings.error()}});
+        azurehill::logDecision(azurehill::log_event::BadSettings, {{"detail", settings.error()}});
         return azurehill::exitBadSettings;
     }
-    return azurehill::run(*settings, *text);
+    return azurehill::run(*settings, *text, options);
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -1,5 +1,6 @@
 #include "entry/upstream_sender.h"
 
+#include "core/log_event.h"
 #include "platform/ingress.h"
 
 #include <algorithm>
@@ -83,8 +84,7 @@
                           const http_request &original, std::string body)
 {
     const endpoint address = where.replica.address;
-    auto connection = std::make_shared<http_connection>(
-        m_pool.take(address, runtime_clock::now()));
+    auto connection = std::make_shared<http_connection>(m_pool.take(address, runtime_clock::now()));
     call->connection = connection.get();
     call->replica = where.replica.id;
     call->sentAt = runtime_clock::now();
@@ -113,26 +113,26 @@
     const forward_fields fields{where.replica.id, call->deadline - now,
                                 std::clamp(call->route->priority, 0, 9)};
     http_request out = encodeForward(original, fields, std::move(body));
-    logEvent(log_level::Info, "sent",
-             {{"request", call->request.id},
-              {"program", call->request.program.value},
-              {"replica", where.replica.id.value},
-              {"outstanding", std::int64_t(where.outstanding)},
-              {"candidates", std::int64_t(where.candidates)},
-              {"finish_ms", call->request.programFinish
-                                ? toMilliseconds(*call->request.programFinish)
-                                : std::int64_t(-1)},
-              {"prompt_tokens", wanted.promptTokens},
-              {"cached_tokens", where.cachedTokens},
-              {"cost_ms", where.cost},
-              {"new_connection", isNew},
-              {"left_ms", toMilliseconds(fields.timeLeft)}});
+    logDecision(log_event::Sent,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"replica", where.replica.id.value},
+                 {"outstanding", std::int64_t(where.outstanding)},
+                 {"candidates", std::int64_t(where.candidates)},
+                 {"finish_ms",
+                  call->request.programFinish ? toMilliseconds(*call->request.programFinish)
+                                              : std::int64_t(-1)},
+                 {"prompt_tokens", wanted.promptTokens},
+                 {"cached_tokens", where.cachedTokens},
+                 {"cost_ms", where.cost},
+                 {"new_connection", isNew},
+                 {"left_ms", toMilliseconds(fields.timeLeft)}});
     auto head = co_await connection->open(std::move(out), call->deadline);
     if (!head) {
         // Only a request of which no byte left did certainly not run.
         const bool didNotRun = head.error().ran == outcome::DidNotRun;
-        const send_end end = didNotRun && !call->clientLeft() ? send_end::NotRun
-                                                              : endOf(*call, head.error());
+        const send_end end
+            = didNotRun && !call->clientLeft() ? send_end::NotRun : endOf(*call, head.error());
         if (!didNotRun)
             call->mayHaveRun = true;
         finish(*call, reply, end);
@@ -161,8 +161,7 @@
             break;
     }
     finish(*call, reply, send_end::NotRun);
-    co_return tl::unexpected(
-        send_failure{send_end::NotRun, std::string(toName(kind))});
+    co_return tl::unexpected(send_failure{send_end::NotRun, std::string(toName(kind))});
 }
 
 void upstream_sender::finish(entry_call &call, open_reply &reply, send_end end)
@@ -179,12 +178,12 @@
         reply.connection->close();
     if (end == send_end::Unreachable || end == send_end::Silent)
         m_pool.drop(reply.where.replica.address);
-    logEvent(log_level::Info, "send_ended",
-             {{"request", call.request.id},
-              {"replica", reply.where.replica.id.value},
-              {"end", std::string(toName(end))},
-              {"cut", std::string(toName(call.cut))},
-              {"ms", toMilliseconds(now - call.sentAt)}});
+    logDecision(log_event::SendEnded,
+                {{"request", call.request.id},
+                 {"replica", reply.where.replica.id.value},
+                 {"end", std::string(toName(end))},
+                 {"cut", std::string(toName(call.cut))},
+                 {"ms", toMilliseconds(now - call.sentAt)}});
 }
 
 awaitable<tl::expected<open_reply, send_failure>>
--- a/src/members/gossip_socket.cpp
+++ b/src/members/gossip_socket.cpp
@@ -1,5 +1,7 @@
 #include "members/gossip_socket.h"
 
+#include "core/log_event.h"
+
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/redirect_error.hpp>
 
@@ -56,8 +58,7 @@
         if (states)
             s->onStates(*states);
         else
-            logEvent(log_level::Warning, "gossip_unreadable",
-                     {{"from", from.address().to_string()}});
+            logDecision(log_event::GossipUnreadable, {{"from", from.address().to_string()}});
     }
 }
 
--- a/src/members/member_list.cpp
+++ b/src/members/member_list.cpp
@@ -47,12 +47,20 @@
         e.state = state;
 }
 
+duration member_list::silenceLimit() const
+{
+    constexpr duration sixRounds = milliseconds(1200);
+    // States that a daemon hears in a round: four messages of forty.
+    constexpr std::size_t heardInRound = 160;
+    return sixRounds * static_cast<std::int64_t>(1 + m_members.size() / heardInRound);
+}
+
 std::vector<member_change> member_list::onRound(time_point now)
 {
     ++m_self.beat;
     std::vector<member_change> gone;
     for (auto &[name, e] : m_members) {
-        if (e.isAlive && now - e.heardAt > silenceLimit) {
+        if (e.isAlive && now - e.heardAt > silenceLimit()) {
             e.isAlive = false;
             gone.push_back({e.state, false, now - e.heardAt});
         }
@@ -65,22 +73,14 @@
     m_members.erase(name);
 }
 
-std::vector<member_state> member_list::digest(std::size_t most) const
+std::vector<member_state> member_list::digest(std::size_t most)
 {
-    std::vector<const entry *> fresh;
-    for (const auto &[name, e] : m_members) {
-        if (e.isAlive)
-            fresh.push_back(&e);
-    }
-    std::sort(fresh.begin(), fresh.end(),
-              [](const entry *a, const entry *b) { return a->heardAt > b->heardAt; });
-    std::vector<member_state> result{m_self};
-    for (const entry *e : fresh) {
-        if (result.size() >= most)
-            break;
-        result.push_back(e->state);
-    }
-    return result;
+    // Chosen by chance: the freshest words only would pass among the few that heard them first.
+    std::vector<member_state> living = alive();
+    std::shuffle(living.begin(), living.end(), m_random);
+    living.resize(std::min(living.size(), most - 1));
+    living.push_back(m_self);
+    return living;
 }
 
 std::vector<member_state> member_list::pickPeers(std::size_t count)
--- a/src/members/member_list.h
+++ b/src/members/member_list.h
@@ -24,9 +24,10 @@
 class member_list
 {
 public:
-    /// Time without a new beat after which a member is taken as gone: six rounds, so that some lost
-    /// datagrams do no harm, and little enough that callers are sent elsewhere within two seconds.
-    static constexpr duration silenceLimit = milliseconds(1200);
+    /// \returns the time without a new beat after which a member is taken as gone. Six rounds, so
+    /// that some lost datagrams do no harm, and little enough that callers are sent elsewhere
+    /// within two seconds; longer where beats pass through many hands.
+    duration silenceLimit() const;
 
     explicit member_list(member_state self, std::uint64_t seed);
 
@@ -43,8 +44,8 @@
     /// \brief The member said that it stops.
     void remove(const daemon_id &name);
 
-    /// \returns this daemon and the states heard last, for a message to another daemon.
-    std::vector<member_state> digest(std::size_t most) const;
+    /// \returns this daemon and some that live, \p most in all, for a message to another daemon.
+    std::vector<member_state> digest(std::size_t most);
     /// \returns up to \p count members to talk to, silent ones now and then as well: they may be
     /// back.
     std::vector<member_state> pickPeers(std::size_t count);
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -28,8 +28,8 @@
 private:
     using exchange_result = tl::expected<http_response, http_error>;
 
-    awaitable<tl::expected<http_response, http_error>>
-    exchangeThroughPeer(http_request request, time_point deadline);
+    awaitable<tl::expected<http_response, http_error>> exchangeThroughPeer(http_request request,
+                                                                           time_point deadline);
 
     direct_transport m_direct;
     connection_pool m_pool;
--- a/src/replicas/prefix_cache.cpp
+++ b/src/replicas/prefix_cache.cpp
@@ -36,9 +36,8 @@
     for (const prompt_part &part : parts)
         m_usedAt[part.id] = m_takenIn;
     if (m_usedAt.size() > maxParts) {
-        std::erase_if(m_usedAt, [&](const auto &item) {
-            return m_takenIn - item.second > capacity;
-        });
+        std::erase_if(m_usedAt,
+                      [&](const auto &item) { return m_takenIn - item.second > capacity; });
     }
     if (m_usedAt.size() > maxParts)
         m_usedAt.clear();
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -225,7 +225,20 @@
     if (found == m_replicas.end())
         return;
     replica_state &r = found->second;
+    const bool wasDoubted = r.trust.isDoubted();
     r.outstanding = std::max(0, r.outstanding - 1);
+    noteEnd(r, end, now);
+    if (r.trust.isDoubted() == wasDoubted)
+        return;
+    logDecision(wasDoubted ? log_event::ReplicaTrusted : log_event::ReplicaDoubted,
+                {{"replica", p.replica.id.value},
+                 {"end", std::string(toName(end))},
+                 {"silent_ms", toMilliseconds(now - r.trust.lastHeard())},
+                 {"outstanding", std::int64_t(r.outstanding)}});
+}
+
+void replica_board::noteEnd(replica_state &r, send_end end, time_point now)
+{
     switch (end) {
     case send_end::Answered:
     case send_end::NotRun:
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -123,6 +123,7 @@
     };
 
     bool mayTake(const replica_state &r, time_point now) const;
+    static void noteEnd(replica_state &r, send_end end, time_point now);
     std::int64_t ownCapacity(const service_state &service) const;
     std::int64_t cachedTokens(const replica_state &r, const placement_request &request,
                               const service_state &service, time_point now) const;
--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -11,8 +11,8 @@
 constexpr double startPerReplica = 6;
 constexpr double leastPerReplica = 3;
 constexpr double mostPerReplica = 64;
-/// Events may come this many times slower than from an idle engine. Programs are meant to end within
-/// two to three times their time on idle replicas, a part of which is spent in tools.
+/// Events may come this many times slower than from an idle engine. Programs are meant to end
+/// within two to three times their time on idle replicas, a part of which is spent in tools.
 constexpr double targetInflation = 3;
 /// The bound moves once in this time, about that of one answer.
 constexpr duration adjustPause = milliseconds(250);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -107,12 +107,14 @@
 
     /// \brief Applies \p t by \p deadline. \returns the version that its rows have now.
     virtual awaitable<store_result<store_version>> transact(store_transaction t,
-                                                            time_point deadline) = 0;
+                                                            time_point deadline)
+        = 0;
     /// \brief Reads all rows of \p range in key order.
     virtual awaitable<store_result<row_page>> read(row_range range, time_point deadline) = 0;
     /// \brief Waits up to \p wait for changes of \p table after \p after.
     virtual awaitable<store_result<row_page>> changes(std::string table, store_version after,
-                                                      duration wait, time_point deadline) = 0;
+                                                      duration wait, time_point deadline)
+        = 0;
     /// \returns whether a call is worth making: the last ones were answered, or none was made for a
     /// while. It costs no call.
     virtual bool isReachable() const = 0;
--- a/src/turns/turn.cpp
+++ b/src/turns/turn.cpp
@@ -64,9 +64,8 @@
     try {
         const json::value document = json::parse(row.substr(0, line));
         const json::object &head = document.as_object();
-        const auto text = [&](std::string_view key) {
-            return std::string(head.at(key).as_string());
-        };
+        const auto text
+            = [&](std::string_view key) { return std::string(head.at(key).as_string()); };
         const auto inputSize = head.at("input").to_number<std::size_t>();
         const auto outputSize = head.at("output").to_number<std::size_t>();
         const std::string_view bytes = row.substr(line + 1);
--- a/src/turns/turn.h
+++ b/src/turns/turn.h
@@ -40,8 +40,8 @@
     turn &operator=(turn &&) = default;
 };
 
-/// \returns the prompt of a turn that follows \p last: inputs and outputs of the whole chain, oldest
-/// first, and then \p input.
+/// \returns the prompt of a turn that follows \p last: inputs and outputs of the whole chain,
+/// oldest first, and then \p input.
 std::string buildPrompt(const turn_ptr &last, std::string_view input);
 
 /// \returns the turns from the oldest to \p last.
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -1,5 +1,6 @@
 #include "turns/turn_ledger.h"
 
+#include "core/log_event.h"
 #include "turns/turn_rows.h"
 
 namespace azurehill {
@@ -108,6 +109,14 @@
     return times;
 }
 
+account_view turn_ledger::accountView(const program_id &program) const
+{
+    const auto found = m_accounts.find(program);
+    if (found == m_accounts.end())
+        return {};
+    return {found->second->account.committed(), found->second->version};
+}
+
 void turn_ledger::expire(time_point now)
 {
     m_cache.expire(now);
@@ -125,7 +134,7 @@
             continue;
         auto account = decodeAccount(row.value);
         if (!account) {
-            logEvent(log_level::Error, "account_row_unreadable", {{"program", row.name.part}});
+            logDecision(log_event::RowUnreadable, {{"program", row.name.part}});
             continue;
         }
         state.account = std::move(*account);
@@ -237,9 +246,8 @@
     co_return co_await apply(std::move(state), std::move(step), deadline);
 }
 
-awaitable<tl::expected<void, turn_refusal>> turn_ledger::commit(turn_ptr t, std::int64_t used,
-                                                                duration retention,
-                                                                time_point deadline)
+awaitable<tl::expected<void, turn_refusal>>
+turn_ledger::commit(turn_ptr t, std::int64_t used, duration retention, time_point deadline)
 {
     m_retention = std::max(m_retention, retention);
     account_ptr state = accountOf(t->program);
@@ -288,10 +296,10 @@
     const auto done
         = co_await apply(std::move(state), std::move(step), runtime_clock::now() + settleTime);
     if (!done) {
-        logEvent(log_level::Warning, "hold_not_settled",
-                 {{"request", claim.id.value},
-                  {"program", claim.program.value},
-                  {"tokens", claim.most}});
+        logDecision(log_event::HoldNotSettled,
+                    {{"request", claim.id.value},
+                     {"program", claim.program.value},
+                     {"tokens", claim.most}});
     }
 }
 
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -46,6 +46,13 @@
     bool isFirst = false;
 };
 
+/// \brief A program's account as it is known here, for the log.
+struct account_view
+{
+    std::int64_t committed = 0;
+    store_version version = 0;
+};
+
 /// \brief How a program stands against the time that it should be finished.
 struct program_times
 {
@@ -58,8 +65,8 @@
 /// \brief Makes turns and budgets durable in the store, so that any daemon can go on from them.
 ///
 /// A program has a part of its own. It holds the program's account and its turns, so that one
-/// transaction settles and adds a turn, and one read finds a whole program. A second table finds the
-/// program of a turn by the turn's id alone. Used from one thread.
+/// transaction settles and adds a turn, and one read finds a whole program. A second table finds
+/// the program of a turn by the turn's id alone. Used from one thread.
 class turn_ledger
 {
 public:
@@ -86,6 +93,9 @@
     /// \returns how \p program stands, as far as its account is known here.
     program_times timesOf(const program_id &program) const;
 
+    /// \returns the account of \p program as it is known here.
+    account_view accountView(const program_id &program) const;
+
     void expire(time_point now);
 
 private:
--- a/src/turns/turn_rows.cpp
+++ b/src/turns/turn_rows.cpp
@@ -1,5 +1,7 @@
 #include "turns/turn_rows.h"
 
+#include "core/log_event.h"
+
 #include <fmt/format.h>
 
 namespace azurehill::turn_rows {
@@ -67,7 +69,7 @@
         if (decoded)
             turns.emplace(decoded->value.id, std::move(*decoded));
         else
-            logEvent(log_level::Error, "turn_row_unreadable", {{"key", key}});
+            logDecision(log_event::RowUnreadable, {{"key", key}});
     }
     return turns;
 }
--- /dev/null
+++ b/test/io/model_store.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "runtime/runtime.h"
+#include "standin/row_store.h"
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace azurehill::test {
+
+/// \brief What goes wrong with one call of the store.
+enum class store_fault { None, Refused, LostBefore, LostAfter, Late, Slow };
+
+/// \brief A store in memory whose calls fail as a test wants it.
+class model_store : public store
+{
+public:
+    explicit model_store(row_store &rows) : m_rows(rows) { }
+
+    /// What goes wrong with the next call.
+    std::function<store_fault()> nextFault = [] { return store_fault::None; };
+    bool reachable = true;
+    int calls = 0;
+
+    awaitable<store_result<store_version>> transact(store_transaction t,
+                                                    time_point deadline) override
+    {
+        ++calls;
+        const store_fault fault = nextFault();
+        co_await pass(fault, deadline);
+        if (fault == store_fault::Refused)
+            co_return tl::unexpected(store_error{store_error_kind::Refused, "refused", {}});
+        if (fault == store_fault::LostBefore)
+            co_return tl::unexpected(lost());
+        if (fault == store_fault::Late) {
+            m_late.push_back(std::move(t));
+            co_return tl::unexpected(lost());
+        }
+        auto done = m_rows.apply(t);
+        if (fault == store_fault::LostAfter)
+            co_return tl::unexpected(lost());
+        if (!done) {
+            co_return tl::unexpected(
+                store_error{store_error_kind::Conflict, "conflict", std::move(done.error())});
+        }
+        co_return *done;
+    }
+
+    awaitable<store_result<row_page>> read(row_range range, time_point deadline) override
+    {
+        ++calls;
+        const store_fault fault = nextFault();
+        co_await pass(fault, deadline);
+        if (fault == store_fault::Refused)
+            co_return tl::unexpected(store_error{store_error_kind::Refused, "refused", {}});
+        if (fault != store_fault::None && fault != store_fault::Slow)
+            co_return tl::unexpected(lost());
+        co_return m_rows.read(range);
+    }
+
+    awaitable<store_result<row_page>> changes(std::string table, store_version after,
+                                              duration /*wait*/, time_point deadline) override
+    {
+        ++calls;
+        co_await pass(store_fault::None, deadline);
+        auto page = m_rows.changes(table, after);
+        if (!page)
+            co_return tl::unexpected(store_error{store_error_kind::HistoryGone, "gone", {}});
+        co_return *page;
+    }
+
+    bool isReachable() const override { return reachable; }
+
+    /// \brief Lets the writes that were held up take effect, if their conditions still hold.
+    void settleLate()
+    {
+        for (const store_transaction &t : std::exchange(m_late, {}))
+            static_cast<void>(m_rows.apply(t));
+    }
+
+private:
+    static store_error lost() { return {store_error_kind::Unknown, "no answer", {}}; }
+
+    static awaitable<void> pass(store_fault fault, time_point deadline)
+    {
+        constexpr duration usual = milliseconds(4);
+        const duration untilDeadline = deadline - runtime_clock::now();
+        const bool answered = fault == store_fault::None || fault == store_fault::Refused;
+        co_await sleepFor(answered ? usual : std::min<duration>(untilDeadline, milliseconds(300)));
+    }
+
+    row_store &m_rows;
+    std::vector<store_transaction> m_late;
+};
+
+} // namespace azurehill::test
--- a/test/io/stream_test.cpp
+++ b/test/io/stream_test.cpp
@@ -1,6 +1,6 @@
 #include "daemon/call_stream.h"
-#include "http/sse.h"
 #include "daemon/upstream_call.h"
+#include "http/sse.h"
 #include "io/door_world.h"
 
 using namespace azurehill;
--- /dev/null
+++ b/test/io/turn_ledger_test.cpp
@@ -0,0 +1,360 @@
+#include "loopback.h"
+#include "model_store.h"
+#include "turns/turn_rows.h"
+#include "turns/turns.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+namespace azurehill::test {
+
+namespace {
+
+/// \brief Runs \p body on a paused clock, which moves on in small steps whenever nothing else is to
+/// be done. A timer sees the clock move within a millisecond of real time.
+void runPaused(asio::io_context &context, awaitable<void> body)
+{
+    const paused_clock pause;
+    bool done = false;
+    std::exception_ptr failure;
+    asio::co_spawn(context, std::move(body), [&](std::exception_ptr e) {
+        failure = std::move(e);
+        done = true;
+    });
+    context.restart();
+    while (!done) {
+        context.run_for(std::chrono::microseconds(1200));
+        context.restart();
+        runtime_clock::advance(milliseconds(40));
+    }
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
+time_point later(duration d)
+{
+    return runtime_clock::now() + d;
+}
+
+turn_ptr makeTurn(const std::string &id, const program_id &program, turn_ptr previous)
+{
+    auto t = std::make_shared<turn>();
+    t->id = {id};
+    t->program = program;
+    t->previous = std::move(previous);
+    t->input = "in-" + id + ";";
+    t->output = "out-" + id + "\n";
+    return t;
+}
+
+turn_claim claimFor(const std::string &id, const program_id &program, std::int64_t budget,
+                    std::int64_t most)
+{
+    return {{id}, program, budget, most, seconds(5), true};
+}
+
+/// \brief A daemon's ledger on a store that others share.
+struct ledger_host
+{
+    explicit ledger_host(row_store &rows) : access(rows), ledger(access, {}) { }
+
+    model_store access;
+    turn_ledger ledger;
+};
+
+/// \brief Reserves \p most of \p budget for the turn \p id.
+awaitable<tl::expected<void, turn_refusal>> reserveFor(turn_ledger &ledger, const char *id,
+                                                       std::int64_t budget, std::int64_t most)
+{
+    turn_claim claim = claimFor(id, {"p1"}, budget, most);
+    co_return co_await ledger.reserve(std::move(claim), later(seconds(1)));
+}
+
+/// \brief Reserves, and commits a turn that used \p used tokens. \returns the turn, or null.
+awaitable<turn_ptr> runTurn(turn_ledger &ledger, turn_claim claim, turn_ptr previous,
+                            std::int64_t used)
+{
+    const turn_ptr t = makeTurn(claim.id.value, claim.program, std::move(previous));
+    const auto held = co_await ledger.reserve(claim, later(seconds(2)));
+    if (!held)
+        co_return nullptr;
+    const auto done = co_await ledger.commit(t, used, seconds(60), later(seconds(3)));
+    co_return done ? t : nullptr;
+}
+
+} // namespace
+
+TEST_SUITE("turn ledger")
+{
+    TEST_CASE("a turn is found by any daemon once its answer has ended")
+    {
+        row_store rows;
+        ledger_host first(rows);
+        ledger_host second(rows);
+        asio::io_context context;
+        const program_id program{"p1"};
+
+        SUBCASE("the next turn comes to another daemon, which reads the whole chain")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 1000, 50);
+                const turn_ptr a = co_await runTurn(first.ledger, one, nullptr, 10);
+                REQUIRE(a);
+                const turn_claim two = claimFor("t2", program, 1000, 50);
+                const turn_ptr b = co_await runTurn(first.ledger, two, a, 10);
+                REQUIRE(b);
+                const turn_id wanted{"t2"};
+                const auto found = co_await second.ledger.load(program, wanted, later(seconds(1)));
+                REQUIRE(found);
+                CHECK(buildPrompt(*found, "new") == "in-t1;out-t1\nin-t2;out-t2\nnew");
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("another program goes on from it, and its own part then holds the chain")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 1000, 50);
+                const turn_ptr a = co_await runTurn(first.ledger, one, nullptr, 10);
+                REQUIRE(a);
+                const program_id other{"p2"};
+                const turn_id t1{"t1"};
+                const auto found = co_await second.ledger.load(other, t1, later(seconds(1)));
+                REQUIRE(found);
+                const turn_claim two = claimFor("t2", other, 1000, 50);
+                const turn_ptr b = co_await runTurn(second.ledger, two, *found, 10);
+                REQUIRE(b);
+                CHECK(rows.read(turn_rows::ofProgram(other)).rows.size() == 3);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a turn larger than a row is cut into pieces and comes back whole")
+        {
+            auto story = [&]() -> awaitable<void> {
+                auto t = std::make_shared<turn>(*makeTurn("big", program, nullptr));
+                t->input.assign(200'000, 'x');
+                const auto done
+                    = co_await first.ledger.commit(t, 1, seconds(60), later(seconds(3)));
+                REQUIRE(done);
+                const turn_id wanted{"big"};
+                const auto found = co_await second.ledger.load(program, wanted, later(seconds(1)));
+                REQUIRE(found);
+                CHECK((*found)->input.size() == 200'000);
+            };
+            runPaused(context, story());
+        }
+    }
+
+    TEST_CASE("a turn that does not exist is refused with certainty, or not at all")
+    {
+        row_store rows;
+        ledger_host host(rows);
+        asio::io_context context;
+        const program_id program{"p1"};
+        const turn_id wanted{"never"};
+
+        SUBCASE("the store confirms that there is no such turn")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const auto found = co_await host.ledger.load(program, wanted, later(seconds(1)));
+                REQUIRE_FALSE(found);
+                CHECK(found.error() == turn_refusal::NoSuchTurn);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("the store is away: nobody can know")
+        {
+            // A user's next page was answered 404 in an outage, and the lesson ended. The daemon
+            // had not seen the turn before and took "could not read" for "is not there".
+            host.access.nextFault = [] { return store_fault::Refused; };
+            auto story = [&]() -> awaitable<void> {
+                const auto found = co_await host.ledger.load(program, wanted, later(seconds(1)));
+                REQUIRE_FALSE(found);
+                CHECK(found.error() == turn_refusal::StoreUnavailable);
+            };
+            runPaused(context, story());
+        }
+    }
+
+    TEST_CASE("a budget holds over daemons")
+    {
+        row_store rows;
+        ledger_host first(rows);
+        ledger_host second(rows);
+        asio::io_context context;
+        const program_id program{"p1"};
+
+        SUBCASE("what one daemon holds, the other can't spend")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const auto a = co_await reserveFor(first.ledger, "t1", 100, 60);
+                CHECK(a);
+                const auto b = co_await reserveFor(second.ledger, "t2", 100, 60);
+                REQUIRE_FALSE(b);
+                CHECK(b.error() == turn_refusal::BudgetSpent);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a refusal is never based on an old copy of the account")
+        {
+            // A translator's page was refused as over budget although another daemon had settled
+            // its turn at a tenth of what it held. The daemon still believed the hold it had read.
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                co_await first.ledger.reserve(one, later(seconds(1)));
+                const auto early = co_await reserveFor(second.ledger, "t2", 100, 60);
+                CHECK_FALSE(early);
+                const turn_ptr t = makeTurn("t1", program, nullptr);
+                co_await first.ledger.commit(t, 5, seconds(60), later(seconds(1)));
+                const auto b = co_await reserveFor(second.ledger, "t3", 100, 60);
+                CHECK(b);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a daemon dies in the middle: what it held stays held")
+        {
+            auto story = [&]() -> awaitable<void> {
+                {
+                    ledger_host dying(rows);
+                    co_await reserveFor(dying.ledger, "t1", 100, 60);
+                }
+                const auto b = co_await reserveFor(second.ledger, "t2", 100, 60);
+                CHECK_FALSE(b);
+            };
+            runPaused(context, story());
+        }
+    }
+
+    TEST_CASE("an answer of the store that is lost changes nothing")
+    {
+        row_store rows;
+        ledger_host host(rows);
+        asio::io_context context;
+        const program_id program{"p1"};
+        std::deque<store_fault> plan;
+        host.access.nextFault = [&] {
+            if (plan.empty())
+                return store_fault::None;
+            const store_fault next = plan.front();
+            plan.pop_front();
+            return next;
+        };
+
+        SUBCASE("the reservation took effect and its answer was lost: it is not held twice")
+        {
+            plan = {store_fault::LostAfter};
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                const turn_ptr t = co_await runTurn(host.ledger, one, nullptr, 20);
+                REQUIRE(t);
+                CHECK(host.ledger.accountView(program).committed == 20);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("the commit took effect and its answer was lost: it is not charged twice")
+        {
+            plan = {store_fault::None, store_fault::LostAfter};
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                const turn_ptr t = co_await runTurn(host.ledger, one, nullptr, 20);
+                REQUIRE(t);
+                CHECK(host.ledger.accountView(program).committed == 20);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a reservation that is given up can't take effect seconds later")
+        {
+            // A turn was refused because the store did not answer. Two seconds later its
+            // reservation took effect, and tokens were held for a turn that never ran.
+            plan = {store_fault::Late, store_fault::Refused, store_fault::Refused};
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                const auto held = co_await host.ledger.reserve(one, later(milliseconds(340)));
+                CHECK_FALSE(held);
+                co_await host.ledger.settleBroken(one, 0);
+                host.access.settleLate();
+                ledger_host other(rows);
+                const auto b = co_await reserveFor(other.ledger, "t2", 100, 60);
+                CHECK(b);
+            };
+            runPaused(context, story());
+        }
+    }
+
+    TEST_CASE("whatever the store does and whichever daemon dies, turns and budgets hold")
+    {
+        rc::check("no turn lost, no budget passed by more than one turn", [] {
+            row_store rows;
+            asio::io_context context;
+            const program_id program{"p1"};
+            constexpr std::int64_t budget = 300;
+            constexpr std::int64_t most = 50;
+            std::deque<ledger_host> hosts;
+            for (int i = 0; i < 3; ++i)
+                hosts.emplace_back(rows);
+            const auto faults = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 12));
+            std::size_t nextFault = 0;
+            for (ledger_host &h : hosts) {
+                h.access.nextFault = [&] {
+                    const int n = faults[nextFault++ % faults.size()];
+                    return n < 6 ? static_cast<store_fault>(n) : store_fault::None;
+                };
+            }
+            std::int64_t handed = 0;
+            turn_ptr last;
+            auto story = [&]() -> awaitable<void> {
+                for (int i = 0; i < 10; ++i) {
+                    const std::string id = "t" + std::to_string(i);
+                    ledger_host &host = hosts[std::size_t(faults[std::size_t(i)]) % hosts.size()];
+                    if (last) {
+                        const turn_id wanted = last->id;
+                        const auto found
+                            = co_await host.ledger.load(program, wanted, later(seconds(2)));
+                        RC_ASSERT(found || found.error() == turn_refusal::StoreUnavailable);
+                    }
+                    const turn_claim claim = claimFor(id, program, budget, most);
+                    const auto held = co_await host.ledger.reserve(claim, later(seconds(1)));
+                    if (!held)
+                        continue;
+                    const std::int64_t used = 10 + faults[std::size_t(i) + 10] * 3;
+                    handed += used;
+                    // Some daemons die here: nobody settles what they held.
+                    if (faults[std::size_t(i) + 20] % 4 == 0)
+                        continue;
+                    const turn_ptr t = makeTurn(id, program, last);
+                    const auto done
+                        = co_await host.ledger.commit(t, used, seconds(60), later(seconds(3)));
+                    if (done)
+                        last = t;
+                    for (ledger_host &h : hosts)
+                        h.access.settleLate();
+                }
+            };
+            runPaused(context, story());
+            RC_ASSERT(handed <= budget + most);
+            if (last) {
+                ledger_host fresh(rows);
+                turn_ptr found;
+                auto look = [&]() -> awaitable<void> {
+                    const turn_id wanted = last->id;
+                    const auto result
+                        = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                    RC_ASSERT(bool(result));
+                    found = *result;
+                };
+                runPaused(context, look());
+                RC_ASSERT(buildPrompt(found, "") == buildPrompt(last, ""));
+            }
+        });
+    }
+}
+
+} // namespace azurehill::test
--- /dev/null
+++ b/test/logic/replica_board_test.cpp
@@ -0,0 +1,172 @@
+#include "replicas/replicas.h"
+
+#include <doctest/doctest.h>
+
+namespace azurehill {
+
+namespace {
+
+replica_entry entry(const std::string &id, const std::string &dataCentre = "here", int slots = 8)
+{
+    return {{id}, "model", {"10.0.0.1", 80}, {dataCentre}, slots, false, 1};
+}
+
+placement_request prompt(std::vector<prompt_part> parts)
+{
+    placement_request r;
+    r.service = "model";
+    for (const prompt_part &p : parts)
+        r.promptTokens += p.tokens;
+    r.parts = std::move(parts);
+    return r;
+}
+
+time_point at(int ms)
+{
+    return time_point(milliseconds(1'000'000 + ms));
+}
+
+std::string chosen(replica_board &board, const placement_request &request, time_point now)
+{
+    const auto p = board.choose(request, now);
+    return p ? p->replica.id.value : "none";
+}
+
+} // namespace
+
+TEST_SUITE("replica board")
+{
+    TEST_CASE("a prompt goes where its beginning was read")
+    {
+        replica_board board({"here"}, 1);
+        board.setReplicas({entry("a"), entry("b"), entry("c")}, at(0));
+        const placement_request request = prompt({{"system", 2000}, {"own", 500}});
+        const auto first = board.choose(request, at(0));
+        REQUIRE(first);
+        board.onSent(*first, request, at(0));
+        board.onDone(*first, send_end::Answered, at(100));
+        for (int i = 0; i < 10; ++i)
+            CHECK(chosen(board, request, at(200)) == first->replica.id.value);
+
+        SUBCASE("but not when that replica has much more to do")
+        {
+            for (int i = 0; i < 6; ++i)
+                board.onSent(*first, request, at(200));
+            CHECK(chosen(board, request, at(200)) != first->replica.id.value);
+        }
+        SUBCASE("and no longer once it has read so much else that the beginning is gone")
+        {
+            board.setCacheTokens("model", 10'000);
+            for (int i = 0; i < 10; ++i) {
+                const placement_request other = prompt({{"other" + std::to_string(i), 1000}});
+                board.onSent(*first, other, at(300));
+                board.onDone(*first, send_end::Answered, at(300));
+            }
+            const auto p = board.choose(request, at(400));
+            REQUIRE(p);
+            CHECK(p->cachedTokens == 0);
+        }
+    }
+
+    TEST_CASE("a replica that leaves gets nothing more")
+    {
+        replica_board board({"here"}, 1);
+        replica_entry leaving = entry("a");
+        board.setReplicas({leaving, entry("b")}, at(0));
+
+        SUBCASE("when its entry says so")
+        {
+            leaving.draining = true;
+            board.setReplicas({leaving, entry("b")}, at(10));
+            CHECK(chosen(board, prompt({}), at(20)) == "b");
+            // An older entry may be read after a newer one; a replica never comes back.
+            board.setReplicas({entry("a"), entry("b")}, at(30));
+            CHECK(chosen(board, prompt({}), at(40)) == "b");
+        }
+        SUBCASE("when another replica has its address")
+        {
+            board.setLeaving({"a"});
+            CHECK(chosen(board, prompt({}), at(20)) == "b");
+        }
+        SUBCASE("when its entry is gone")
+        {
+            board.setReplicas({entry("b")}, at(10));
+            CHECK(chosen(board, prompt({}), at(20)) == "b");
+        }
+    }
+
+    TEST_CASE("a replica that can't be reached is left out and tried again later")
+    {
+        replica_board board({"here"}, 1);
+        board.setReplicas({entry("a"), entry("b", "far")}, at(0));
+        REQUIRE(chosen(board, prompt({}), at(0)) == "a");
+        const auto p = board.choose(prompt({}), at(0));
+        board.onSent(*p, prompt({}), at(0));
+        board.onDone(*p, send_end::Unreachable, at(300));
+        CHECK(chosen(board, prompt({}), at(400)) == "b");
+
+        SUBCASE("after a while one request tries it, and no other meanwhile")
+        {
+            const auto trial = board.choose(prompt({}), at(900));
+            REQUIRE(trial);
+            CHECK(trial->replica.id.value == "a");
+            board.onSent(*trial, prompt({}), at(900));
+            CHECK(chosen(board, prompt({}), at(950)) == "b");
+            board.onDone(*trial, send_end::Answered, at(1000));
+            CHECK(chosen(board, prompt({}), at(1010)) == "a");
+        }
+        SUBCASE("it is better than none")
+        {
+            placement_request request = prompt({});
+            request.tried.insert({"b"});
+            CHECK(chosen(board, request, at(400)) == "a");
+        }
+    }
+
+    TEST_CASE("a few broken answers are no reason to leave a replica out, several in a row are")
+    {
+        replica_board board({"here"}, 1);
+        board.setReplicas({entry("a"), entry("b", "far")}, at(0));
+        const auto p = board.choose(prompt({}), at(0));
+        for (int i = 0; i < 3; ++i) {
+            board.onSent(*p, prompt({}), at(0));
+            board.onDone(*p, send_end::Broken, at(0));
+        }
+        CHECK(chosen(board, prompt({}), at(0)) == "a");
+        board.onSent(*p, prompt({}), at(0));
+        board.onDone(*p, send_end::Broken, at(0));
+        CHECK(chosen(board, prompt({}), at(0)) == "b");
+    }
+
+    TEST_CASE("the time to read a prompt is learned, whatever the engine")
+    {
+        for (const double msPerToken : {0.01, 0.2}) {
+            wait_estimate wait;
+            for (int i = 0; i < 400; ++i) {
+                const double tokens = 200.0 * (i % 20);
+                wait.add(tokens, 50 + msPerToken * tokens);
+            }
+            CHECK(wait.perToken() == doctest::Approx(msPerToken).epsilon(0.1));
+            CHECK(wait.base() == doctest::Approx(50).epsilon(0.1));
+        }
+    }
+
+    TEST_CASE("replicas of few and of many slots are filled alike")
+    {
+        for (const int slots : {2, 96}) {
+            replica_board board({"here"}, 1);
+            board.setReplicas({entry("a", "here", slots), entry("b", "here", slots)}, at(0));
+            std::map<std::string, int> count;
+            for (int i = 0; i < 2 * slots; ++i) {
+                const auto p = board.choose(prompt({}), at(i));
+                REQUIRE(p);
+                board.onSent(*p, prompt({}), at(i));
+                ++count[p->replica.id.value];
+            }
+            CHECK(count["a"] >= slots / 2);
+            CHECK(count["b"] >= slots / 2);
+        }
+    }
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/test/logic/service_gate_test.cpp
@@ -0,0 +1,105 @@
+#include "replicas/service_gate.h"
+
+#include <doctest/doctest.h>
+
+namespace azurehill {
+
+namespace {
+
+time_point at(int ms)
+{
+    return time_point(milliseconds(1'000'000 + ms));
+}
+
+/// \brief Fills the gate. \returns how many requests it let in.
+int fill(service_gate &gate, std::uint64_t firstNumber = 1000)
+{
+    int inside = 0;
+    gate_ticket ticket;
+    for (ticket.number = firstNumber; gate.enter(ticket); ++ticket.number)
+        ++inside;
+    gate.withdraw(ticket.number);
+    return inside;
+}
+
+} // namespace
+
+TEST_SUITE("service gate")
+{
+    TEST_CASE("those that wait go by rank, and by what their programs can still win")
+    {
+        service_gate gate;
+        gate.setShare(1, 1);
+        fill(gate);
+        const auto wait = [&](std::uint64_t number, int rank, program_hope hope, duration slack) {
+            CHECK_FALSE(gate.enter({number, rank, hope, slack}));
+        };
+        wait(1, 0, program_hope::Lost, seconds(-9));
+        wait(2, 1, program_hope::Late, seconds(-1));
+        wait(3, 1, program_hope::OnTime, seconds(3));
+        wait(4, 1, program_hope::OnTime, seconds(1));
+        wait(5, 0, program_hope::Late, seconds(-1));
+        wait(6, 0, program_hope::OnTime, seconds(5));
+
+        std::vector<std::uint64_t> order;
+        for (int i = 0; i < 6; ++i) {
+            gate.leave();
+            const auto granted = gate.take();
+            REQUIRE(granted.size() == 1);
+            order.push_back(granted.front());
+        }
+        CHECK(order == std::vector<std::uint64_t>{6, 5, 4, 3, 2, 1});
+    }
+
+    TEST_CASE("a request that gives up waiting is passed over")
+    {
+        service_gate gate;
+        gate.setShare(1, 1);
+        fill(gate);
+        CHECK_FALSE(gate.enter({1, 0, program_hope::OnTime, seconds(1)}));
+        CHECK_FALSE(gate.enter({2, 0, program_hope::OnTime, seconds(2)}));
+        CHECK(gate.withdraw(1));
+        gate.leave();
+        CHECK(gate.take() == std::vector<std::uint64_t>{2});
+    }
+
+    TEST_CASE("the bound follows the pace of the engines")
+    {
+        service_gate gate;
+        gate.setShare(18, 9);
+        int ms = 0;
+        for (int i = 0; i < 30; ++i)
+            gate.onPace(10, at(ms += 50));
+        fill(gate);
+        const double before = gate.limit();
+
+        SUBCASE("events come five times slower: fewer requests go in")
+        {
+            for (int i = 0; i < 200; ++i)
+                gate.onPace(50, at(ms += 50));
+            CHECK(gate.limit() < 0.7 * before);
+            CHECK(gate.limit() >= 1);
+        }
+        SUBCASE("events come as from idle engines: more go in")
+        {
+            for (int i = 0; i < 40; ++i) {
+                gate.onPace(10, at(ms += 50));
+                fill(gate);
+            }
+            CHECK(gate.limit() > 1.3 * before);
+        }
+    }
+
+    TEST_CASE("the bound is shared by the daemons, however many there are")
+    {
+        for (const auto &[replicas, daemons] : {std::pair{18, 9}, {72, 87}, {4, 90}, {60, 3}}) {
+            service_gate gate;
+            gate.setShare(replicas, daemons);
+            const int inside = fill(gate);
+            CHECK(inside >= 1);
+            CHECK(inside <= 1 + 6.0 * replicas / daemons);
+        }
+    }
+}
+
+} // namespace azurehill
