Remove a program's rows after the retention of its last turn

Cause: the store forgets nothing by itself. The daemon that added the last turn removes the rows under the account's version, so that a younger turn of another daemon keeps them.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr duration sweepPause = milliseconds(50);
+/// Pause between removals of rows that are no longer needed.
+constexpr duration removalPause = seconds(1);
 /// Answers up to this size are read whole before their first byte goes out, so that one that breaks
 /// off can be asked of another replica.
 constexpr std::size_t bufferedAnswer = 256U << 10U;
@@ -86,6 +88,7 @@
 bool entry_service::start()
 {
     spawn(m_executor, "sweep", sweep());
+    spawn(m_executor, "removeOldRows", removeOldRows());
     return m_server.listen(m_settings.clients) != 0;
 }
 
@@ -118,6 +121,14 @@
     m_transport->setPeers(std::move(reachingStore));
 }
 
+awaitable<void> entry_service::removeOldRows()
+{
+    while (true) {
+        co_await sleepFor(removalPause);
+        co_await m_ledger.removeOldRows();
+    }
+}
+
 awaitable<void> entry_service::sweep()
 {
     while (true) {
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -40,6 +40,7 @@
     awaitable<void> serveTurn(entry_call_ptr call, const http_request &request,
                               response_writer &writer);
     awaitable<void> sweep();
+    awaitable<void> removeOldRows();
 
     /// \brief A request that waits for a place at the engines.
     struct gate_wait
--- /dev/null
+++ b/src/turns/row_janitor.cpp
@@ -0,0 +1,28 @@
+#include "turns/row_janitor.h"
+
+namespace azurehill {
+
+void row_janitor::onAdded(const program_id &program, const turn_id &id,
+                          store_version accountVersion, time_point until)
+{
+    entry &e = m_programs[program];
+    e.accountVersion = std::max(e.accountVersion, accountVersion);
+    e.until = std::max(e.until, until);
+    e.turns.push_back(id);
+}
+
+std::vector<row_janitor::due_program> row_janitor::takeDue(time_point now, std::size_t most)
+{
+    std::vector<due_program> due;
+    for (auto it = m_programs.begin(); it != m_programs.end() && due.size() < most;) {
+        if (it->second.until > now) {
+            ++it;
+            continue;
+        }
+        due.push_back({it->first, it->second.accountVersion, std::move(it->second.turns)});
+        it = m_programs.erase(it);
+    }
+    return due;
+}
+
+} // namespace azurehill
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -21,6 +21,12 @@
 constexpr std::size_t maxTransactionBytes = 700U << 10U;
 /// Accounts that were not used for this long are read again from the store.
 constexpr duration accountMemory = seconds(90);
+/// Rows stay this much longer than a turn has to be kept: clocks and answers lag.
+constexpr duration removalMargin = seconds(10);
+/// Programs whose rows are removed at a time, so that removals stay a small share of the calls.
+constexpr std::size_t removalsAtOnce = 8;
+/// Entries that one transaction may have.
+constexpr std::size_t maxEntries = 100;
 
 time_point callDeadline(time_point deadline)
 {
@@ -262,12 +268,43 @@
         if (!indexed)
             co_return tl::unexpected(turn_refusal::StoreUnavailable);
     }
-    const auto done = co_await apply(std::move(state), std::move(step), deadline);
-    if (done)
-        m_cache.insert(t, runtime_clock::now() + retention);
+    const auto done = co_await apply(state, std::move(step), deadline);
+    if (done) {
+        const time_point until = runtime_clock::now() + retention;
+        m_cache.insert(t, until);
+        m_janitor.onAdded(t->program, t->id, state->version, until + removalMargin);
+    }
     co_return done;
 }
 
+awaitable<void> turn_ledger::removeOldRows()
+{
+    for (const row_janitor::due_program &due :
+         m_janitor.takeDue(runtime_clock::now(), removalsAtOnce)) {
+        row_range range = turn_rows::ofProgram(due.program);
+        const auto page = co_await m_store.read(std::move(range), runtime_clock::now() + callTime);
+        if (!page)
+            continue;
+        const row_name accountRow = turn_rows::account(due.program);
+        store_transaction t;
+        // Another daemon may have added a turn since: the program then is that daemon's to remove.
+        t.conditions.push_back({accountRow, due.accountVersion});
+        for (const stored_row &row : page->rows)
+            t.removals.push_back(row.name);
+        if (m_settings.spansParts) {
+            for (const turn_id &id : due.turns)
+                t.removals.push_back(turn_rows::index(id));
+        }
+        // A program of more rows than fit is left; its rows cost room, not correctness.
+        if (t.removals.size() >= maxEntries)
+            continue;
+        const std::int64_t count = std::int64_t(t.removals.size());
+        const auto done = co_await m_store.transact(std::move(t), runtime_clock::now() + callTime);
+        if (done)
+            logDecision(log_event::RowsDropped, {{"program", due.program.value}, {"rows", count}});
+    }
+}
+
 awaitable<bool> turn_ledger::indexFirst(turn_ptr t, time_point deadline)
 {
     // Before the turn itself: a turn that is there and can't be found would be lost, while an entry
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -2,6 +2,7 @@
 
 #include "runtime/runtime.h"
 #include "store/store.h"
+#include "turns/row_janitor.h"
 #include "turns/token_account.h"
 #include "turns/turn_cache.h"
 
@@ -98,6 +99,9 @@
 
     void expire(time_point now);
 
+    /// \brief Removes the rows of some programs whose turns nobody may continue from any more.
+    awaitable<void> removeOldRows();
+
 private:
     struct account_state
     {
@@ -132,6 +136,7 @@
     store &m_store;
     ledger_settings m_settings;
     turn_cache m_cache;
+    row_janitor m_janitor;
     std::unordered_map<program_id, account_ptr> m_accounts;
     /// How long a turn is remembered here after it was read or added.
     duration m_retention = seconds(60);
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -231,6 +231,52 @@
         }
     }
 
+    TEST_CASE("rows go once nobody may continue from their turns")
+    {
+        row_store rows;
+        ledger_host first(rows);
+        ledger_host second(rows);
+        asio::io_context context;
+        const program_id program{"p1"};
+
+        SUBCASE("after the retention of the last turn")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 1000, 50);
+                const turn_ptr a = co_await runTurn(first.ledger, one, nullptr, 10);
+                REQUIRE(a);
+                co_await first.ledger.removeOldRows();
+                CHECK(rows.size() == 3);
+                runtime_clock::advance(seconds(75));
+                co_await first.ledger.removeOldRows();
+                CHECK(rows.size() == 0);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("but not while another daemon's turn of the same program is younger")
+        {
+            // A lesson's sixth page was answered 404: the daemon that served the first page had
+            // removed the whole program a minute later, though another daemon had gone on with it.
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 1000, 50);
+                const turn_ptr a = co_await runTurn(first.ledger, one, nullptr, 10);
+                REQUIRE(a);
+                runtime_clock::advance(seconds(50));
+                const turn_claim two = claimFor("t2", program, 1000, 50);
+                const turn_ptr b = co_await runTurn(second.ledger, two, a, 10);
+                REQUIRE(b);
+                runtime_clock::advance(seconds(25));
+                co_await first.ledger.removeOldRows();
+                ledger_host fresh(rows);
+                const turn_id wanted{"t2"};
+                const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                CHECK(found);
+            };
+            runPaused(context, story());
+        }
+    }
+
     TEST_CASE("an answer of the store that is lost changes nothing")
     {
         row_store rows;
