--- a/src/client/commands.cpp
+++ b/src/client/commands.cpp
@@ -268,7 +268,9 @@
             = fmt::format("{} {}", fmt::join(c.words, " "), fmt::join(c.arguments, " "));
         text += fmt::format("  {:24}{}\n", name, c.help);
     }
-    return text;
+    return text
+        + fmt::format("  {:24}{}\n", "explain ID [FILE...]",
+                      "what logs tell of a request or a program; no daemon is asked");
 }
 
 int runCommand(const daemon_client &client, const ctl_options &options)
--- /dev/null
+++ b/src/client/explain.cpp
@@ -0,0 +1,35 @@
+#include "client/explain.h"
+
+#include "client/exit_status.h"
+#include "explain/log_story.h"
+
+#include <fmt/format.h>
+
+#include <fstream>
+#include <iostream>
+
+namespace azurehill {
+
+int runExplain(const std::vector<std::string> &words)
+{
+    constexpr std::size_t wordsBeforeFiles = 2;
+    if (words.size() < wordsBeforeFiles) {
+        fmt::print(stderr, "azurehill-ctl: explain needs the id of a request or a program\n");
+        return BadUsage;
+    }
+    log_lines lines;
+    if (words.size() == wordsBeforeFiles)
+        readLog(std::cin, "-", lines);
+    for (std::size_t i = wordsBeforeFiles; i < words.size(); ++i) {
+        std::ifstream file(words[i]);
+        if (!file) {
+            fmt::print(stderr, "azurehill-ctl: can't read {}\n", words[i]);
+            return BadUsage;
+        }
+        readLog(file, words[i], lines);
+    }
+    fmt::print("{}", tellStory(lines, words[1]));
+    return Done;
+}
+
+} // namespace azurehill
--- a/src/client/main.cpp
+++ b/src/client/main.cpp
@@ -1,6 +1,7 @@
 // The operators' command line: shows and changes a deployment through any of its daemons.
 
 #include "client/commands.h"
+#include "client/explain.h"
 #include "daemon/option_reader.h"
 
 #include <fmt/format.h>
@@ -42,6 +43,9 @@
     if (!options.ifVersion.empty())
         in.number("if-version", 0, INT64_MAX);
     options.words = in.words();
+    // Reads logs only: no daemon is asked, since it may be gone.
+    if (!options.words.empty() && options.words.front() == explainWord)
+        return runExplain(options.words);
     const endpoint daemon = in.address("daemon", false);
     const daemon_client client(daemon, in.requiredText("token"));
     for (const setting_fault &f : in.faults())
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -5,6 +5,7 @@
 #include "platform/ingress.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -253,9 +254,11 @@
                  {"detail", detail},
                  {"route", call->route ? call->route->name : std::string()},
                  {"sends", std::int64_t(call->sends)},
-                 {"retry_after_ms", toMilliseconds(retryAfter)},
+                 {"retry_after_ms",
+                  answer == own_answer::Refused ? toMilliseconds(retryAfter) : std::int64_t(0)},
                  {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
-    m_metrics.onAnswer(toName(answer), detail);
+    // What follows a colon are figures, which would make a series each.
+    m_metrics.onAnswer(toName(answer), std::string_view(detail).substr(0, detail.find(':')));
     http_response response = encodeOwnAnswer(answer, detail, retryAfter);
     call->isOwnAnswer = true;
     co_await writer.write(std::move(response));
@@ -525,6 +528,14 @@
 
 } // namespace
 
+std::string entry_service::detailOf(turn_refusal refusal, const turn_claim &claim) const
+{
+    const account_view account = m_ledger.accountView(claim.program);
+    return fmt::format("{}: {} of {} tokens committed at row version {}, {} wanted",
+                       toName(refusal), account.committed, claim.budget, account.version,
+                       claim.most);
+}
+
 awaitable<void> entry_service::serveTurn(entry_call_ptr call, const http_request &request,
                                          response_writer &writer)
 {
@@ -551,8 +562,8 @@
         if (!reserved) {
             if (reserved.error() == turn_refusal::StoreUnavailable)
                 spawn(m_executor, "settle", m_ledger.settleBroken(claim, 0));
-            co_await refuse(call, answerFor(reserved.error()),
-                            std::string(toName(reserved.error())), writer, storeComeBack);
+            co_await refuse(call, answerFor(reserved.error()), detailOf(reserved.error(), claim),
+                            writer, storeComeBack);
             co_return;
         }
     }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -72,6 +72,7 @@
                            response_writer &writer, duration retryAfter = milliseconds(300));
     awaitable<void> giveUp(entry_call_ptr call, send_failure failure, response_writer &writer);
 
+    std::string detailOf(turn_refusal refusal, const turn_claim &claim) const;
     std::string pickService(const route_rule &route);
     placement_request wantedOf(const entry_call &call) const;
 
