--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -61,9 +61,9 @@
     const log_level level = levelOf(event);
     if (level < lowestLevel)
         return;
-    std::string line = formatLogLine(level, toName(event), fields);
+    const std::string line = formatLogLine(level, toName(event), fields);
     if (log_sink *sink = currentLogSink())
-        sink->put(event, std::move(line), unixMilliseconds());
+        sink->put(event, line, unixMilliseconds());
     else
         fmt::print(stderr, "{}", line);
 }
--- a/src/core/log_sink.cpp
+++ b/src/core/log_sink.cpp
@@ -72,7 +72,7 @@
                          {{"lines", boost::json::serialize(counts)}});
 }
 
-void log_sink::put(log_event event, std::string line, std::int64_t nowMs)
+void log_sink::put(log_event event, const std::string &line, std::int64_t nowMs)
 {
     const std::lock_guard lock(m_mutex);
     const bool fits = m_waiting.size() + line.size() <= m_bounds.waitingBytes;
--- a/src/core/log_sink.h
+++ b/src/core/log_sink.h
@@ -32,7 +32,7 @@
     log_sink(int descriptor, const log_bounds &bounds);
 
     /// \brief Takes \p line if the bounds allow it. Never waits for the reader.
-    void put(log_event event, std::string line, std::int64_t nowMs);
+    void put(log_event event, const std::string &line, std::int64_t nowMs);
     /// \brief Writes until stop(); the body of the sink's thread.
     void run();
     /// \brief Lets run() end once all lines are out. \returns whether they were, within \p limit.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -81,20 +81,22 @@
       })
 { }
 
-bool entry_control::start()
+std::optional<control_ports> entry_control::start()
 {
-    const bool bound = m_readinessServer.listen(m_settings.readiness) != 0
-        && m_lookupServer.listen(m_settings.lookups) != 0
-        && m_peerServer.listen(m_settings.peers) != 0 && m_gossip.listen(m_settings.gossip) != 0;
+    const control_ports ports{m_readinessServer.listen(m_settings.readiness),
+                              m_lookupServer.listen(m_settings.lookups),
+                              m_peerServer.listen(m_settings.peers)};
+    const bool bound = ports.readiness != 0 && ports.lookups != 0 && ports.peers != 0
+        && m_gossip.listen(m_settings.gossip) != 0;
     if (!bound)
-        return false;
+        return std::nullopt;
     const auto executor = m_context.get_executor();
     spawn(executor, "followConfiguration", followConfiguration());
     spawn(executor, "pollConfiguration", pollConfiguration());
     spawn(executor, "pollReplicas", pollReplicas());
     spawn(executor, "pollMembers", pollMembers());
     spawn(executor, "gossip", gossip());
-    return true;
+    return ports;
 }
 
 void entry_control::setSettings(const host_settings &settings)
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -22,6 +22,14 @@
     std::function<void(std::vector<endpoint>, int)> onPeers;
 };
 
+/// \brief Where the control side of a daemon listens.
+struct control_ports
+{
+    std::uint16_t readiness = 0;
+    std::uint16_t lookups = 0;
+    std::uint16_t peers = 0;
+};
+
 /// \brief What a daemon believes of the system: configuration, replicas, members. It answers
 /// look-ups and readiness checks. Lives on the control thread.
 class entry_control
@@ -29,9 +37,9 @@
 public:
     entry_control(asio::io_context &context, const host_settings &settings, control_events events);
 
-    /// \brief Listens and begins to follow the store. \returns whether all addresses could be
-    /// bound.
-    bool start();
+    /// \brief Listens and begins to follow the store.
+    /// \returns the ports, or nothing when an address can't be bound.
+    std::optional<control_ports> start();
     /// \brief Leaves look-ups and the readiness check, and tells the others.
     void leave();
     /// \brief Takes the daemon's row out of the store.
--- a/src/entry/entry_options.cpp
+++ b/src/entry/entry_options.cpp
@@ -14,10 +14,11 @@
 constexpr int largestPort = 65535;
 
 constexpr const char *helpText
-    = "Usage: azurehill-entry [--metrics-port PORT]\n"
+    = "Usage: azurehill-entry [--metrics-port PORT] [--port-file FILE]\n"
       "The daemon in front of the users' platform.\n\n"
       "  --metrics-port PORT  serve metrics at /metrics on this port of the host's address\n"
       "                       (environment: AZUREHILL_METRICS_PORT; 0 or nothing: none)\n"
+      "  --port-file FILE     write the ports of clients, readiness, look-ups and peers there\n"
       "  --help, --version\n\n"
       "The platform's settings come from the file that AZUREHILL_SETTINGS names.\n";
 
@@ -32,10 +33,12 @@
 entry_options readEntryOptions(int argc, const char **argv)
 {
     int port = fromEnvironment();
+    char *portFile = nullptr;
     int help = 0;
     int version = 0;
     const poptOption table[] = {
         {"metrics-port", '\0', POPT_ARG_INT, &port, 0, nullptr, nullptr},
+        {"port-file", '\0', POPT_ARG_STRING, &portFile, 0, nullptr, nullptr},
         {"help", 'h', POPT_ARG_NONE, &help, 0, nullptr, nullptr},
         {"version", '\0', POPT_ARG_NONE, &version, 0, nullptr, nullptr},
         POPT_TABLEEND,
@@ -56,6 +59,9 @@
         options.printAndExit = helpText;
     else if (version)
         options.printAndExit = fmt::format("azurehill-entry {}\n", AZUREHILL_VERSION);
+    if (portFile)
+        options.portFile = portFile;
+    std::free(portFile);
     options.metricsPort = static_cast<std::uint16_t>(port);
     return options;
 }
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -10,6 +10,9 @@
 {
     /// Port of the metrics on the host's address; 0 for none.
     std::uint16_t metricsPort = 0;
+    /// File that gets the ports once the daemon listens, for tests that let the system choose them;
+    /// or empty. It holds those of clients, readiness, look-ups and peers.
+    std::string portFile;
     /// Text to print instead of running, such as the help.
     std::string printAndExit;
     /// What is wrong with the command line, or empty.
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -86,11 +86,11 @@
                [this](const http_request &r, response_writer &w) { return serve(r, w); })
 { }
 
-bool entry_service::start()
+std::uint16_t entry_service::start()
 {
     spawn(m_executor, "sweep", sweep());
     spawn(m_executor, "removeOldRows", removeOldRows());
-    return m_server.listen(m_settings.clients) != 0;
+    return m_server.listen(m_settings.clients);
 }
 
 void entry_service::announceClose()
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -19,8 +19,8 @@
 public:
     entry_service(asio::io_context &context, const host_settings &settings, entry_metrics &metrics);
 
-    /// \brief Listens for clients. \returns whether the address could be bound.
-    bool start();
+    /// \brief Listens for clients. \returns the port, or 0 when the address can't be bound.
+    std::uint16_t start();
     /// \brief Tells clients to close their connections after the answers under way.
     void announceClose();
     /// \returns the number of requests being answered. May be called from any thread.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -9,7 +9,10 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <fmt/format.h>
+#include <fmt/ostream.h>
 
+#include <cstdio>
+#include <fstream>
 #include <thread>
 #include <unistd.h>
 
@@ -130,6 +133,17 @@
     std::thread m_thread;
 };
 
+/// \brief Writes the ports under another name first, so that nobody reads half of them.
+void writePorts(const std::string &path, std::uint16_t clientPort, const control_ports &ports)
+{
+    const std::string unfinished = path + ".part";
+    std::ofstream file(unfinished);
+    fmt::print(file, "{} {} {} {}\n", clientPort, ports.readiness, ports.lookups, ports.peers);
+    file.close();
+    if (!file || std::rename(unfinished.c_str(), path.c_str()) != 0)
+        logDecision(log_event::CantListen, {{"detail", "can't write " + path}});
+}
+
 awaitable<void> answerMetrics(entry_metrics &metrics, const entry_control &control,
                               const http_request &request, response_writer &writer)
 {
@@ -153,7 +167,7 @@
     entry_metrics metrics;
     entry_service service(trafficContext, s, metrics);
     control_events events;
-    events.onRoutes = [&](route_book_ptr routes) {
+    events.onRoutes = [&](const route_book_ptr &routes) {
         asio::post(trafficContext, [&service, routes] { service.setRoutes(routes); });
     };
     events.onReplicas = [&](std::vector<replica_entry> listed) {
@@ -171,7 +185,9 @@
     if (options.metricsPort != 0 && metricsServer.listen({s.ip, options.metricsPort}) == 0)
         logDecision(log_event::CantListen,
                     {{"ip", s.ip}, {"port", std::int64_t(options.metricsPort)}});
-    if (!service.start() || !control.start()) {
+    const std::uint16_t clientPort = service.start();
+    const auto ports = control.start();
+    if (clientPort == 0 || !ports) {
         logDecision(log_event::CantListen, {{"ip", s.ip}});
         return exitCantListen;
     }
@@ -186,6 +202,8 @@
     asio::signal_set hangups(controlContext, SIGHUP);
     spawn(controlContext.get_executor(), "awaitHangups", awaitHangups(hangups, watch));
     spawn(controlContext.get_executor(), "watchSettings", watchSettings(watch));
+    if (!options.portFile.empty())
+        writePorts(options.portFile, clientPort, *ports);
     logDecision(log_event::Started, {{"daemon", s.name.value}, {"ip", s.ip}});
     const auto keepTraffic = asio::make_work_guard(trafficContext);
     std::thread traffic([&] { trafficContext.run(); });
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -133,6 +133,15 @@
     return pageResponse(200, page->rows, page->version, false);
 }
 
+awaitable<void> store_standin::holdFeed(const http_request &request) const
+{
+    const milliseconds wait(std::stoll("0" + parameter(request, "wait_ms")));
+    const auto page = m_rows.changes(parameter(request, "table"),
+                                     std::stoull("0" + parameter(request, "after")));
+    if (page && page->rows.empty())
+        co_await sleepFor(wait);
+}
+
 awaitable<void> store_standin::answer(const http_request &request, response_writer &writer)
 {
     ++m_calls;
@@ -142,6 +151,8 @@
         co_await sleepFor(silence);
         co_return;
     }
+    if (path == "/azurehill/rows-feed")
+        co_await holdFeed(request);
     http_response response;
     if (trouble == store_trouble::TooMany)
         response = jsonResponse(429, "{}");
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -40,6 +40,8 @@
 
 private:
     awaitable<void> answer(const http_request &request, response_writer &writer);
+    /// \brief Waits as long as the call wants to, if there is no change to tell.
+    awaitable<void> holdFeed(const http_request &request) const;
     http_response transact(const http_request &request, store_trouble trouble);
     http_response read(const http_request &request) const;
     http_response changes(const http_request &request) const;
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -224,7 +224,7 @@
     {
         services.push_back(std::make_unique<entry_service>(context, settings, metrics));
         service = services.back().get();
-        REQUIRE(service->start());
+        REQUIRE(service->start() != 0);
         service->setReplicas({a.entry, b.entry, model.entry});
         if (routes)
             service->setRoutes(routes);
--- a/test/io/platform_store_test.cpp
+++ b/test/io/platform_store_test.cpp
@@ -57,13 +57,12 @@
         return result;
     }
 
-    store_result<row_page> changes(store_version after)
+    store_result<row_page> changes(store_version after, duration wait = milliseconds(0))
     {
         store_result<row_page> result;
         auto go = [&]() -> awaitable<void> {
             std::string table = "t";
-            result = co_await client.changes(std::move(table), after, milliseconds(0),
-                                             later(seconds(5)));
+            result = co_await client.changes(std::move(table), after, wait, later(seconds(5)));
         };
         runIn(context, go());
         return result;
@@ -73,9 +72,8 @@
     void troubleOnce(store_trouble trouble)
     {
         once = trouble;
-        standin.nextTrouble = [this](std::string_view) {
-            return std::exchange(once, store_trouble::None);
-        };
+        standin.nextTrouble
+            = [this](std::string_view) { return std::exchange(once, store_trouble::None); };
     }
 
     store_trouble once = store_trouble::None;
@@ -163,6 +161,20 @@
         CHECK(w.client.isReachable());
     }
 
+    TEST_CASE("a call that the store holds on purpose is no outage")
+    {
+        // Every daemon told "store lost" twice a second on a calm day, and made half of its calls
+        // twice: a feed without changes was cut off and asked for again through a peer.
+        store_world w;
+        REQUIRE(w.write("a", "x", 0));
+        w.transport->setPeers({{"127.0.0.1", 1}});
+        const auto quiet = w.changes(w.rows.version(), milliseconds(500));
+        REQUIRE(quiet);
+        CHECK(quiet->rows.empty());
+        CHECK(w.transport->isDirectWorking());
+        CHECK(w.standin.calls() == 2);
+    }
+
     TEST_CASE("a host that the store turns away goes through a peer")
     {
         // Lessons stalled on two of nine hosts for nine seconds: the store answered them 503 and
--- a/test/process/child.cpp
+++ b/test/process/child.cpp
@@ -38,6 +38,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(),
                                      O_CREAT | O_WRONLY | O_APPEND, logMode);
+    // azurehill-entry writes its log to standard output.
+    posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
     pid_t pid = -1;
     const int error = posix_spawn(&pid, program.c_str(), &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
--- /dev/null
+++ b/test/process/entry_test.cpp
@@ -0,0 +1,202 @@
+#include "http/http.h"
+#include "process/child.h"
+#include "runtime/runtime.h"
+#include "standin/store_standin.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <doctest/doctest.h>
+#include <fmt/format.h>
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <thread>
+
+namespace azurehill::process_test {
+
+namespace {
+
+constexpr std::chrono::milliseconds patience(20'000);
+
+constexpr const char *configuration = R"({"version":7,"routes":[
+  {"name":"r","hostname":"h.example","prefix":"/a/","route_type":"idempotent","timeout_ms":20000,
+   "service":"tools","max_attempts":2}],
+  "services":[{"name":"tools","max_connections":10}],"limits":{}})";
+
+/// \brief A store and a replica on a thread of their own, for one azurehill-entry.
+class platform_world
+{
+public:
+    platform_world()
+        : m_store(m_context.get_executor(), m_rows),
+          m_replica(
+              m_context.get_executor(), {},
+              [this](const http_request &r, response_writer &w) { return answerRequest(r, w); })
+    {
+        const std::uint16_t port = m_replica.listen({"127.0.0.1", 0});
+        store_transaction t;
+        t.writes.push_back({{"op", "", "config"}, configuration});
+        t.writes.push_back(
+            {{"servers", "", "i-1"},
+             fmt::format(R"({{"service":"tools","address":"127.0.0.1:{}","zone":"z","slots":4,)"
+                         R"("state":"ready","seq_no":1}})",
+                         port)});
+        static_cast<void>(m_rows.apply(t));
+        writeSettings(8);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+    ~platform_world()
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+    platform_world(const platform_world &) = delete;
+    platform_world &operator=(const platform_world &) = delete;
+
+    void writeSettings(int graceSeconds)
+    {
+        if (m_storePort == 0)
+            m_storePort = m_store.listen();
+        std::ofstream file(settingsPath());
+        file << fmt::format("node_name = 'e'\nip = '127.0.0.1'\nzone = 'z'\nport_range = [0, 0]\n"
+                            "[listen]\nfront = '127.0.0.1:0'\nready = '127.0.0.1:0'\n"
+                            "control = '127.0.0.1:0'\ndirectory = '127.0.0.1:0'\n"
+                            "[bounds]\ngrace_s = {}\n[provider]\naddress = '127.0.0.1:{}'\n",
+                            graceSeconds, m_storePort);
+    }
+
+    std::string settingsPath() const { return folder.path() + "/settings.toml"; }
+
+    child startEntry() const
+    {
+        setenv("AZUREHILL_SETTINGS", settingsPath().c_str(), 1);
+        child entry("entry", AZUREHILL_BINARIES "/azurehill-entry", {}, folder.path());
+        unsetenv("AZUREHILL_SETTINGS");
+        return entry;
+    }
+
+    /// \returns the ports that the daemon wrote: clients, readiness, look-ups, peers.
+    std::array<std::uint16_t, 4> ports() const
+    {
+        std::array<std::uint16_t, 4> all{};
+        std::ifstream file(folder.path() + "/entry.port");
+        for (std::uint16_t &port : all)
+            file >> port;
+        return all;
+    }
+
+    scratch_folder folder;
+    /// Requests wait at the replica until this is set.
+    std::atomic<bool> mayAnswer{true};
+    std::atomic<int> arrived{0};
+
+private:
+    awaitable<void> answerRequest(const http_request &request, response_writer &writer)
+    {
+        ++arrived;
+        while (!mayAnswer)
+            co_await sleepFor(milliseconds(10));
+        http_response response;
+        response.headers.add("X-Azurehill-Request-Id",
+                             request.headers.get("X-Azurehill-Request-Id"));
+        response.headers.add("X-Azurehill-Server-Stamp", "s");
+        response.body = "whole";
+        co_await writer.write(std::move(response));
+    }
+
+    asio::io_context m_context;
+    row_store m_rows;
+    store_standin m_store;
+    http_server m_replica;
+    std::uint16_t m_storePort = 0;
+    std::thread m_thread;
+};
+
+/// \returns the answer to a request on a connection of its own; status 0 for none.
+http_response get(std::uint16_t port, const std::string &target)
+{
+    asio::io_context context;
+    http_response answer;
+    answer.status = 0;
+    auto go = [&]() -> awaitable<void> {
+        http_request request;
+        request.target = target;
+        request.headers.add("Host", "h.example");
+        request.headers.add("X-Azurehill-Request-Id", "r1");
+        endpoint peer{"127.0.0.1", port};
+        const auto result = co_await exchangeOnce(std::move(peer), std::move(request),
+                                                  runtime_clock::now() + patience);
+        if (result)
+            answer = *result;
+    };
+    asio::co_spawn(context, go(), asio::detached);
+    context.run();
+    return answer;
+}
+
+bool isReady(const platform_world &world)
+{
+    const std::uint16_t port = world.ports()[1];
+    return port != 0 && get(port, "/azurehill/ready").status == 200;
+}
+
+} // namespace
+
+TEST_SUITE("azurehill-entry")
+{
+    TEST_CASE("it serves once it knows the configuration and the replicas")
+    {
+        platform_world world;
+        child entry = world.startEntry();
+        REQUIRE(holdsWithin(patience, [&] { return isReady(world); }));
+        const auto ports = world.ports();
+        CHECK(get(ports[0], "/a/x").body == "whole");
+        const std::string addresses
+            = get(ports[2], "/azurehill/resolve?name=h.example&region=r&zone=z").body;
+        CHECK(addresses.find("addresses") != std::string::npos);
+
+        SUBCASE("SIGHUP takes over changed settings and does not end it")
+        {
+            // Hosts lost their daemons one after the other while the platform rolled out new
+            // settings: the signal that announces them ended the process.
+            world.writeSettings(9);
+            entry.signal(SIGHUP);
+            CHECK(holdsWithin(patience, [&] {
+                return entry.log().find(R"("event":"reloaded")") != std::string::npos;
+            }));
+            CHECK_FALSE(entry.exitStatus());
+            CHECK(get(ports[0], "/a/x").body == "whole");
+        }
+
+        SUBCASE("SIGTERM takes it out of the readiness check, and cuts no answer off")
+        {
+            // A class lost the page that was being read aloud when a host was restarted.
+            world.mayAnswer = false;
+            http_response answer;
+            std::thread caller([&] { answer = get(ports[0], "/a/slow"); });
+            CHECK(holdsWithin(patience, [&] { return world.arrived == 2; }));
+            entry.signal(SIGTERM);
+            CHECK(holdsWithin(patience, [&] { return !isReady(world); }));
+            CHECK_FALSE(entry.exitStatus());
+            world.mayAnswer = true;
+            caller.join();
+            CHECK(answer.body == "whole");
+            CHECK(holdsWithin(patience, [&] { return entry.exitStatus().has_value(); }));
+            CHECK(entry.exitStatus() == 0);
+        }
+    }
+
+    TEST_CASE("settings that can't be used are named, and it does not start")
+    {
+        platform_world world;
+        std::ofstream(world.settingsPath()) << "ip = 3\n";
+        child entry = world.startEntry();
+        CHECK(holdsWithin(patience, [&] { return entry.exitStatus().has_value(); }));
+        CHECK(entry.exitStatus() == 2);
+        CHECK(entry.log().find("node_name must be a text") != std::string::npos);
+    }
+}
+
+} // namespace azurehill::process_test
