--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -317,7 +317,7 @@
         const bool reachable = m_transport->isDirectWorking();
         if (reachable != m_storeWasReachable) {
             logDecision(reachable ? log_event::StoreRegained : log_event::StoreLost,
-                        {{"detail", page ? std::string() : page.error().detail}});
+                        {{"detail", m_transport->lastDirectFailure()}});
             m_storeWasReachable = reachable;
         }
         co_await sleepFor(part(m_settings.replicaDrain, replicaReadsPerDrain));
--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -59,11 +59,14 @@
 awaitable<tl::expected<http_response, http_error>>
 peer_transport::exchangeDirectly(http_request request, time_point deadline)
 {
+    const std::string path(request.path());
     auto response = co_await m_direct.exchange(std::move(request), deadline, {});
     if (response && !turnsAway(response->status)) {
         m_directFailures = 0;
     } else {
         ++m_directFailures;
+        m_lastDirectFailure
+            = path + ": " + (response ? std::to_string(response->status) : response.error().detail);
         m_directFailedAt = runtime_clock::now();
     }
     co_return response;
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -20,6 +20,8 @@
     void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
     /// \returns whether the last direct call was answered.
     bool isDirectWorking() const { return m_directFailures == 0; }
+    /// \returns what the last direct call that failed was, and how it failed.
+    const std::string &lastDirectFailure() const { return m_lastDirectFailure; }
 
     /// \brief Makes a call for a peer, directly only, so that calls don't go in circles.
     awaitable<tl::expected<http_response, http_error>> exchangeDirectly(http_request request,
@@ -37,6 +39,7 @@
     std::size_t m_nextPeer = 0;
     int m_directFailures = 0;
     time_point m_directFailedAt;
+    std::string m_lastDirectFailure;
 };
 
 /// \returns whether \p request asks for a call of the store on behalf of a peer.
