Split the entry's service by step: places, relay, own answers, turns

Cause: entry_service.cpp had 646 lines and serveTurn 90; a newcomer had to read all of it to follow one request. Ruled out: one class for each kind of route only; the relay and the places at the engines are used by several kinds. Change: engine_places (waits at the gates), answer_relay (bodies and streams), own_answers (refusals with their log line), turn_exchange (a turn's five steps). No decision changes but one: a large answer whose client left no longer counts against its replica.

--- /dev/null
+++ b/src/entry/answer_relay.cpp
@@ -0,0 +1,128 @@
+#include "entry/answer_relay.h"
+
+#include "http/sse.h"
+#include "platform/ingress.h"
+
+#include <optional>
+
+namespace azurehill {
+
+namespace {
+
+/// \returns how a send ended whose answer was not relayed whole.
+send_end brokenEnd(const entry_call &call, bool clientOpen)
+{
+    if (call.clientLeft() || !clientOpen || call.cut == cut_reason::TimeOver)
+        return send_end::Cancelled;
+    return call.cut == cut_reason::ReplicaSilent ? send_end::Silent : send_end::Broken;
+}
+
+} // namespace
+
+answer_relay::answer_relay(upstream_sender &sender, replica_board &board, engine_places &places,
+                           own_answers &answers, entry_metrics &metrics)
+    : m_sender(sender), m_board(board), m_places(places), m_answers(answers), m_metrics(metrics)
+{ }
+
+awaitable<bool> answer_relay::readBody(entry_call_ptr call, open_reply &reply, std::string &body)
+{
+    while (body.size() <= bufferedAnswer) {
+        const auto piece = co_await reply.connection->readSome(call->deadline);
+        if (!piece)
+            co_return false;
+        if (piece->empty())
+            co_return true;
+        call->lastByteAt = runtime_clock::now();
+        body += *piece;
+    }
+    co_return true;
+}
+
+awaitable<void> answer_relay::relayRest(entry_call_ptr call, open_reply &reply, std::string start,
+                                        response_writer &writer)
+{
+    header_list headers = replyHeaders(reply.head);
+    call->begun = true;
+    bool open = co_await writer.begin(reply.head.status, std::move(headers));
+    bool isWhole = false;
+    std::string piece = std::move(start);
+    while (open) {
+        open = co_await writer.writeChunk(piece);
+        auto next = co_await reply.connection->readSome(call->deadline);
+        if (!next)
+            break;
+        isWhole = next->empty();
+        if (isWhole)
+            break;
+        piece = std::move(*next);
+    }
+    if (open && isWhole)
+        open = co_await writer.end();
+    m_sender.finish(*call, reply, open && isWhole ? send_end::Answered : brokenEnd(*call, open));
+}
+
+awaitable<void> answer_relay::relayFailure(entry_call_ptr call, open_reply reply,
+                                           response_writer &writer)
+{
+    std::string body;
+    const bool whole = co_await readBody(call, reply, body);
+    m_sender.finish(*call, reply, whole ? send_end::Answered : send_end::Broken);
+    if (!whole) {
+        const send_failure broken{send_end::Broken, "the answer broke off"};
+        co_await m_answers.giveUp(call, broken, writer);
+        co_return;
+    }
+    http_response response{reply.head.status, replyHeaders(reply.head), std::move(body)};
+    co_await writer.write(std::move(response));
+}
+
+void answer_relay::notePace(const entry_call &call, std::int64_t events, time_point firstAt)
+{
+    // Fewer say more about how the answer was cut into packets than about the engine.
+    constexpr std::int64_t enoughEvents = 4;
+    m_metrics.onPhase(call.route->name, request_phase::Events, call.lastByteAt - firstAt);
+    if (events < enoughEvents)
+        return;
+    const std::chrono::duration<double, std::milli> span = call.lastByteAt - firstAt;
+    m_places.onPace(call.service, span.count() / double(events - 1), call.lastByteAt);
+}
+
+awaitable<stream_end> answer_relay::relayStream(entry_call_ptr call, open_reply &reply,
+                                                response_writer &writer)
+{
+    stream_end result;
+    std::optional<time_point> firstAt;
+    sse_reader events;
+    header_list headers = replyHeaders(reply.head);
+    call->begun = true;
+    bool open = co_await writer.begin(reply.head.status, std::move(headers));
+    while (open) {
+        const auto piece = co_await reply.connection->readSome(call->deadline);
+        if (!piece)
+            break;
+        if (piece->empty()) {
+            result.isWhole = true;
+            break;
+        }
+        call->lastByteAt = runtime_clock::now();
+        if (!firstAt) {
+            firstAt = call->lastByteAt;
+            m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
+        }
+        m_board.onHeard(reply.where.replica.id, call->lastByteAt);
+        events.feed(*piece);
+        while (auto data = events.next()) {
+            ++result.events;
+            result.output += *data;
+            result.output += '\n';
+        }
+        open = co_await writer.writeChunk(*piece);
+    }
+    if (firstAt)
+        notePace(*call, result.events, *firstAt);
+    m_sender.finish(*call, reply, result.isWhole ? send_end::Answered : brokenEnd(*call, open));
+    m_places.leave(*call);
+    co_return result;
+}
+
+} // namespace azurehill
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,19 +1,16 @@
 #pragma once
 
-#include "entry/entry_metrics.h"
 #include "entry/host_settings.h"
-#include "entry/upstream_sender.h"
-#include "http/http_server.h"
+#include "entry/turn_exchange.h"
 #include "members/members.h"
 #include "platform/platform_store.h"
-#include "turns/turns.h"
 
 #include <random>
 
 namespace azurehill {
 
-/// \brief Serves clients: finds the route, builds prompts, sends to replicas and relays answers.
-/// Lives on the traffic thread.
+/// \brief Serves clients: finds a request's route and has it answered by that route's kind. Owns
+/// what the traffic thread needs, and takes in what the control thread learns.
 class entry_service
 {
 public:
@@ -33,48 +30,19 @@
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
+    /// \brief Decodes \p request and finds its route, or answers it.
+    awaitable<bool> findRoute(entry_call_ptr call, const http_request &request,
+                              response_writer &writer);
     awaitable<void> servePlain(entry_call_ptr call, const http_request &request,
                                response_writer &writer);
     awaitable<void> serveStream(entry_call_ptr call, const http_request &request,
                                 response_writer &writer);
-    awaitable<void> serveTurn(entry_call_ptr call, const http_request &request,
-                              response_writer &writer);
     awaitable<void> sweep();
     awaitable<void> removeOldRows();
 
-    /// \brief A request that waits for a place at the engines.
-    struct gate_wait
-    {
-        explicit gate_wait(const asio::any_io_executor &executor) : alarm(executor) { }
-        timer alarm;
-        bool granted = false;
-    };
-    /// \brief Waits for a place at the engines of the call's service.
-    awaitable<bool> enterGate(entry_call_ptr call);
-    /// \brief Gives the call's place back, if it has one.
-    void leaveGate(entry_call &call);
-    void grantPlaces(service_gate &gate);
-    gate_ticket ticketOf(const entry_call &call) const;
-
-    /// \brief How the relay of a stream ended.
-    struct stream_end
-    {
-        bool isWhole = false;
-        /// Data of the events, each followed by a line feed.
-        std::string output;
-        std::int64_t events = 0;
-    };
-    awaitable<stream_end> relayStream(entry_call_ptr call, open_reply &reply,
-                                      response_writer &writer);
-    awaitable<void> relayFailure(entry_call_ptr call, open_reply reply, response_writer &writer);
-    awaitable<bool> readBody(entry_call_ptr call, open_reply &reply, std::string &body);
-    awaitable<void> refuse(entry_call_ptr call, own_answer answer, std::string detail,
-                           response_writer &writer, duration retryAfter = milliseconds(300));
-    awaitable<void> giveUp(entry_call_ptr call, send_failure failure, response_writer &writer);
-
-    std::string detailOf(turn_refusal refusal, const turn_claim &claim) const;
+    static bool mayRepeat(const entry_call &call);
     std::string pickService(const route_rule &route);
-    placement_request wantedOf(const entry_call &call) const;
+    void noteAnswered(const entry_call &call);
 
     host_settings m_settings;
     entry_metrics &m_metrics;
@@ -85,12 +53,12 @@
     turn_ledger m_ledger;
     replica_board m_board;
     upstream_sender m_sender;
+    engine_places m_places;
+    own_answers m_answers;
+    answer_relay m_relay;
+    turn_exchange m_turns;
     http_server m_server;
     route_book_ptr m_routes;
-    /// By service; only those with engines have one.
-    std::map<std::string, service_gate, std::less<>> m_gates;
-    std::map<std::uint64_t, std::shared_ptr<gate_wait>> m_gateWaits;
-    std::uint64_t m_lastTicket = 0;
     int m_daemons = 1;
 };
 
--- /dev/null
+++ b/src/entry/own_answers.cpp
@@ -0,0 +1,41 @@
+#include "entry/own_answers.h"
+
+#include "core/log_event.h"
+#include "platform/ingress.h"
+
+namespace azurehill {
+
+awaitable<void> own_answers::write(entry_call_ptr call, own_answer answer, std::string detail,
+                                   response_writer &writer, duration retryAfter)
+{
+    logDecision(log_event::OwnAnswer,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"answer", std::string(toName(answer))},
+                 {"detail", detail},
+                 {"route", call->route ? call->route->name : std::string()},
+                 {"sends", std::int64_t(call->sends)},
+                 {"retry_after_ms",
+                  answer == own_answer::Refused ? toMilliseconds(retryAfter) : std::int64_t(0)},
+                 {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
+    // What follows a colon are figures, which would make a series each.
+    m_metrics.onAnswer(toName(answer), std::string_view(detail).substr(0, detail.find(':')));
+    http_response response = encodeOwnAnswer(answer, detail, retryAfter);
+    call->isOwnAnswer = true;
+    co_await writer.write(std::move(response));
+}
+
+awaitable<void> own_answers::giveUp(entry_call_ptr call, send_failure failure,
+                                    response_writer &writer)
+{
+    if (call->clientLeft() || call->begun)
+        co_return;
+    own_answer answer = own_answer::Refused;
+    const bool inTime = runtime_clock::now() < call->deadline;
+    // An idempotent request may run again whatever became of it, but 503 says that it never will.
+    if (call->mayHaveRun)
+        answer = inTime ? own_answer::Broken : own_answer::TimedOut;
+    co_await write(call, answer, failure.detail, writer);
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/own_answers.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "entry/entry_call.h"
+#include "entry/entry_metrics.h"
+#include "entry/upstream_sender.h"
+#include "http/http_server.h"
+
+#include <string>
+
+namespace azurehill {
+
+/// Time after which a request that found no place comes back: about that of one turn.
+constexpr duration busyComeBack = milliseconds(300);
+
+/// The cause of a refusal by an engine_places.
+constexpr std::string_view enginesBusy = "the engines are busy";
+
+/// \brief Writes the answers that are the daemon's own, with their log line and count.
+class own_answers
+{
+public:
+    explicit own_answers(entry_metrics &metrics) : m_metrics(metrics) { }
+
+    /// \brief Ends \p call with \p answer.
+    /// \param detail the cause, for the log; what follows a colon are figures.
+    /// \param retryAfter when coming back makes sense; only for Refused.
+    awaitable<void> write(entry_call_ptr call, own_answer answer, std::string detail,
+                          response_writer &writer, duration retryAfter = busyComeBack);
+
+    /// \brief Ends \p call after \p failure, unless the client left or has part of an answer.
+    awaitable<void> giveUp(entry_call_ptr call, send_failure failure, response_writer &writer);
+
+private:
+    entry_metrics &m_metrics;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/entry/turn_exchange.cpp
@@ -0,0 +1,248 @@
+#include "entry/turn_exchange.h"
+
+#include "core/log_event.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// Clients leave a stream after a gap of two seconds, four objectives or eight event gaps,
+/// whichever is longest. The end of a stream is held back for its durability no longer than that,
+/// less what the way takes.
+constexpr duration leastClientGap = seconds(2);
+constexpr int objectivesInGap = 4;
+constexpr int eventGapsInGap = 8;
+constexpr duration endMargin = milliseconds(300);
+
+/// Clients come back after this long when the store can't be reached. Outages last for seconds and
+/// a program gives up after a few tries: with two seconds between them it outlives one of six.
+constexpr duration storeComeBack = seconds(2);
+
+/// How long a turn may wait for the store before its first send. Later it would miss its objective
+/// by more than its program can make up.
+constexpr duration storePatience = milliseconds(1500);
+
+duration clientGap(const route_rule &route)
+{
+    return std::max(
+               {leastClientGap, objectivesInGap * route.objective, eventGapsInGap * route.eventGap})
+        - endMargin;
+}
+
+own_answer answerFor(turn_refusal refusal)
+{
+    switch (refusal) {
+    case turn_refusal::NoSuchTurn:
+        return own_answer::NoSuchTurn;
+    case turn_refusal::BudgetSpent:
+        return own_answer::BudgetSpent;
+    case turn_refusal::TooLarge:
+        return own_answer::TooLarge;
+    case turn_refusal::StoreUnavailable:
+        break;
+    }
+    return own_answer::Refused;
+}
+
+/// \returns what the turn asks of its program's budget. A request that names no program belongs to
+/// the program of the turn before it, or begins one of its own.
+turn_claim claimOf(const client_request &r, const turn_ptr &previous)
+{
+    program_id program = r.program;
+    if (program.empty())
+        program = previous ? previous->program : program_id{r.id};
+    const std::int64_t budget = r.tokenBudget.value_or(-1);
+    const std::int64_t most = r.tokens ? r.tokens->mostOutput : std::max<std::int64_t>(0, budget);
+    return {{r.id}, program, budget, most, r.programFinish, r.previousTurn.empty()};
+}
+
+std::int64_t tokensPerEvent(const entry_call &call)
+{
+    const service_rule *service = call.routes->service(call.service);
+    return service && service->engine ? service->engine->tokensPerEvent : 1;
+}
+
+} // namespace
+
+turn_exchange::turn_exchange(asio::any_io_executor executor, turn_ledger &ledger,
+                             engine_places &places, upstream_sender &sender, answer_relay &relay,
+                             own_answers &answers, entry_metrics &metrics)
+    : m_executor(std::move(executor)), m_ledger(ledger), m_places(places), m_sender(sender),
+      m_relay(relay), m_answers(answers), m_metrics(metrics)
+{ }
+
+awaitable<void> turn_exchange::serve(entry_call_ptr call, const http_request &request,
+                                     response_writer &writer)
+{
+    auto work = std::make_shared<turn_work>();
+    work->call = call;
+    work->storeDeadline = std::min(call->deadline, runtime_clock::now() + storePatience);
+    const bool loaded = co_await loadPrevious(work, writer);
+    if (!loaded)
+        co_return;
+    work->claim = claimOf(call->request, work->previous);
+    const bool held = co_await holdTokens(work, writer);
+    if (!held)
+        co_return;
+    const bool placed = co_await takePlace(work, writer);
+    if (!placed)
+        co_return;
+    auto reply = co_await send(work, request, writer);
+    if (!reply)
+        co_return;
+    auto done = std::make_shared<turn>();
+    done->replica = reply->where.replica.id;
+    stream_end end = co_await m_relay.relayStream(call, *reply, writer);
+    if (!end.isWhole) {
+        chargeBroken(*work, end);
+        co_return;
+    }
+    const std::int64_t used = end.events * tokensPerEvent(*call);
+    done->id = work->claim.id;
+    done->program = work->claim.program;
+    done->previous = work->previous;
+    done->input = request.body;
+    done->output = std::move(end.output);
+    done->tokens = (call->request.tokens ? call->request.tokens->prompt : 0) + used;
+    co_await makeDurable(work, done, used, end.events, writer);
+}
+
+awaitable<bool> turn_exchange::loadPrevious(turn_work_ptr work, response_writer &writer)
+{
+    const client_request &r = work->call->request;
+    if (r.previousTurn.empty())
+        co_return true;
+    auto loaded = co_await m_ledger.load(r.program, r.previousTurn, work->storeDeadline);
+    if (!loaded) {
+        std::string detail(toName(loaded.error()));
+        co_await m_answers.write(work->call, answerFor(loaded.error()), std::move(detail), writer,
+                                 storeComeBack);
+        co_return false;
+    }
+    work->previous = std::move(*loaded);
+    co_return true;
+}
+
+awaitable<bool> turn_exchange::holdTokens(turn_work_ptr work, response_writer &writer)
+{
+    if (!work->call->request.tokenBudget)
+        co_return true;
+    turn_claim claim = work->claim;
+    const auto reserved = co_await m_ledger.reserve(std::move(claim), work->storeDeadline);
+    if (reserved)
+        co_return true;
+    // The hold may be on its way to the store all the same.
+    if (reserved.error() == turn_refusal::StoreUnavailable)
+        settle(*work, 0);
+    std::string detail = detailOf(reserved.error(), work->claim);
+    co_await m_answers.write(work->call, answerFor(reserved.error()), std::move(detail), writer,
+                             storeComeBack);
+    co_return false;
+}
+
+awaitable<bool> turn_exchange::takePlace(turn_work_ptr work, response_writer &writer)
+{
+    const entry_call_ptr call = work->call;
+    const program_times times = m_ledger.timesOf(call->request.program);
+    const bool hasPlace = co_await m_places.enter(call, times);
+    if (hasPlace) {
+        m_metrics.onPhase(call->route->name, request_phase::Store,
+                          runtime_clock::now() - call->arrivedAt);
+        logHeld(*work);
+        co_return true;
+    }
+    settle(*work, 0);
+    if (!call->clientLeft()) {
+        std::string detail(enginesBusy);
+        co_await m_answers.write(call, own_answer::Refused, std::move(detail), writer);
+    }
+    co_return false;
+}
+
+awaitable<std::optional<open_reply>>
+turn_exchange::send(turn_work_ptr work, const http_request &request, response_writer &writer)
+{
+    placement_request wanted = placementOf(*work->call);
+    if (work->previous) {
+        wanted.lastReplica = work->previous->replica;
+        wanted.lastTokens = work->previous->tokens;
+    }
+    std::string prompt = buildPrompt(work->previous, request.body);
+    auto reply = co_await m_sender.open(work->call, wanted, request, std::move(prompt));
+    if (reply && reply->head.status == 200)
+        co_return std::move(*reply);
+    // No event reached the client, so nothing was spent.
+    settle(*work, 0);
+    if (reply) {
+        co_await m_relay.relayFailure(work->call, std::move(*reply), writer);
+    } else {
+        send_failure failure = std::move(reply.error());
+        co_await m_answers.giveUp(work->call, std::move(failure), writer);
+    }
+    co_return std::nullopt;
+}
+
+void turn_exchange::chargeBroken(const turn_work &work, const stream_end &end)
+{
+    const entry_call &call = *work.call;
+    // One event more may have reached the client in part.
+    settle(work, std::min(work.claim.most, (end.events + 1) * tokensPerEvent(call)));
+    logDecision(log_event::TurnBrokeOff,
+                {{"request", call.request.id},
+                 {"program", call.request.program.value},
+                 {"replica", call.replica.value},
+                 {"cut", std::string(toName(call.cut))},
+                 {"events", end.events}});
+}
+
+awaitable<void> turn_exchange::makeDurable(turn_work_ptr work, turn_ptr done, std::int64_t used,
+                                           std::int64_t events, response_writer &writer)
+{
+    const entry_call_ptr call = work->call;
+    const time_point began = runtime_clock::now();
+    const auto committed = co_await m_ledger.commit(done, used, call->route->retention,
+                                                    began + clientGap(*call->route));
+    const duration waited = runtime_clock::now() - began;
+    m_metrics.onPhase(call->route->name, request_phase::Durable, waited);
+    logDecision(committed ? log_event::TurnDurable : log_event::TurnNotDurable,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"events", events},
+                 {"waited_ms", toMilliseconds(waited)}});
+    if (committed)
+        co_await writer.end();
+}
+
+void turn_exchange::settle(const turn_work &work, std::int64_t used)
+{
+    if (work.call->request.tokenBudget)
+        spawn(m_executor, "settle", m_ledger.settleBroken(work.claim, used));
+}
+
+void turn_exchange::logHeld(const turn_work &work) const
+{
+    if (!work.call->request.tokenBudget)
+        return;
+    const account_view account = m_ledger.accountView(work.claim.program);
+    logDecision(log_event::TokensHeld,
+                {{"request", work.call->request.id},
+                 {"program", work.claim.program.value},
+                 {"most", work.claim.most},
+                 {"budget", work.claim.budget},
+                 {"committed", account.committed},
+                 {"row_version", std::int64_t(account.version)}});
+}
+
+std::string turn_exchange::detailOf(turn_refusal refusal, const turn_claim &claim) const
+{
+    const account_view account = m_ledger.accountView(claim.program);
+    return fmt::format("{}: {} of {} tokens committed at row version {}, {} wanted",
+                       toName(refusal), account.committed, claim.budget, account.version,
+                       claim.most);
+}
+
+} // namespace azurehill
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -50,6 +50,18 @@
 
 } // namespace
 
+placement_request placementOf(const entry_call &call)
+{
+    placement_request wanted;
+    wanted.service = call.service;
+    wanted.parts = call.request.promptParts;
+    if (call.request.tokens)
+        wanted.promptTokens = call.request.tokens->prompt;
+    if (call.route->sessionAffinity)
+        wanted.affinityKey = call.request.affinityKey;
+    return wanted;
+}
+
 upstream_sender::upstream_sender(const asio::any_io_executor &executor, replica_board &board)
     : m_executor(executor), m_board(board), m_pool(executor, maxIdle, maxIdlePerReplica)
 { }
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -23,6 +23,9 @@
     std::string detail;
 };
 
+/// \returns what \p call needs of a replica.
+placement_request placementOf(const entry_call &call);
+
 /// \brief Sends requests to replicas: chooses one, keeps connections, judges the head of the answer
 /// and tries another replica where that is certainly allowed. Used on the traffic thread.
 class upstream_sender
