Keep replicas' connections for 20 s; refuse spent budgets without a call

Ruled out: that replicas would close them first, as the pool keeps to the time that a replica says; a read is not needed where spent tokens alone pass the budget, as they never come back. Change: idle connections live 20 s; a request that may run once only takes none that was idle for more than 6 s, since it could not be sent again if the connection is dead. A budget whose spent tokens leave no room is refused from what is known here.

--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -9,8 +9,11 @@
 
 namespace {
 
-/// A replica's connection that lies idle for longer is not used again: it may have gone silent.
-constexpr duration maxIdle = seconds(6);
+/// A replica's connection that lies idle for longer is closed: it may have gone silent. With 6 s, a
+/// third of the new connections of a calm day replaced ones that had run out.
+constexpr duration maxIdle = seconds(20);
+/// A request that may run once only and is lost on such a connection can't be sent again.
+constexpr duration maxIdleForOnce = seconds(6);
 constexpr std::size_t maxIdlePerReplica = 32;
 /// Replicas are a few milliseconds away. A lost opening packet is sent again after a second, by
 /// which time another replica has long answered.
@@ -96,7 +99,9 @@
                           const http_request &original, std::string body)
 {
     const endpoint address = where.replica.address;
-    auto connection = std::make_shared<http_connection>(m_pool.take(address, runtime_clock::now()));
+    const bool once = call->route->kind == route_kind::NonIdempotent;
+    auto connection = std::make_shared<http_connection>(
+        m_pool.take(address, runtime_clock::now(), once ? maxIdleForOnce : maxIdle));
     call->connection = connection.get();
     call->replica = where.replica.id;
     call->sentAt = runtime_clock::now();
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -15,9 +15,16 @@
 { }
 
 http_connection connection_pool::take(const endpoint &peer, time_point now)
+{
+    return take(peer, now, m_maxIdle);
+}
+
+http_connection connection_pool::take(const endpoint &peer, time_point now, duration mostIdle)
 {
     const auto found = m_idle.find(peer);
     while (found != m_idle.end() && !found->second.empty()) {
+        if (now - found->second.back().since > mostIdle)
+            break;
         // The newest one first, so that those that are not needed run out.
         idle_connection last = std::move(found->second.back());
         found->second.pop_back();
@@ -36,7 +43,7 @@
         keep = std::min(keep, *said - keepAliveMargin);
     auto &list = m_idle[peer];
     if (keep > duration::zero() && list.size() < m_maxPerPeer)
-        list.push_back({std::move(connection), now + keep});
+        list.push_back({std::move(connection), now, now + keep});
 }
 
 void connection_pool::expire(time_point now)
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -12,8 +12,7 @@
 {
 public:
     /// \param maxIdle longest time that a connection may lie idle. A connection can die without a
-    /// word while new ones work, and a request sent on it may not be repeated: a short bound makes
-    /// that rare.
+    /// word while new ones work: the bound makes that rare.
     /// \param maxPerPeer idle connections kept to one peer.
     connection_pool(asio::any_io_executor executor, duration maxIdle, std::size_t maxPerPeer);
 
@@ -21,6 +20,8 @@
     http_connection take(const endpoint &peer, time_point now);
     /// \brief Keeps \p connection for another request if it can take one.
     void give(const endpoint &peer, http_connection connection, time_point now);
+    /// \returns the same, unless all idle ones have been idle for longer than \p mostIdle.
+    http_connection take(const endpoint &peer, time_point now, duration mostIdle);
     /// \brief Closes the connections that have been idle for too long.
     void expire(time_point now);
     /// \brief Closes the idle connections to \p peer.
@@ -32,6 +33,7 @@
     struct idle_connection
     {
         http_connection connection;
+        time_point since;
         time_point until;
     };
 
--- a/src/turns/token_account.cpp
+++ b/src/turns/token_account.cpp
@@ -53,6 +53,11 @@
     return account;
 }
 
+bool isExhausted(const token_account &account, std::int64_t most, std::int64_t budget)
+{
+    return account.spent + most > budget;
+}
+
 token_account settle(token_account account, const turn_id &id, std::int64_t used)
 {
     account.holds.erase(id.value);
--- a/src/turns/token_account.h
+++ b/src/turns/token_account.h
@@ -35,6 +35,9 @@
 /// it.
 std::optional<token_account> hold(token_account account, const turn_id &id, std::int64_t most,
                                   std::int64_t budget);
+/// \returns whether the tokens that are spent alone leave no room for \p most. They never come
+/// back, so this stays true however old \p account is.
+bool isExhausted(const token_account &account, std::int64_t most, std::int64_t budget);
 /// \returns \p account with \p used tokens spent in place of the hold of \p id.
 token_account settle(token_account account, const turn_id &id, std::int64_t used);
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -243,9 +243,11 @@
 awaitable<tl::expected<void, turn_refusal>> turn_ledger::reserve(turn_claim claim,
                                                                  time_point deadline)
 {
+    account_ptr state = accountOf(claim.program);
+    if (isExhausted(state->account, claim.most, claim.budget))
+        co_return tl::unexpected(turn_refusal::BudgetSpent);
     if (!m_store.isReachable())
         co_return tl::unexpected(turn_refusal::StoreUnavailable);
-    account_ptr state = accountOf(claim.program);
     account_step step;
     step.kind = account_step::step_kind::Reserve;
     step.claim = std::move(claim);
--- a/test/io/entry_service_test.cpp
+++ b/test/io/entry_service_test.cpp
@@ -118,6 +118,36 @@
         }
     }
 
+    TEST_CASE("connections to replicas are used again")
+    {
+        const paused_clock pause;
+        entry_world w;
+        w.service->setReplicas({w.a.entry});
+
+        SUBCASE("after ten idle seconds by a request that may be sent again")
+        {
+            // Every other request of a quiet night opened a connection, each of which takes one of
+            // the replica's slots for a moment and is priced.
+            for (int i = 0; i < 20; ++i) {
+                CHECK(statusOf(w.ask(request("/safe/x", "r" + std::to_string(i)))) == 200);
+                runtime_clock::advance(seconds(10));
+            }
+            CHECK(w.a.connections == 1);
+        }
+        SUBCASE("but a request that may run once only gets one that was in use just now")
+        {
+            // A payment went out on a connection whose replica had fallen silent a while ago. It
+            // could not be sent again, and the family saw an error for a replica long replaced.
+            CHECK(statusOf(w.ask(request("/unsafe/x", "u1"))) == 200);
+            runtime_clock::advance(seconds(5));
+            CHECK(statusOf(w.ask(request("/unsafe/x", "u2"))) == 200);
+            CHECK(w.a.connections == 1);
+            runtime_clock::advance(seconds(10));
+            CHECK(statusOf(w.ask(request("/unsafe/x", "u3"))) == 200);
+            CHECK(w.a.connections == 2);
+        }
+    }
+
     TEST_CASE("a turn gets the history of its chain, byte for byte")
     {
         entry_world w;
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -29,6 +29,8 @@
     /// What the replica sends for each request, in order; "ID" stands for the request's id. When
     /// nothing is left, it answers well. An empty text closes the connection.
     std::deque<std::string> script;
+    /// Connections that were opened to the replica.
+    int connections = 0;
     /// Requests that arrived, head and body.
     std::vector<std::string> arrived;
     replica_entry entry;
@@ -59,6 +61,7 @@
         while (true) {
             auto socket = std::make_shared<asio::ip::tcp::socket>(m_acceptor.get_executor());
             co_await m_acceptor.async_accept(*socket, use_awaitable);
+            ++connections;
             spawn(m_acceptor.get_executor(), "serve", serve(socket));
         }
     }
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -217,6 +217,23 @@
             runPaused(context, story());
         }
 
+        SUBCASE("tokens that are spent never come back, so the refusal needs no store")
+        {
+            // A program that loops asked for one more turn again and again after its budget was
+            // spent. Each refusal read the account, and in an outage it got "come back" instead.
+            auto story = [&]() -> awaitable<void> {
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                co_await runTurn(first.ledger, one, nullptr, 50);
+                const int before = first.access.calls;
+                first.access.reachable = false;
+                const auto b = co_await reserveFor(first.ledger, "t2", 100, 60);
+                REQUIRE_FALSE(b);
+                CHECK(b.error() == turn_refusal::BudgetSpent);
+                CHECK(first.access.calls == before);
+            };
+            runPaused(context, story());
+        }
+
         SUBCASE("a daemon dies in the middle: what it held stays held")
         {
             auto story = [&]() -> awaitable<void> {
