Log: dropped lines cost next to nothing; sends, doubts and the store's age as metrics

The counter azurehill_sends_total existed and nothing ever counted; doubted replicas and the store's age, which the on-call page needs, were no gauges. Change: the sink admits a line before it is put together; sends are counted; gauges doubted_replicas and store_age_seconds; 'sent' tells which attempt it is. A process test never reads the log of a daemon: 2,000 of 2,000 requests are answered, and SIGTERM ends it.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -61,9 +61,13 @@
     const log_level level = levelOf(event);
     if (level < lowestLevel)
         return;
+    log_sink *sink = currentLogSink();
+    const std::int64_t nowMs = unixMilliseconds();
+    if (sink && !sink->admits(event, nowMs))
+        return;
     const std::string line = formatLogLine(level, toName(event), fields);
-    if (log_sink *sink = currentLogSink())
-        sink->put(event, line, unixMilliseconds());
+    if (sink)
+        sink->put(event, line, nowMs);
     else
         fmt::print(stderr, "{}", line);
 }
--- a/src/core/log_sink.cpp
+++ b/src/core/log_sink.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::int64_t reportPauseMs = 1000;
+/// Room that must be left for another line to be put together: most are shorter (300 bytes for a
+/// send, on a calm day).
+constexpr std::size_t usualLine = 512;
 /// Lines are gathered this long before they are written, so that the thread wakes rarely.
 constexpr milliseconds gatherTime{20};
 
@@ -72,13 +75,27 @@
                          {{"lines", boost::json::serialize(counts)}});
 }
 
+void log_sink::countDropped(log_event event)
+{
+    ++m_dropped[static_cast<std::size_t>(event)];
+    ++m_droppedInAll;
+}
+
+bool log_sink::admits(log_event event, std::int64_t nowMs)
+{
+    const std::lock_guard lock(m_mutex);
+    const bool hasRoom = m_waiting.size() + usualLine <= m_bounds.waitingBytes;
+    const bool isAdmitted = isWithinRate(event, nowMs) && hasRoom;
+    if (!isAdmitted)
+        countDropped(event);
+    return isAdmitted;
+}
+
 void log_sink::put(log_event event, const std::string &line, std::int64_t nowMs)
 {
     const std::lock_guard lock(m_mutex);
-    const bool fits = m_waiting.size() + line.size() <= m_bounds.waitingBytes;
-    if (!isWithinRate(event, nowMs) || !fits) {
-        ++m_dropped[static_cast<std::size_t>(event)];
-        ++m_droppedInAll;
+    if (m_waiting.size() + line.size() > m_bounds.waitingBytes) {
+        countDropped(event);
         return;
     }
     const bool wasEmpty = m_waiting.empty();
--- a/src/core/log_sink.h
+++ b/src/core/log_sink.h
@@ -31,7 +31,10 @@
 public:
     log_sink(int descriptor, const log_bounds &bounds);
 
-    /// \brief Takes \p line if the bounds allow it. Never waits for the reader.
+    /// \brief Counts a line of \p event. \returns whether the rate allows it and there is room, so
+    /// that a line that is dropped need not be put together.
+    bool admits(log_event event, std::int64_t nowMs);
+    /// \brief Takes \p line, which was admitted, if there is room. Never waits for the reader.
     void put(log_event event, const std::string &line, std::int64_t nowMs);
     /// \brief Writes until stop(); the body of the sink's thread.
     void run();
@@ -44,6 +47,7 @@
     static constexpr std::size_t eventCount = enum_names<log_event>::names.size();
 
     bool isWithinRate(log_event event, std::int64_t nowMs);
+    void countDropped(log_event event);
     std::string takeDropReport(std::int64_t nowMs);
 
     int m_descriptor;
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -89,6 +89,12 @@
     m_state->sends.Add({{"end", std::string(end)}}).Increment();
 }
 
+void entry_metrics::setDoubtedReplicas(int count)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->setGauge("doubted_replicas", count);
+}
+
 std::string entry_metrics::toText(const entry_gauges &g)
 {
     const std::lock_guard lock(m_state->mutex);
@@ -97,6 +103,7 @@
     m_state->setGauge("draining_replicas", g.drainingReplicas);
     m_state->setGauge("config_version", double(g.configVersion));
     m_state->setGauge("store_reachable", g.storeReachable ? 1 : 0);
+    m_state->setGauge("store_age_seconds", std::chrono::duration<double>(g.storeAge).count());
     m_state->setGauge("log_lines_dropped", double(g.logLinesDropped));
     return prometheus::TextSerializer().Serialize(m_state->registry.Collect());
 }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -26,6 +26,8 @@
     int drainingReplicas = 0;
     std::uint64_t configVersion = 0;
     bool storeReachable = false;
+    /// Time since the store last answered, directly or through a peer.
+    duration storeAge = duration::zero();
     std::uint64_t logLinesDropped = 0;
 };
 
@@ -48,6 +50,9 @@
     /// \brief A send to a replica ended as \p end.
     void onSend(std::string_view end);
 
+    /// \brief Takes in how many replicas get no requests because some failed there.
+    void setDoubtedReplicas(int count);
+
     /// \returns all of them in Prometheus' text format.
     std::string toText(const entry_gauges &gauges);
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -42,8 +42,8 @@
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
       m_transport(std::make_shared<peer_transport>(m_executor, settings.storeAddress)),
       m_store(m_transport), m_ledger(m_store, ledgerSettings(settings)),
-      m_board(settings.dataCentre, stableHash(settings.name.value)), m_sender(m_executor, m_board),
-      m_places(m_executor, metrics), m_answers(metrics),
+      m_board(settings.dataCentre, stableHash(settings.name.value)),
+      m_sender(m_executor, m_board, metrics), m_places(m_executor, metrics), m_answers(metrics),
       m_relay(m_sender, m_board, m_places, m_answers, metrics),
       m_turns(m_executor, m_ledger, m_places, m_sender, m_relay, m_answers, metrics),
       m_server(m_executor, limitsOf(settings, {}),
@@ -101,6 +101,7 @@
         m_sender.sweep(now);
         m_ledger.expire(now);
         m_places.update(m_board, m_daemons, now);
+        m_metrics.setDoubtedReplicas(m_board.doubted());
         co_await sleepFor(sweepPause);
     }
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -65,8 +65,10 @@
     return wanted;
 }
 
-upstream_sender::upstream_sender(const asio::any_io_executor &executor, replica_board &board)
-    : m_executor(executor), m_board(board), m_pool(executor, maxIdle, maxIdlePerReplica)
+upstream_sender::upstream_sender(const asio::any_io_executor &executor, replica_board &board,
+                                 entry_metrics &metrics)
+    : m_executor(executor), m_board(board), m_metrics(metrics),
+      m_pool(executor, maxIdle, maxIdlePerReplica)
 { }
 
 bool upstream_sender::isSilent(const entry_call &call, time_point now) const
@@ -133,6 +135,7 @@
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
                  {"program", call->request.program.value},
+                 {"attempt", std::int64_t(wanted.tried.size())},
                  {"replica", where.replica.id.value},
                  {"outstanding", std::int64_t(where.outstanding)},
                  {"candidates", std::int64_t(where.candidates)},
@@ -195,6 +198,7 @@
         reply.connection->close();
     if (end == send_end::Unreachable || end == send_end::Silent)
         m_pool.drop(reply.where.replica.address);
+    m_metrics.onSend(toName(end));
     logDecision(log_event::SendEnded,
                 {{"request", call.request.id},
                  {"replica", reply.where.replica.id.value},
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/entry_call.h"
+#include "entry/entry_metrics.h"
 #include "http/connection_pool.h"
 #include "replicas/replicas.h"
 
@@ -31,7 +32,8 @@
 class upstream_sender
 {
 public:
-    upstream_sender(const asio::any_io_executor &executor, replica_board &board);
+    upstream_sender(const asio::any_io_executor &executor, replica_board &board,
+                    entry_metrics &metrics);
 
     /// \brief Sends \p call to replicas until one answers.
     /// \param wanted what is asked of a replica; the replicas that were tried are added to it.
@@ -58,6 +60,7 @@
 
     asio::any_io_executor m_executor;
     replica_board &m_board;
+    entry_metrics &m_metrics;
     connection_pool m_pool;
     std::set<entry_call_ptr> m_underWay;
 };
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -82,6 +82,13 @@
                       [&](const upstream_id &id) { return mayTake(m_replicas.at(id), now); }));
 }
 
+int replica_board::doubted() const
+{
+    return static_cast<int>(
+        std::count_if(m_replicas.begin(), m_replicas.end(),
+                      [](const auto &item) { return item.second.trust.isDoubted(); }));
+}
+
 void replica_board::setCacheTokens(const std::string &service, std::int64_t tokens)
 {
     m_services[service].cacheTokens = tokens;
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -92,6 +92,8 @@
     /// \returns the time that answers of \p service typically take to begin, with their spread.
     std::optional<duration> typicalWait(std::string_view service) const;
     std::size_t size() const { return m_replicas.size(); }
+    /// \returns the number of replicas that get no requests because some failed there.
+    int doubted() const;
     /// \returns the number of replicas of \p service that may take requests.
     int open(std::string_view service, time_point now) const;
 
--- a/test/io/entry_service_test.cpp
+++ b/test/io/entry_service_test.cpp
@@ -231,6 +231,34 @@
         }
     }
 
+    TEST_CASE("the metrics tell how replicas behave")
+    {
+        // On call, the sends of a host whose replicas had all failed could not be told from those
+        // of a host without traffic: the counter was there and nothing ever counted.
+        entry_world w;
+
+        SUBCASE("how what is sent to them ends")
+        {
+            w.ask(request("/safe/x", "r1"));
+            CHECK(contains(w.metrics.toText({}), "azurehill_sends_total{end=\"answered\"} 1"));
+        }
+        SUBCASE("and how many of them are doubted")
+        {
+            replica_entry dead = w.a.entry;
+            dead.address.port = w.freePort();
+            w.service->setReplicas({dead});
+            CHECK(statusOf(w.ask(request("/safe/x", "r1"))) == 503);
+            const auto isTold = [&w] {
+                return contains(w.metrics.toText({}),
+                                "azurehill_state{what=\"doubted_replicas\"} 1");
+            };
+            // The daemon looks at its replicas now and then while it answers other requests.
+            for (int i = 0; i < 1000 && !isTold(); ++i)
+                w.ask(request("/nowhere", "r2"));
+            CHECK(isTold());
+        }
+    }
+
     TEST_CASE("a daemon that knows no configuration calls no route unknown")
     {
         // Right after all hosts had lost power, lessons ended with 404: a daemon had begun to
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -222,6 +222,13 @@
     entry_service *service = nullptr;
     std::vector<std::unique_ptr<entry_service>> services;
 
+    /// \returns a port on which nobody listens.
+    std::uint16_t freePort()
+    {
+        asio::ip::tcp::acceptor probe(context, {asio::ip::address_v4::loopback(), 0});
+        return probe.local_endpoint().port();
+    }
+
 private:
     void begin(const route_book_ptr &routes)
     {
@@ -232,12 +239,6 @@
         if (routes)
             service->setRoutes(routes);
     }
-
-    std::uint16_t freePort()
-    {
-        asio::ip::tcp::acceptor probe(context, {asio::ip::address_v4::loopback(), 0});
-        return probe.local_endpoint().port();
-    }
 };
 
 } // namespace azurehill::test
--- a/test/logic/log_story_test.cpp
+++ b/test/logic/log_story_test.cpp
@@ -138,14 +138,21 @@
         bounds.infoPerSecond = 10;
         bounds.warningsPerSecond = 50;
         log_sink sink(STDERR_FILENO, bounds);
-        for (int i = 0; i < 20; ++i)
-            sink.put(log_event::Sent, "", 1000);
-        CHECK(sink.dropped() == 10);
-        for (int i = 0; i < 50; ++i)
-            sink.put(log_event::OwnAnswer, "", 1000);
-        CHECK(sink.dropped() == 10);
-        sink.put(log_event::Sent, "", 2000);
+        int admitted = 0;
+        const auto tell = [&](log_event event, int lines, std::int64_t nowMs) {
+            admitted = 0;
+            for (int i = 0; i < lines; ++i)
+                admitted += sink.admits(event, nowMs) ? 1 : 0;
+        };
+        tell(log_event::Sent, 20, 1000);
+        CHECK(admitted == 10);
         CHECK(sink.dropped() == 10);
+        tell(log_event::OwnAnswer, 60, 1000);
+        CHECK(admitted == 50);
+        CHECK(sink.dropped() == 20);
+        tell(log_event::Sent, 1, 2000);
+        CHECK(admitted == 1);
+        CHECK(sink.dropped() == 20);
     }
 }
 
--- a/test/process/entry_test.cpp
+++ b/test/process/entry_test.cpp
@@ -11,8 +11,11 @@
 #include <atomic>
 #include <csignal>
 #include <cstdlib>
+#include <fcntl.h>
 #include <fstream>
+#include <sys/stat.h>
 #include <thread>
+#include <unistd.h>
 
 namespace azurehill::process_test {
 
@@ -188,6 +191,30 @@
         }
     }
 
+    TEST_CASE("a reader of the log that stands still costs no request")
+    {
+        // A collector of logs stopped reading, the pipe filled up, and every daemon of the host
+        // stood still in the middle of its answers until the collector was restarted.
+        platform_world world;
+        const std::string log = world.folder.path() + "/entry.log";
+        constexpr mode_t ownerOnly = 0600;
+        REQUIRE(mkfifo(log.c_str(), ownerOnly) == 0);
+        const int unread = open(log.c_str(), O_RDWR | O_CLOEXEC);
+        REQUIRE(unread >= 0);
+        child entry = world.startEntry();
+        REQUIRE(holdsWithin(patience, [&] { return isReady(world); }));
+        // Some 700 bytes a request: many times what the pipe takes, and more than the buffer.
+        constexpr int requests = 2000;
+        int whole = 0;
+        for (int i = 0; i < requests; ++i)
+            whole += get(world.ports()[0], "/a/x").body == "whole" ? 1 : 0;
+        CHECK(whole == requests);
+        entry.signal(SIGTERM);
+        CHECK(holdsWithin(patience, [&] { return entry.exitStatus().has_value(); }));
+        CHECK(entry.exitStatus() == 0);
+        close(unread);
+    }
+
     TEST_CASE("settings that can't be used are named, and it does not start")
     {
         platform_world world;
