Relayed calls may last as long as their caller waits

A daemon that the store turns away asks for its feed through a peer; the peer gave such a call up after a second, though the store holds it for two, took that for its own loss of the store, left the look-ups and went through peers itself for 0.7 s. Ruled out: a slow store (turns became durable in 16 ms meanwhile); feeds of the daemon's own (those may last three seconds). Change: the relayed call says how much time its caller has, 5 s at the most.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -118,6 +118,7 @@
                                          [](const auto &item) { return item.second.draining; }));
     g.configVersion = m_routes ? m_routes->version() : 0;
     g.storeReachable = m_transport->isDirectWorking();
+    g.storeAge = runtime_clock::now() - m_transport->lastAnswer();
     return g;
 }
 
@@ -183,19 +184,10 @@
 awaitable<void> entry_control::answerPeer(const http_request &request, response_writer &writer)
 {
     http_response response;
-    if (isRelayedCall(request)) {
-        http_request call = unwrapRelayedCall(request);
-        auto reply = co_await m_transport->exchangeDirectly(std::move(call), soon());
-        constexpr int nothingDone = 503;
-        constexpr int unknown = 502;
-        if (reply)
-            response = std::move(*reply);
-        else
-            response = jsonResponse(reply.error().ran == outcome::DidNotRun ? nothingDone : unknown,
-                                    "{}");
-    } else {
+    if (isRelayedCall(request))
+        response = co_await answerRelayedCall(*m_transport, request);
+    else
         response = encodeOwnAnswer(own_answer::NoRoute, "", {});
-    }
     co_await writer.write(std::move(response));
 }
 
--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -1,5 +1,8 @@
 #include "members/peer_transport.h"
 
+#include <algorithm>
+#include <charconv>
+
 namespace azurehill {
 
 namespace {
@@ -7,6 +10,7 @@
 constexpr std::string_view relayPath = "/inner/store";
 constexpr std::string_view methodHeader = "Store-Method";
 constexpr std::string_view targetHeader = "Store-Target";
+constexpr std::string_view timeHeader = "Store-Time-Ms";
 
 /// How long a direct call may take when a peer could make it. A store that is fifty times slower
 /// than usual still answers in this time.
@@ -14,6 +18,10 @@
 /// How long calls go through a peer before the direct way is tried again.
 constexpr duration directPause = milliseconds(700);
 constexpr duration connectTime = milliseconds(200);
+/// Time for a peer's call that does not say how long it may take, and the most that it may say: a
+/// call that the store holds on purpose lasts some seconds.
+constexpr std::int64_t usualMs = 1000;
+constexpr std::int64_t mostMs = 5000;
 constexpr duration maxIdle = seconds(5);
 constexpr std::size_t maxIdleConnections = 8;
 
@@ -22,26 +30,20 @@
     return status == 429 || status == 503;
 }
 
-http_request wrap(http_request request)
+http_request wrap(http_request request, duration timeLeft)
 {
     http_request out;
     out.method = "POST";
     out.target = relayPath;
     out.headers.add(methodHeader, request.method);
     out.headers.add(targetHeader, request.target);
+    out.headers.add(timeHeader, std::to_string(toMilliseconds(timeLeft)));
     out.headers.add("Content-Type", "application/octet-stream");
     out.body = std::move(request.body);
     return out;
 }
 
-} // namespace
-
-bool isRelayedCall(const http_request &request)
-{
-    return request.path() == relayPath;
-}
-
-http_request unwrapRelayedCall(const http_request &request)
+http_request unwrap(const http_request &request)
 {
     http_request out;
     out.method = request.headers.get(methodHeader);
@@ -52,6 +54,39 @@
     return out;
 }
 
+/// \returns when the peer gives up the call in \p request.
+time_point deadlineOf(const http_request &request)
+{
+    const std::string said(request.headers.get(timeHeader));
+    std::int64_t ms = usualMs;
+    const auto [end, error] = std::from_chars(said.data(), said.data() + said.size(), ms);
+    if (error != std::errc() || end != said.data() + said.size())
+        ms = usualMs;
+    return runtime_clock::now() + milliseconds(std::clamp<std::int64_t>(ms, 0, mostMs));
+}
+
+} // namespace
+
+bool isRelayedCall(const http_request &request)
+{
+    return request.path() == relayPath;
+}
+
+awaitable<http_response> answerRelayedCall(peer_transport &transport, const http_request &request)
+{
+    http_request call = unwrap(request);
+    auto reply = co_await transport.exchangeDirectly(std::move(call), deadlineOf(request));
+    if (reply)
+        co_return std::move(*reply);
+    constexpr int nothingDone = 503;
+    constexpr int unknown = 502;
+    http_response failure;
+    failure.status = reply.error().ran == outcome::DidNotRun ? nothingDone : unknown;
+    failure.headers.add("Content-Type", "application/json");
+    failure.body = "{}";
+    co_return failure;
+}
+
 peer_transport::peer_transport(const asio::any_io_executor &executor, endpoint storeAddress)
     : m_direct(executor, std::move(storeAddress)), m_pool(executor, maxIdle, maxIdleConnections)
 { }
@@ -63,6 +98,7 @@
     auto response = co_await m_direct.exchange(std::move(request), deadline, {});
     if (response && !turnsAway(response->status)) {
         m_directFailures = 0;
+        m_answeredAt = runtime_clock::now();
     } else {
         ++m_directFailures;
         m_lastDirectFailure
@@ -83,10 +119,12 @@
         if (!connected)
             co_return tl::unexpected(connected.error());
     }
-    http_request wrapped = wrap(std::move(request));
+    http_request wrapped = wrap(std::move(request), deadline - runtime_clock::now());
     auto response = co_await connection.exchange(std::move(wrapped), deadline);
     if (response)
         m_pool.give(peer, std::move(connection), runtime_clock::now());
+    if (response && !turnsAway(response->status))
+        m_answeredAt = runtime_clock::now();
     co_return response;
 }
 
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -20,6 +20,8 @@
     void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
     /// \returns whether the last direct call was answered.
     bool isDirectWorking() const { return m_directFailures == 0; }
+    /// \returns when the store last answered, directly or through a peer.
+    time_point lastAnswer() const { return m_answeredAt; }
     /// \returns what the last direct call that failed was, and how it failed.
     const std::string &lastDirectFailure() const { return m_lastDirectFailure; }
 
@@ -39,12 +41,14 @@
     std::size_t m_nextPeer = 0;
     int m_directFailures = 0;
     time_point m_directFailedAt;
+    time_point m_answeredAt = runtime_clock::now();
     std::string m_lastDirectFailure;
 };
 
 /// \returns whether \p request asks for a call of the store on behalf of a peer.
 bool isRelayedCall(const http_request &request);
-/// \returns the call inside \p request.
-http_request unwrapRelayedCall(const http_request &request);
+/// \brief Makes the call inside \p request for a peer. \returns the store's answer, or a failure
+/// that says whether something may have been done.
+awaitable<http_response> answerRelayedCall(peer_transport &transport, const http_request &request);
 
 } // namespace azurehill
--- a/test/io/loopback.h
+++ b/test/io/loopback.h
@@ -37,6 +37,26 @@
         std::rethrow_exception(failure);
 }
 
+/// \brief Runs \p body on a paused clock, which moves on by \p step whenever nothing else is to be
+/// done. A timer sees the clock move within a millisecond of real time.
+inline void runInSteps(asio::io_context &context, awaitable<void> body, duration step)
+{
+    bool done = false;
+    std::exception_ptr failure;
+    asio::co_spawn(context, std::move(body), [&](std::exception_ptr e) {
+        failure = std::move(e);
+        done = true;
+    });
+    context.restart();
+    while (!done) {
+        context.run_for(std::chrono::microseconds(1200));
+        context.restart();
+        runtime_clock::advance(step);
+    }
+    if (failure)
+        std::rethrow_exception(failure);
+}
+
 /// \brief Lets everything else that is ready go on.
 inline awaitable<void> yieldOnce()
 {
--- a/test/io/platform_store_test.cpp
+++ b/test/io/platform_store_test.cpp
@@ -186,12 +186,7 @@
         http_server relay(
             w.context.get_executor(), {},
             [&](const http_request &request, response_writer &writer) -> awaitable<void> {
-                http_request call = unwrapRelayedCall(request);
-                auto reply = co_await peer.exchangeDirectly(std::move(call), later(seconds(1)));
-                http_response response;
-                response.status = 502;
-                if (reply)
-                    response = std::move(*reply);
+                http_response response = co_await answerRelayedCall(peer, request);
                 co_await writer.write(std::move(response));
             });
         w.transport->setPeers({{"127.0.0.1", relay.listen({"127.0.0.1", 0})}});
@@ -199,6 +194,35 @@
         CHECK(w.write("a", "x", 0));
         CHECK(w.read()->rows.size() == 1);
         CHECK_FALSE(w.transport->isDirectWorking());
+        const time_point heard = w.transport->lastAnswer();
+        CHECK(w.read());
+        CHECK(w.transport->lastAnswer() > heard);
+
+        SUBCASE("a call that the store holds on purpose is no outage for the peer")
+        {
+            // While two hosts were turned away, every other host told "store lost" in turn and left
+            // the look-ups: it gave up the feeds that it asked for on their behalf after a second,
+            // and took that for its own loss of the store.
+            const paused_clock pause;
+            store_result<row_page> quiet;
+            auto go = [&]() -> awaitable<void> {
+                std::string table = "t";
+                quiet = co_await w.client.changes(std::move(table), rows.version(), seconds(2),
+                                                  later(seconds(3)));
+            };
+            runInSteps(w.context, go(), milliseconds(20));
+            CHECK(quiet);
+            INFO(peer.lastDirectFailure());
+            CHECK(peer.isDirectWorking());
+        }
+
+        SUBCASE("what the peer can't get either makes the store's age grow")
+        {
+            forPeer.nextTrouble = [](std::string_view) { return store_trouble::Unavailable; };
+            const time_point last = w.transport->lastAnswer();
+            CHECK_FALSE(w.read());
+            CHECK(w.transport->lastAnswer() == last);
+        }
 
         SUBCASE("a write that may have been done is not called refused when the peer fails too")
         {
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -12,25 +12,10 @@
 
 namespace {
 
-/// \brief Runs \p body on a paused clock, which moves on in small steps whenever nothing else is to
-/// be done. A timer sees the clock move within a millisecond of real time.
 void runPaused(asio::io_context &context, awaitable<void> body)
 {
     const paused_clock pause;
-    bool done = false;
-    std::exception_ptr failure;
-    asio::co_spawn(context, std::move(body), [&](std::exception_ptr e) {
-        failure = std::move(e);
-        done = true;
-    });
-    context.restart();
-    while (!done) {
-        context.run_for(std::chrono::microseconds(1200));
-        context.restart();
-        runtime_clock::advance(milliseconds(40));
-    }
-    if (failure)
-        std::rethrow_exception(failure);
+    runInSteps(context, std::move(body), milliseconds(40));
 }
 
 time_point later(duration d)
