Wait for the store's answer as long as its answers take

Cause: a lost answer of the store held its turn for 0.4 s before the call was made again (the engines need 0.3 s for a whole answer), and one lost answer counted as the loss of the store: the daemon left the look-ups and went through peers for 0.7 s. On platform_slow the same 0.4 s was too short for writes that span parts, and every such call was made twice. Change: the wait follows the answers that came (smoothed time and deviation, 120 to 700 ms) and doubles with each that did not; 400 ms at most while the direct way is taken for lost. Two lost answers in a row, or one refusal, are the loss of the store.

--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -12,9 +12,9 @@
 constexpr std::string_view targetHeader = "Store-Target";
 constexpr std::string_view timeHeader = "Store-Time-Ms";
 
-/// How long a direct call may take when a peer could make it. A store that is fifty times slower
-/// than usual still answers in this time.
-constexpr duration directTime = milliseconds(400);
+/// Longest wait for a direct answer while the direct way is taken for lost: a host that the store
+/// turns away silently pays it for each look whether that is over.
+constexpr duration lostTime = milliseconds(400);
 /// How long calls go through a peer before the direct way is tried again.
 constexpr duration directPause = milliseconds(700);
 constexpr duration connectTime = milliseconds(200);
@@ -94,18 +94,33 @@
 awaitable<tl::expected<http_response, http_error>>
 peer_transport::exchangeDirectly(http_request request, time_point deadline)
 {
-    const std::string path(request.path());
+    std::string path(request.path());
     auto response = co_await m_direct.exchange(std::move(request), deadline, {});
-    if (response && !turnsAway(response->status)) {
+    noteDirect(response, std::move(path));
+    co_return response;
+}
+
+void peer_transport::noteDirect(const exchange_result &result, std::string path)
+{
+    const time_point now = runtime_clock::now();
+    if (result && !turnsAway(result->status)) {
         m_directFailures = 0;
-        m_answeredAt = runtime_clock::now();
-    } else {
-        ++m_directFailures;
-        m_lastDirectFailure
-            = path + ": " + (response ? std::to_string(response->status) : response.error().detail);
-        m_directFailedAt = runtime_clock::now();
+        m_answeredAt = now;
+        return;
     }
-    co_return response;
+    const bool isTimeout = !result && result.error().kind == http_error_kind::TimedOut;
+    m_directFailures += isTimeout ? 1 : failuresUntilLost;
+    m_lastDirectFailure = std::move(path) + ": "
+        + (result ? std::to_string(result->status) : result.error().detail);
+    m_directFailedAt = now;
+}
+
+void peer_transport::noteTime(const exchange_result &result, duration took)
+{
+    if (result && !turnsAway(result->status))
+        m_patience.onAnswer(took);
+    else if (!result && result.error().kind == http_error_kind::TimedOut)
+        m_patience.onTimeout();
 }
 
 awaitable<tl::expected<http_response, http_error>>
@@ -133,15 +148,19 @@
 {
     const time_point now = runtime_clock::now();
     const bool peerFirst
-        = !m_peers.empty() && m_directFailures > 0 && now < m_directFailedAt + directPause;
+        = !m_peers.empty() && !isDirectWorking() && now < m_directFailedAt + directPause;
+    const duration patience
+        = isDirectWorking() ? m_patience.wait() : std::min(m_patience.wait(), lostTime);
     const time_point firstDeadline
-        = m_peers.empty() ? deadline : std::min(deadline, now + directTime + hold);
+        = m_peers.empty() ? deadline : std::min(deadline, now + patience + hold);
     http_request copy = request;
     exchange_result first;
     if (peerFirst)
         first = co_await exchangeThroughPeer(std::move(copy), deadline);
     else
         first = co_await exchangeDirectly(std::move(copy), firstDeadline);
+    if (!peerFirst && hold == duration::zero())
+        noteTime(first, runtime_clock::now() - now);
     const bool failed = !first || turnsAway(first->status);
     if (!failed || m_peers.empty() || runtime_clock::now() >= deadline)
         co_return first;
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "members/answer_patience.h"
 #include "members/member_state.h"
 #include "store/store_transport.h"
 
@@ -18,8 +19,9 @@
     exchange(http_request request, time_point deadline, duration hold) override;
     /// \brief Takes in which peers reach the store.
     void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
-    /// \returns whether the last direct call was answered.
-    bool isDirectWorking() const { return m_directFailures == 0; }
+    /// \returns whether direct calls are answered. One answer that does not come may be lost; two
+    /// in a row, or one refusal, say that they are not.
+    bool isDirectWorking() const { return m_directFailures < failuresUntilLost; }
     /// \returns when the store last answered, directly or through a peer.
     time_point lastAnswer() const { return m_answeredAt; }
     /// \returns what the last direct call that failed was, and how it failed.
@@ -32,10 +34,16 @@
 private:
     using exchange_result = tl::expected<http_response, http_error>;
 
+    void noteDirect(const exchange_result &result, std::string path);
+    /// \brief Learns how long direct answers take.
+    void noteTime(const exchange_result &result, duration took);
     awaitable<tl::expected<http_response, http_error>> exchangeThroughPeer(http_request request,
                                                                            time_point deadline);
 
+    static constexpr int failuresUntilLost = 2;
+
     direct_transport m_direct;
+    answer_patience m_patience;
     connection_pool m_pool;
     std::vector<endpoint> m_peers;
     std::size_t m_nextPeer = 0;
