--- a/src/entry/entry_options.cpp
+++ b/src/entry/entry_options.cpp
@@ -11,14 +11,19 @@
 namespace {
 
 constexpr const char *metricsPortVariable = "AZUREHILL_METRICS_PORT";
+constexpr const char *withoutVariable = "AZUREHILL_WITHOUT";
 constexpr int largestPort = 65535;
 
 constexpr const char *helpText
-    = "Usage: azurehill-entry [--metrics-port PORT] [--port-file FILE]\n"
+    = "Usage: azurehill-entry [--metrics-port PORT] [--port-file FILE] [--without NAMES]\n"
       "The daemon in front of the users' platform.\n\n"
       "  --metrics-port PORT  serve metrics at /metrics on this port of the host's address\n"
       "                       (environment: AZUREHILL_METRICS_PORT; 0 or nothing: none)\n"
       "  --port-file FILE     write the ports of clients, readiness, look-ups and peers there\n"
+      "  --without NAMES      switch these mechanisms off, separated by commas, to measure what "
+      "each\n"
+      "                       is worth; docs/DECISIONS.md has their names\n"
+      "                       (environment: AZUREHILL_WITHOUT)\n"
       "  --help, --version\n\n"
       "The platform's settings come from the file that AZUREHILL_SETTINGS names.\n";
 
@@ -34,11 +39,13 @@
 {
     int port = fromEnvironment();
     char *portFile = nullptr;
+    char *without = nullptr;
     int help = 0;
     int version = 0;
     const poptOption table[] = {
         {"metrics-port", '\0', POPT_ARG_INT, &port, 0, nullptr, nullptr},
         {"port-file", '\0', POPT_ARG_STRING, &portFile, 0, nullptr, nullptr},
+        {"without", '\0', POPT_ARG_STRING, &without, 0, nullptr, nullptr},
         {"help", 'h', POPT_ARG_NONE, &help, 0, nullptr, nullptr},
         {"version", '\0', POPT_ARG_NONE, &version, 0, nullptr, nullptr},
         POPT_TABLEEND,
@@ -55,6 +62,11 @@
     } else if (port < 0 || port > largestPort) {
         options.fault = fmt::format("metrics port {}: must be 0 to {}", port, largestPort);
     }
+    const char *offList = without ? without : std::getenv(withoutVariable);
+    const std::string unknown = switchOffByName(options.mechanisms, offList ? offList : "");
+    std::free(without);
+    if (!unknown.empty() && options.fault.empty())
+        options.fault = fmt::format("--without {}: no such mechanism", unknown);
     if (help)
         options.printAndExit = helpText;
     else if (version)
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/mechanism.h"
+
 #include <cstdint>
 #include <string>
 
@@ -13,6 +15,7 @@
     /// File that gets the ports once the daemon listens, for tests that let the system choose them;
     /// or empty. It holds those of clients, readiness, look-ups and peers.
     std::string portFile;
+    mechanism_set mechanisms;
     /// Text to print instead of running, such as the help.
     std::string printAndExit;
     /// What is wrong with the command line, or empty.
--- a/src/entry/host_settings.h
+++ b/src/entry/host_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "core/mechanism.h"
 #include "http/http_message.h"
 
 #include <cstdint>
@@ -33,9 +34,14 @@
     bool storeSpansParts = false;
     /// Largest value of a row in bytes.
     std::size_t rowBytes = 64U << 10U;
+    /// Writes a second that the store takes from all daemons together.
+    double storeWritesPerSecond = 800;
     /// Reading calls a second that all daemons together may make at the store.
     double storeReadsPerSecond = 100;
 
+    /// From the daemon's own settings, not the platform's.
+    mechanism_set mechanisms;
+
     std::int64_t memoryBytes = 256LL << 20U;
     int fileDescriptors = 1024;
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -204,7 +204,8 @@
     spawn(controlContext.get_executor(), "watchSettings", watchSettings(watch));
     if (!options.portFile.empty())
         writePorts(options.portFile, clientPort, *ports);
-    logDecision(log_event::Started, {{"daemon", s.name.value}, {"ip", s.ip}});
+    logDecision(log_event::Started,
+                {{"daemon", s.name.value}, {"ip", s.ip}, {"without", s.mechanisms.offNames()}});
     const auto keepTraffic = asio::make_work_guard(trafficContext);
     std::thread traffic([&] { trafficContext.run(); });
     controlContext.run();
@@ -234,10 +235,11 @@
         azurehill::logDecision(azurehill::log_event::BadSettings, {{"detail", text.error()}});
         return azurehill::exitBadSettings;
     }
-    const auto settings = azurehill::readSettingsText(*text);
+    auto settings = azurehill::readSettingsText(*text);
     if (!settings) {
         azurehill::logDecision(azurehill::log_event::BadSettings, {{"detail", settings.error()}});
         return azurehill::exitBadSettings;
     }
+    settings->mechanisms = options.mechanisms;
     return azurehill::run(*settings, *text, options);
 }
