The bound on places starts from the replicas' slots and ends a little above them

Hypothesis: the bound of six requests a replica was learned on other engines.

Change: it starts from the slots (16 at the most), follows the replicas as they become known, grows faster while the pace is near the idle one, and ends at 1.25 times the slots, since the engine's own queue knows no rank.

--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -50,19 +50,21 @@
 
 } // namespace
 
-engine_places::engine_places(asio::any_io_executor executor, entry_metrics &metrics)
-    : m_executor(std::move(executor)), m_metrics(metrics)
+engine_places::engine_places(asio::any_io_executor executor, const mechanism_set &mechanisms,
+                             entry_metrics &metrics)
+    : m_executor(std::move(executor)), m_mechanisms(mechanisms), m_metrics(metrics)
 { }
 
 void engine_places::addService(const std::string &service)
 {
-    m_gates[service];
+    if (m_mechanisms.has(mechanism::EngineGate))
+        m_gates.try_emplace(service, m_mechanisms);
 }
 
 void engine_places::update(const replica_board &board, int daemons, time_point now)
 {
     for (auto &[name, gate] : m_gates) {
-        gate.setShare(board.open(name, now), daemons);
+        gate.setShare({board.open(name, now), board.openSlots(name, now), daemons});
         grant(gate);
     }
 }
--- a/src/entry/engine_places.h
+++ b/src/entry/engine_places.h
@@ -16,7 +16,8 @@
 class engine_places
 {
 public:
-    engine_places(asio::any_io_executor executor, entry_metrics &metrics);
+    engine_places(asio::any_io_executor executor, const mechanism_set &mechanisms,
+                  entry_metrics &metrics);
 
     /// \brief Makes a gate for \p service if it has none yet.
     void addService(const std::string &service);
@@ -44,6 +45,7 @@
     void grant(service_gate &gate);
 
     asio::any_io_executor m_executor;
+    mechanism_set m_mechanisms;
     entry_metrics &m_metrics;
     std::map<std::string, service_gate, std::less<>> m_gates;
     std::map<std::uint64_t, std::shared_ptr<waiting_call>> m_waiting;
--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -6,11 +6,18 @@
 
 namespace {
 
-/// Requests of all daemons at one replica that the bound starts from, and that it never goes below
-/// or above. An engine that works on six requests is about twice as slow for each as an idle one.
-constexpr double startPerReplica = 6;
+/// Requests of all daemons at one replica that the bound starts from at the most. Engines that slow
+/// down with each request bear fewer, which their pace shows within a second; those that don't
+/// would keep half of a burst waiting if the bound had to grow from a few.
+constexpr double startPerReplica = 16;
+/// Requests at one replica that the bound never goes below.
 constexpr double leastPerReplica = 3;
-constexpr double mostPerReplica = 64;
+/// The bound never goes above this many times the slots: what does not fit waits in the engine,
+/// where nothing puts it in order. Above one, since clients spread unevenly over the daemons.
+constexpr double mostPerSlot = 1.25;
+/// Where the bound does not go by slots, what it starts from and ends at, a replica.
+constexpr double plainStart = 6;
+constexpr double plainMost = 64;
 /// Events may come this many times slower than from an idle engine. Programs are meant to end
 /// within two to three times their time on idle replicas, a part of which is spent in tools.
 constexpr double targetInflation = 3;
@@ -18,6 +25,9 @@
 constexpr duration adjustPause = milliseconds(250);
 constexpr double lowerBy = 0.94;
 constexpr double raiseBy = 1.1;
+/// The same while events come nearly as fast as from an idle engine.
+constexpr double raiseFastBy = 1.3;
+constexpr double nearlyIdle = 1.5;
 constexpr double paceWeight = 0.1;
 /// The idle pace forgets its lowest sample slowly, in case engines really got slower.
 constexpr double idleForget = 0.0005;
@@ -25,12 +35,25 @@
 
 } // namespace
 
-void service_gate::setShare(int replicas, int daemons)
+double service_gate::startLimit() const
 {
-    const double before = share();
-    m_replicas = std::max(1, replicas);
-    m_daemons = std::max(1, daemons);
-    m_limit = m_limit == 0 ? startPerReplica * share() : m_limit * share() / before;
+    const bool fills = m_mechanisms.has(mechanism::FillSlots);
+    return (fills ? std::min(startPerReplica, slotsPerReplica()) : plainStart) * replicas();
+}
+
+double service_gate::mostLimit() const
+{
+    const bool fills = m_mechanisms.has(mechanism::FillSlots);
+    return (fills ? std::max(leastPerReplica, mostPerSlot * slotsPerReplica()) : plainMost)
+        * replicas();
+}
+
+void service_gate::setShare(const gate_share &share)
+{
+    const double before = replicas();
+    m_share = {std::max(1, share.replicas), std::max(1, share.slots), std::max(1, share.daemons)};
+    // Before a pace has moved the bound, it is what the replicas that are known by now bear.
+    m_limit = m_isLearned ? m_limit * replicas() / before : startLimit();
 }
 
 bool service_gate::enter(const gate_ticket &ticket)
@@ -94,11 +117,13 @@
     const bool isSlow = inflation() > targetInflation;
     // A bound that does not bind says nothing about how high it may go.
     const bool binds = !m_waiting.empty() || m_inside + 1 >= m_limit;
+    const bool fills = m_mechanisms.has(mechanism::FillSlots);
+    m_isLearned = m_isLearned || isSlow || binds;
     if (isSlow)
         m_limit *= lowerBy;
     else if (binds)
-        m_limit *= raiseBy;
-    m_limit = std::clamp(m_limit, leastPerReplica * share(), mostPerReplica * share());
+        m_limit *= fills && inflation() < nearlyIdle ? raiseFastBy : raiseBy;
+    m_limit = std::clamp(m_limit, leastPerReplica * replicas(), mostLimit());
 }
 
 } // namespace azurehill
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "core/mechanism.h"
 
 #include <cstdint>
 #include <map>
@@ -29,6 +30,16 @@
     duration slack = duration::zero();
 };
 
+/// \brief The engines that a gate stands before.
+struct gate_share
+{
+    int replicas = 1;
+    /// Requests that all of these replicas together work on at once.
+    int slots = 1;
+    /// Daemons that send requests to them.
+    int daemons = 1;
+};
+
 /// \brief Bounds how many requests of this daemon the engines of a service work on at once, and
 /// lets those that wait go in the order in which most programs end in time.
 ///
@@ -39,8 +50,10 @@
 class service_gate
 {
 public:
-    /// \brief Takes in the number of replicas, and of daemons that share them.
-    void setShare(int replicas, int daemons);
+    explicit service_gate(const mechanism_set &mechanisms = {}) : m_mechanisms(mechanisms) { }
+
+    /// \brief Takes in the replicas that may take requests, and the daemons that share them.
+    void setShare(const gate_share &share);
 
     /// \returns whether the request may go now. If not it waits until take() names it.
     bool enter(const gate_ticket &ticket);
@@ -64,12 +77,18 @@
     /// Sorts those that wait; the one that goes first comes first.
     using order = std::tuple<bool, int, program_hope, duration, std::uint64_t>;
 
-    double share() const { return double(m_replicas) / m_daemons; }
+    /// \returns the replicas that are this daemon's part.
+    double replicas() const { return double(m_share.replicas) / m_share.daemons; }
+    double slotsPerReplica() const { return double(m_share.slots) / m_share.replicas; }
+    double startLimit() const;
+    double mostLimit() const;
 
-    int m_replicas = 1;
-    int m_daemons = 1;
+    mechanism_set m_mechanisms;
+    gate_share m_share;
     int m_inside = 0;
     double m_limit = 0;
+    /// Whether the pace of answers has moved the bound.
+    bool m_isLearned = false;
     double m_pace = 0;
     double m_idlePace = 0;
     int m_samples = 0;
--- a/test/logic/service_gate_test.cpp
+++ b/test/logic/service_gate_test.cpp
@@ -29,7 +29,7 @@
     TEST_CASE("those that wait go by rank, and by what their programs can still win")
     {
         service_gate gate;
-        gate.setShare(1, 1);
+        gate.setShare({1, 8, 1});
         fill(gate);
         const auto wait = [&](std::uint64_t number, int rank, program_hope hope, duration slack) {
             CHECK_FALSE(gate.enter({number, rank, hope, slack}));
@@ -54,7 +54,7 @@
     TEST_CASE("a request that gives up waiting is passed over")
     {
         service_gate gate;
-        gate.setShare(1, 1);
+        gate.setShare({1, 8, 1});
         fill(gate);
         CHECK_FALSE(gate.enter({1, 0, program_hope::OnTime, seconds(1)}));
         CHECK_FALSE(gate.enter({2, 0, program_hope::OnTime, seconds(2)}));
@@ -66,7 +66,7 @@
     TEST_CASE("the bound follows the pace of the engines")
     {
         service_gate gate;
-        gate.setShare(18, 9);
+        gate.setShare({18, 18 * 96, 9});
         int ms = 0;
         for (int i = 0; i < 30; ++i)
             gate.onPace(10, at(ms += 50));
@@ -90,14 +90,38 @@
         }
     }
 
+    TEST_CASE("engines that bear their slots are filled from the first second on")
+    {
+        // All daemons had just started again when a burst came. Half of its requests waited for up
+        // to 1.6 seconds at engines that were a third full: the bound began at what slower engines
+        // bear and grew by a tenth in a quarter of a second.
+        service_gate gate;
+        // The replicas become known one after the other.
+        gate.setShare({0, 0, 1});
+        gate.setShare({2, 2 * 16, 5});
+        gate.setShare({9, 9 * 16, 13});
+        CHECK(fill(gate) >= 11);
+
+        SUBCASE("the bound stays at what their slots hold, as the engine's own queue knows no rank")
+        {
+            int ms = 0;
+            for (int i = 0; i < 400; ++i) {
+                gate.onPace(10, at(ms += 50));
+                fill(gate);
+            }
+            CHECK(gate.limit() <= 1.25 * 9 * 16 / 13 + 0.01);
+        }
+    }
+
     TEST_CASE("the bound is shared by the daemons, however many there are")
     {
         for (const auto &[replicas, daemons] : {std::pair{18, 9}, {72, 87}, {4, 90}, {60, 3}}) {
             service_gate gate;
-            gate.setShare(replicas, daemons);
+            constexpr int slots = 6;
+            gate.setShare({replicas, slots * replicas, daemons});
             const int inside = fill(gate);
             CHECK(inside >= 1);
-            CHECK(inside <= 1 + 6.0 * replicas / daemons);
+            CHECK(inside <= 1 + double(slots) * replicas / daemons);
         }
     }
 }
