Writes keep to the store's rate, most urgent first, and share transactions when they have to wait

Hypothesis: beyond the store's rate the system keeps itself there.

Change: write_queue (no input or output) sends no faster than the daemon's rate, which halves on a refusal down to its share of the settings' rate and grows again; ends go before begins before upkeep; what waits shares a transaction, up to eight. paced_store makes the calls, puts refused writes back and splits a batch of which one condition fails. A 429 is Limited, and an outage only if nothing else comes for 400 ms. src/rows holds rows and their order, without Asio.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -67,7 +67,8 @@
 entry_control::entry_control(asio::io_context &context, const host_settings &settings,
                              control_events events)
     : m_context(context), m_settings(settings), m_events(std::move(events)),
-      m_transport(std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress)),
+      m_transport(std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress,
+                                                   settings.mechanisms)),
       m_store(m_transport),
       m_readinessServer(context.get_executor(), {},
                         [this](const http_request &r, response_writer &w) { return answer(r, w); }),
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -7,7 +7,7 @@
 #include "platform/platform_store.h"
 #include "replicas/replicas.h"
 #include "routes/routes.h"
-#include "store/unreadable_rows.h"
+#include "rows/unreadable_rows.h"
 
 #include <functional>
 #include <memory>
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -40,11 +40,13 @@
                              entry_metrics &metrics)
     : m_settings(settings), m_metrics(metrics), m_executor(context.get_executor()),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
-      m_transport(std::make_shared<peer_transport>(m_executor, settings.storeAddress)),
-      m_store(m_transport), m_ledger(m_store, ledgerSettings(settings)),
+      m_transport(
+          std::make_shared<peer_transport>(m_executor, settings.storeAddress, settings.mechanisms)),
+      m_store(m_transport), m_pacedStore(m_executor, m_store, settings.mechanisms),
+      m_ledger(m_pacedStore, ledgerSettings(settings)),
       m_board(settings.dataCentre, stableHash(settings.name.value), settings.mechanisms),
-      m_sender(m_executor, m_board, metrics), m_places(m_executor, settings.mechanisms, metrics), m_answers(metrics),
-      m_relay(m_sender, m_board, m_places, m_answers, metrics),
+      m_sender(m_executor, m_board, metrics), m_places(m_executor, settings.mechanisms, metrics),
+      m_answers(metrics), m_relay(m_sender, m_board, m_places, m_answers, metrics),
       m_turns(m_executor, m_ledger, m_places, m_sender, m_relay, m_answers, metrics),
       m_server(m_executor, limitsOf(settings, {}),
                [this](const http_request &r, response_writer &w) { return serve(r, w); })
@@ -52,6 +54,9 @@
 
 std::uint16_t entry_service::start()
 {
+    m_pacedStore.setRates(m_settings.storeWritesPerSecond, m_daemons);
+    m_pacedStore.setMerging(m_settings.storeSpansParts
+                            && m_settings.mechanisms.has(mechanism::MergedWrites));
     spawn(m_executor, "sweep", sweep());
     spawn(m_executor, "removeOldRows", removeOldRows());
     return m_server.listen(m_settings.clients);
@@ -84,6 +89,7 @@
 {
     m_board.setDaemons(alive);
     m_daemons = alive;
+    m_pacedStore.setRates(m_settings.storeWritesPerSecond, alive);
     m_transport->setPeers(std::move(reachingStore));
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -4,6 +4,7 @@
 #include "entry/turn_exchange.h"
 #include "members/members.h"
 #include "platform/platform_store.h"
+#include "store/paced_store.h"
 
 #include <random>
 
@@ -50,6 +51,7 @@
     std::minstd_rand m_random;
     std::shared_ptr<peer_transport> m_transport;
     platform_store m_store;
+    paced_store m_pacedStore;
     turn_ledger m_ledger;
     replica_board m_board;
     upstream_sender m_sender;
--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -25,9 +25,16 @@
 constexpr duration maxIdle = seconds(5);
 constexpr std::size_t maxIdleConnections = 8;
 
+constexpr int statusTooMany = 429;
+
 bool turnsAway(int status)
 {
-    return status == 429 || status == 503;
+    return status == statusTooMany || status == 503;
+}
+
+bool isLimited(const tl::expected<http_response, http_error> &result)
+{
+    return result && result->status == statusTooMany;
 }
 
 http_request wrap(http_request request, duration timeLeft)
@@ -87,10 +94,18 @@
     co_return failure;
 }
 
-peer_transport::peer_transport(const asio::any_io_executor &executor, endpoint storeAddress)
-    : m_direct(executor, std::move(storeAddress)), m_pool(executor, maxIdle, maxIdleConnections)
+peer_transport::peer_transport(const asio::any_io_executor &executor, endpoint storeAddress,
+                               const mechanism_set &mechanisms)
+    : m_mechanisms(mechanisms), m_direct(executor, std::move(storeAddress)),
+      m_pool(executor, maxIdle, maxIdleConnections)
 { }
 
+void peer_transport::setPeers(std::vector<endpoint> reachingStore)
+{
+    if (m_mechanisms.has(mechanism::PeerCalls))
+        m_peers = std::move(reachingStore);
+}
+
 awaitable<tl::expected<http_response, http_error>>
 peer_transport::exchangeDirectly(http_request request, time_point deadline)
 {
@@ -106,8 +121,13 @@
     if (result && !turnsAway(result->status)) {
         m_directFailures = 0;
         m_answeredAt = now;
+        m_directAnsweredAt = now;
         return;
     }
+    // Taken for an outage, the store's limit would send every call a second time, through a peer.
+    const bool isTolerated = m_mechanisms.has(mechanism::LimitIsNoOutage) && isLimited(result);
+    if (isTolerated && isDirectWorking() && now - m_directAnsweredAt < limitedTime)
+        return;
     const bool isTimeout = !result && result.error().kind == http_error_kind::TimedOut;
     m_directFailures += isTimeout ? 1 : failuresUntilLost;
     m_lastDirectFailure = std::move(path) + ": "
@@ -161,6 +181,8 @@
         first = co_await exchangeDirectly(std::move(copy), firstDeadline);
     if (!peerFirst && hold == duration::zero())
         noteTime(first, runtime_clock::now() - now);
+    if (isLimited(first) && (peerFirst || isDirectWorking()))
+        co_return first;
     const bool failed = !first || turnsAway(first->status);
     if (!failed || m_peers.empty() || runtime_clock::now() >= deadline)
         co_return first;
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/mechanism.h"
 #include "members/answer_patience.h"
 #include "members/member_state.h"
 #include "store/store_transport.h"
@@ -13,14 +14,16 @@
 class peer_transport : public store_transport
 {
 public:
-    peer_transport(const asio::any_io_executor &executor, endpoint storeAddress);
+    peer_transport(const asio::any_io_executor &executor, endpoint storeAddress,
+                   const mechanism_set &mechanisms = {});
 
     awaitable<tl::expected<http_response, http_error>>
     exchange(http_request request, time_point deadline, duration hold) override;
     /// \brief Takes in which peers reach the store.
-    void setPeers(std::vector<endpoint> reachingStore) { m_peers = std::move(reachingStore); }
-    /// \returns whether direct calls are answered. One answer that does not come may be lost; two
-    /// in a row, or one refusal, say that they are not.
+    void setPeers(std::vector<endpoint> reachingStore);
+    /// \returns whether direct calls are answered. A call beyond the store's rate is answered,
+    /// unless nothing else came for a while: then the store turns this host away. One answer that
+    /// does not come may be lost; two in a row, or one refusal, say that they are not.
     bool isDirectWorking() const { return m_directFailures < failuresUntilLost; }
     /// \returns when the store last answered, directly or through a peer.
     time_point lastAnswer() const { return m_answeredAt; }
@@ -41,7 +44,11 @@
                                                                            time_point deadline);
 
     static constexpr int failuresUntilLost = 2;
+    /// Nothing but "too many" for this long means that this host is turned away: a store at its
+    /// limit answers some of the calls.
+    static constexpr duration limitedTime = milliseconds(400);
 
+    mechanism_set m_mechanisms;
     direct_transport m_direct;
     answer_patience m_patience;
     connection_pool m_pool;
@@ -49,6 +56,8 @@
     std::size_t m_nextPeer = 0;
     int m_directFailures = 0;
     time_point m_directFailedAt;
+    /// When a direct call was last answered with anything but "too many".
+    time_point m_directAnsweredAt = runtime_clock::now();
     time_point m_answeredAt = runtime_clock::now();
     std::string m_lastDirectFailure;
 };
--- a/src/store/unreadable_rows.cpp
+++ b/src/rows/unreadable_rows.cpp
@@ -1,4 +1,4 @@
-#include "store/unreadable_rows.h"
+#include "rows/unreadable_rows.h"
 
 namespace azurehill {
 
--- a/src/store/unreadable_rows.h
+++ b/src/rows/unreadable_rows.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/log_event.h"
-#include "store/store.h"
+#include "rows/row.h"
 
 #include <map>
 #include <string>
--- /dev/null
+++ b/src/rows/write_queue.cpp
@@ -0,0 +1,164 @@
+#include "rows/write_queue.h"
+
+#include <algorithm>
+#include <set>
+
+namespace azurehill {
+
+namespace {
+
+/// Until the settings say what the store takes.
+constexpr double unknownRate = 800;
+/// A daemon may save up this much of its time for a burst of its own.
+constexpr double savedSeconds = 0.1;
+constexpr double leastSaved = 2;
+/// A refused write halves the rate; without one for a while the rate grows by a fiftieth for each
+/// write. As with TCP's congestion window, daemons that see the same refusals come to equal rates.
+constexpr double lowerBy = 0.5;
+constexpr double raiseBy = 1.02;
+constexpr duration quietTime = milliseconds(200);
+/// Writes that go together. One condition that fails sends the others again, so not too many; with
+/// these a daemon of sixteen writes a second carries a hundred.
+constexpr std::size_t mostMembers = 8;
+/// What the store takes in one transaction: entries, and bytes less what base64 adds.
+constexpr std::size_t mostEntries = 100;
+constexpr std::size_t mostBytes = 700U << 10U;
+
+std::size_t entriesOf(const store_transaction &t)
+{
+    return t.conditions.size() + t.writes.size() + t.removals.size();
+}
+
+std::size_t bytesOf(const store_transaction &t)
+{
+    std::size_t sum = 0;
+    for (const row_value &row : t.writes)
+        sum += row.value.size();
+    return sum;
+}
+
+std::set<row_name> namesOf(const store_transaction &t)
+{
+    std::set<row_name> names;
+    for (const row_condition &c : t.conditions)
+        names.insert(c.name);
+    for (const row_value &w : t.writes)
+        names.insert(w.name);
+    names.insert(t.removals.begin(), t.removals.end());
+    return names;
+}
+
+void append(store_transaction &batch, const store_transaction &t)
+{
+    batch.conditions.insert(batch.conditions.end(), t.conditions.begin(), t.conditions.end());
+    batch.writes.insert(batch.writes.end(), t.writes.begin(), t.writes.end());
+    batch.removals.insert(batch.removals.end(), t.removals.begin(), t.removals.end());
+}
+
+} // namespace
+
+write_queue::write_queue() : m_writesPerSecond(unknownRate), m_rate(unknownRate) { }
+
+void write_queue::setRates(double writesPerSecond, int daemons)
+{
+    const bool isFirst = m_writesPerSecond != writesPerSecond;
+    m_writesPerSecond = std::max(1.0, writesPerSecond);
+    m_daemons = std::max(1, daemons);
+    if (isFirst)
+        m_rate = m_writesPerSecond;
+    m_rate = std::clamp(m_rate, share(), m_writesPerSecond);
+}
+
+void write_queue::add(std::uint64_t number, store_transaction t, time_point deadline)
+{
+    const order o{t.urgency, number};
+    m_waiting.emplace(o, waiting_write{std::move(t), deadline});
+    m_orders.emplace(number, o);
+}
+
+bool write_queue::withdraw(std::uint64_t number)
+{
+    const auto found = m_orders.find(number);
+    if (found == m_orders.end())
+        return false;
+    m_waiting.erase(found->second);
+    m_orders.erase(found);
+    return true;
+}
+
+void write_queue::refill(time_point now)
+{
+    const std::chrono::duration<double> passed = now - m_filledAt;
+    const double most = std::max(leastSaved, savedSeconds * m_rate);
+    m_credit = std::min(most, m_credit + m_rate * std::max(0.0, passed.count()));
+    m_filledAt = now;
+}
+
+bool write_queue::fits(const store_transaction &batch, const store_transaction &t) const
+{
+    if (entriesOf(batch) + entriesOf(t) > mostEntries || bytesOf(batch) + bytesOf(t) > mostBytes)
+        return false;
+    // Two changes of one row can't be told apart by one condition each.
+    const std::set<row_name> taken = namesOf(batch);
+    const std::set<row_name> wanted = namesOf(t);
+    return std::none_of(wanted.begin(), wanted.end(),
+                        [&](const row_name &name) { return taken.contains(name); });
+}
+
+std::optional<write_batch> write_queue::take(time_point now)
+{
+    refill(now);
+    if (m_waiting.empty() || m_credit < 1)
+        return std::nullopt;
+    // Writes share a transaction only while there is not enough credit for one each: together they
+    // take twice as long, and one condition that fails holds up all.
+    const bool isScarce = m_mayMerge && m_credit < double(m_waiting.size());
+    write_batch batch;
+    batch.deadline = time_point::max();
+    for (auto it = m_waiting.begin(); it != m_waiting.end();) {
+        const bool isFirst = batch.members.empty();
+        if (!isFirst && (!isScarce || batch.members.size() >= mostMembers))
+            break;
+        if (!isFirst && !fits(batch.transaction, it->second.transaction)) {
+            ++it;
+            continue;
+        }
+        append(batch.transaction, it->second.transaction);
+        batch.deadline = std::min(batch.deadline, it->second.deadline);
+        const std::uint64_t number = std::get<std::uint64_t>(it->first);
+        batch.members.push_back(number);
+        m_orders.erase(number);
+        it = m_waiting.erase(it);
+    }
+    m_credit -= 1;
+    return batch;
+}
+
+std::optional<time_point> write_queue::nextAt() const
+{
+    if (m_waiting.empty())
+        return std::nullopt;
+    const std::chrono::duration<double> missing(std::max(0.0, 1 - m_credit) / m_rate);
+    return m_filledAt + std::chrono::ceil<milliseconds>(missing);
+}
+
+void write_queue::onLimited(time_point now)
+{
+    // Writes that were under way together are refused together: they count as one sign.
+    constexpr duration oneSign = milliseconds(50);
+    if (now - m_loweredAt >= oneSign) {
+        m_rate = std::max(share(), lowerBy * m_rate);
+        m_loweredAt = now;
+    }
+    m_limitedAt = now;
+    refill(now);
+    m_credit = std::min(m_credit, 0.0);
+}
+
+void write_queue::onDone(time_point now)
+{
+    if (now - m_limitedAt >= quietTime)
+        m_rate = std::min(m_writesPerSecond, raiseBy * m_rate);
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/store/paced_store.cpp
@@ -0,0 +1,180 @@
+#include "store/paced_store.h"
+
+#include "runtime/spawn.h"
+
+#include <boost/asio/redirect_error.hpp>
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// Pause before a read that was refused as beyond the store's rate is made again. Reads are three
+/// times as many as writes there, so this is rare.
+constexpr duration readPause = milliseconds(30);
+
+store_error givenUp()
+{
+    return {store_error_kind::Refused, "waited too long for its turn to be written", {}};
+}
+
+/// \returns the rows of \p current that \p t has conditions on.
+std::vector<stored_row> rowsOf(const store_transaction &t, const std::vector<stored_row> &current)
+{
+    std::vector<stored_row> rows;
+    for (const row_condition &c : t.conditions) {
+        for (const stored_row &row : current) {
+            if (row.name == c.name)
+                rows.push_back(row);
+        }
+    }
+    return rows;
+}
+
+/// \returns whether the conditions of \p t hold on \p rows. A row that is not there has version 0.
+bool holds(const store_transaction &t, const std::vector<stored_row> &rows)
+{
+    return std::all_of(t.conditions.begin(), t.conditions.end(), [&](const row_condition &c) {
+        store_version version = 0;
+        for (const stored_row &row : rows) {
+            if (row.name == c.name && !row.deleted)
+                version = row.version;
+        }
+        return version == c.version;
+    });
+}
+
+} // namespace
+
+paced_store::paced_store(asio::any_io_executor executor, store &inner,
+                         const mechanism_set &mechanisms)
+    : m_executor(std::move(executor)), m_inner(inner), m_mechanisms(mechanisms)
+{ }
+
+void paced_store::setRates(double writesPerSecond, int daemons)
+{
+    m_queue.setRates(writesPerSecond, daemons);
+}
+
+awaitable<store_result<store_version>> paced_store::transact(store_transaction t,
+                                                             time_point deadline)
+{
+    if (!m_mechanisms.has(mechanism::PacedWrites))
+        co_return co_await m_inner.transact(std::move(t), deadline);
+    const std::uint64_t number = ++m_lastNumber;
+    store_transaction copy = t;
+    const auto pending = std::make_shared<pending_write>(m_executor, std::move(t), deadline);
+    m_pending.emplace(number, pending);
+    m_queue.add(number, std::move(copy), deadline);
+    pump();
+    while (!pending->result) {
+        // Once it went, the result comes from the call, which has the same deadline.
+        pending->alarm.expires_at(m_queue.isWaiting(number) ? deadline : time_point::max());
+        boost::system::error_code code;
+        co_await pending->alarm.async_wait(asio::redirect_error(use_awaitable, code));
+        if (!pending->result && runtime_clock::now() >= deadline && m_queue.withdraw(number))
+            pending->result = tl::unexpected(givenUp());
+    }
+    m_pending.erase(number);
+    co_return std::move(*pending->result);
+}
+
+void paced_store::pump()
+{
+    while (auto batch = m_queue.take(runtime_clock::now())) {
+        // Their callers now wait for the call.
+        for (const std::uint64_t number : batch->members)
+            m_pending.at(number)->alarm.cancel();
+        spawn(m_executor, "sendWrites", send(std::move(*batch)));
+    }
+    if (m_queue.waiting() > 0 && !m_isPumpWaiting) {
+        m_isPumpWaiting = true;
+        spawn(m_executor, "pumpLater", pumpLater());
+    }
+}
+
+awaitable<void> paced_store::pumpLater()
+{
+    const auto next = m_queue.nextAt();
+    if (next)
+        co_await sleepFor(std::max<duration>(milliseconds(1), *next - runtime_clock::now()));
+    m_isPumpWaiting = false;
+    pump();
+}
+
+awaitable<void> paced_store::send(write_batch batch)
+{
+    store_transaction t = std::move(batch.transaction);
+    const auto result = co_await m_inner.transact(std::move(t), batch.deadline);
+    const time_point now = runtime_clock::now();
+    if (result)
+        m_queue.onDone(now);
+    else if (result.error().kind == store_error_kind::Limited)
+        m_queue.onLimited(now);
+    settle(batch, result);
+    pump();
+}
+
+void paced_store::settle(const write_batch &batch, const store_result<store_version> &result)
+{
+    const bool isLimited = !result && result.error().kind == store_error_kind::Limited;
+    const bool isConflict = !result && result.error().kind == store_error_kind::Conflict;
+    for (const std::uint64_t number : batch.members) {
+        if (isLimited) {
+            putBack(number);
+            continue;
+        }
+        if (!isConflict || batch.members.size() == 1) {
+            finish(number, result);
+            continue;
+        }
+        // One condition fails all: those whose own conditions hold go again.
+        const store_transaction &own = m_pending.at(number)->transaction;
+        const std::vector<stored_row> rows = rowsOf(own, result.error().current);
+        if (holds(own, rows))
+            putBack(number);
+        else
+            finish(number,
+                   tl::unexpected(store_error{store_error_kind::Conflict, "conflict", rows}));
+    }
+}
+
+void paced_store::putBack(std::uint64_t number)
+{
+    const pending_ptr pending = m_pending.at(number);
+    if (runtime_clock::now() >= pending->deadline) {
+        finish(number, tl::unexpected(givenUp()));
+        return;
+    }
+    m_queue.add(number, pending->transaction, pending->deadline);
+    // The caller's alarm goes back to its deadline.
+    pending->alarm.cancel();
+}
+
+void paced_store::finish(std::uint64_t number, store_result<store_version> result)
+{
+    const pending_ptr pending = m_pending.at(number);
+    pending->result = std::move(result);
+    pending->alarm.cancel();
+}
+
+awaitable<store_result<row_page>> paced_store::read(row_range range, time_point deadline)
+{
+    while (true) {
+        row_range copy = range;
+        auto page = co_await m_inner.read(std::move(copy), deadline);
+        const bool isLimited = !page && page.error().kind == store_error_kind::Limited;
+        if (!isLimited || runtime_clock::now() + readPause >= deadline)
+            co_return page;
+        co_await sleepFor(readPause);
+    }
+}
+
+awaitable<store_result<row_page>> paced_store::changes(std::string table, store_version after,
+                                                       duration wait, time_point deadline)
+{
+    co_return co_await m_inner.changes(std::move(table), after, wait, deadline);
+}
+
+} // namespace azurehill
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -65,6 +65,13 @@
     /// on its way, and only a newer version makes its condition fail.
     bool always = false;
 
+    write_urgency urgency() const
+    {
+        if (kind == step_kind::Reserve)
+            return write_urgency::Begin;
+        return kind == step_kind::Commit ? write_urgency::End : write_urgency::Upkeep;
+    }
+
     /// \returns whether \p account shows that the step took effect.
     bool isDone(const token_account &account) const
     {
@@ -208,6 +215,7 @@
 awaitable<bool> turn_ledger::confirmAbsent(turn_id wanted, time_point deadline)
 {
     store_transaction t;
+    t.urgency = write_urgency::Begin;
     t.conditions.push_back({turn_rows::index(wanted), 0});
     const auto done = co_await m_store.transact(std::move(t), deadline);
     co_return done.has_value();
@@ -315,6 +323,7 @@
     duration pause = leastPause;
     while (runtime_clock::now() < deadline) {
         store_transaction entry;
+        entry.urgency = write_urgency::End;
         entry.writes.push_back({turn_rows::index(t->id), t->program.value});
         const auto version = co_await m_store.transact(std::move(entry), callDeadline(deadline));
         if (version)
@@ -366,6 +375,7 @@
 {
     const row_name accountRow = turn_rows::account(step.claim.program);
     store_transaction t;
+    t.urgency = step.urgency();
     t.conditions.push_back({accountRow, state.version});
     t.writes.push_back({accountRow, encodeAccount(next)});
     if (!step.added)
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "rows/unreadable_rows.h"
 #include "runtime/runtime.h"
 #include "store/store.h"
-#include "store/unreadable_rows.h"
 #include "turns/row_janitor.h"
 #include "turns/token_account.h"
 #include "turns/turn_cache.h"
