--- a/scripts/play-days.sh
+++ b/scripts/play-days.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# play-days.sh FLEETBENCH SITE [DAY.toml...]: plays the days of test/days on a site of the users'
+# play-days.sh FLEETBENCH SITE [DAY.toml...]: plays the days of deploy/days on a site of the users'
 # bench and prints a table: day, worth, share served, and the rules that were broken.
 # MOMENT moves the day's first trouble to that second (the files have 9.0), and what follows with it;
 # JOBS bounds how many are played at a time.
@@ -8,7 +8,7 @@
 site=${2:?the site file}
 shift 2
 cd "$(dirname "$0")/.."
-[ $# -gt 0 ] || set -- test/days/*.toml
+[ $# -gt 0 ] || set -- deploy/days/*.toml
 moment=${MOMENT:-9}
 days=$(mktemp -d)
 trap 'rm -rf "$days"' EXIT
--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -20,6 +20,7 @@
     ConfigurationUnreadable,
     ReplicaListed,
     ReplicaDraining,
+    ReplicaRestarted,
     ReplicaGone,
     ReplicaRowUnreadable,
     ReplicaDoubted,
@@ -49,7 +50,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 34> names = {"started",
+    static constexpr std::array<std::string_view, 35> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -59,6 +60,7 @@
                                                                "configuration_unreadable",
                                                                "replica_listed",
                                                                "replica_draining",
+                                                               "replica_restarted",
                                                                "replica_gone",
                                                                "replica_row_unreadable",
                                                                "replica_doubted",
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -109,7 +109,7 @@
             firstAt = call->lastByteAt;
             m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
         }
-        m_board.onHeard(reply.where.replica.id, call->lastByteAt);
+        m_board.onHeard(reply.where.replica.incarnation, call->lastByteAt);
         events.feed(*piece);
         while (auto data = events.next()) {
             ++result.events;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -33,7 +33,7 @@
 
     /// The connection of the send under way, or null.
     http_connection *connection = nullptr;
-    upstream_id replica;
+    replica_incarnation replica;
     time_point sentAt;
     time_point lastByteAt;
     /// When the send under way is given up in favour of another replica, if ever.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -195,9 +195,7 @@
 {
     auto book = decodeConfiguration(row.value);
     if (!book) {
-        logDecision(
-            log_event::ConfigurationUnreadable,
-            {{"row_version", static_cast<std::int64_t>(row.version)}, {"detail", book.error()}});
+        m_unreadable.tell(log_event::ConfigurationUnreadable, row, book.error());
         return;
     }
     // An older version may be read after a newer one; it must never come back into force.
@@ -274,18 +272,16 @@
     m_replicasVersion = page.version;
     std::map<upstream_id, replica_entry> next;
     for (const stored_row &row : page.rows) {
-        auto entry = decodeReplica(row);
-        if (!entry)
+        const auto read = decodeReplica(row);
+        if (!read) {
+            m_unreadable.tell(log_event::ReplicaRowUnreadable, row, read.error());
             continue;
-        const auto old = m_replicas.find(entry->id);
-        if (old == m_replicas.end()) {
-            logDecision(log_event::ReplicaListed,
-                        {{"replica", entry->id.value}, {"service", entry->service}});
-        } else if (entry->draining && !old->second.draining) {
-            logDecision(log_event::ReplicaDraining, {{"replica", entry->id.value}});
         }
-        upstream_id id = entry->id;
-        next.emplace(std::move(id), std::move(*entry));
+        const auto old = m_replicas.find(read->incarnation.id);
+        const replica_entry *const known = old == m_replicas.end() ? nullptr : &old->second;
+        replica_entry entry = known ? latestEntry(*known, *read) : *read;
+        logReplica(known, entry);
+        next.emplace(read->incarnation.id, std::move(entry));
     }
     for (const auto &[id, old] : m_replicas) {
         if (!next.contains(id))
@@ -299,6 +295,27 @@
     m_events.onReplicas(std::move(listed));
 }
 
+void entry_control::logReplica(const replica_entry *known, const replica_entry &entry) const
+{
+    const replica_incarnation &who = entry.incarnation;
+    if (!known) {
+        logDecision(
+            log_event::ReplicaListed,
+            {{"replica", who.id.value}, {"born", who.bornUnixMs}, {"service", entry.service}});
+        return;
+    }
+    if (known->incarnation != who) {
+        logDecision(log_event::ReplicaRestarted,
+                    {{"replica", who.id.value},
+                     {"born", who.bornUnixMs},
+                     {"born_before", known->incarnation.bornUnixMs},
+                     {"was_draining", known->draining}});
+    }
+    const bool wasDraining = known->incarnation == who && known->draining;
+    if (entry.draining && !wasDraining)
+        logDecision(log_event::ReplicaDraining, {{"replica", who.id.value}});
+}
+
 awaitable<void> entry_control::pollReplicas()
 {
     while (true) {
@@ -316,6 +333,16 @@
     }
 }
 
+void entry_control::adoptMember(const stored_row &row)
+{
+    const auto states = decodeMembers(row.value);
+    // A daemon registers itself alone, under its own name; anything else is another writer's.
+    if (!states || states->size() != 1 || states->front().name.value != row.name.key)
+        m_unreadable.tell(log_event::RowUnreadable, row, "not a member's state");
+    else
+        m_members.onListed(states->front());
+}
+
 awaitable<void> entry_control::pollMembers()
 {
     bool isRegistered = false;
@@ -329,11 +356,8 @@
         row_range range{std::string(memberTable), "", "", ""};
         const auto page = co_await m_store.read(std::move(range), soon());
         if (page) {
-            for (const stored_row &row : page->rows) {
-                const auto states = decodeMembers(row.value);
-                if (states && !states->empty())
-                    m_members.onListed(states->front());
-            }
+            for (const stored_row &row : page->rows)
+                adoptMember(row);
         }
         co_await sleepFor(isRegistered ? membersPause : failedPause);
     }
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -7,6 +7,7 @@
 #include "platform/platform_store.h"
 #include "replicas/replicas.h"
 #include "routes/routes.h"
+#include "store/unreadable_rows.h"
 
 #include <functional>
 #include <memory>
@@ -64,6 +65,8 @@
 
     void adoptConfiguration(const stored_row &row, std::string_view source);
     void adoptReplicas(const row_page &page);
+    void adoptMember(const stored_row &row);
+    void logReplica(const replica_entry *known, const replica_entry &entry) const;
     void publishPeers();
     void logMembers(const std::vector<member_change> &changes);
 
@@ -80,6 +83,7 @@
     route_book_ptr m_routes;
     store_version m_replicasVersion = 0;
     std::map<upstream_id, replica_entry> m_replicas;
+    unreadable_rows m_unreadable;
     std::vector<endpoint> m_peersReachingStore;
     int m_aliveCount = 0;
     bool m_hasReplicas = false;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -76,7 +76,8 @@
 
 void entry_service::setReplicas(const std::vector<replica_entry> &listed)
 {
-    m_board.setReplicas(listed, runtime_clock::now());
+    for (const replica_entry &ended : m_board.setReplicas(listed, runtime_clock::now()))
+        m_sender.dropConnections(ended);
 }
 
 void entry_service::setPeers(std::vector<endpoint> reachingStore, int alive)
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -95,7 +95,7 @@
     if (!reply)
         co_return;
     auto done = std::make_shared<turn>();
-    done->replica = reply->where.replica.id;
+    done->replica = reply->where.replica.incarnation;
     stream_end end = co_await m_relay.relayStream(call, *reply, writer);
     if (!end.isWhole) {
         chargeBroken(*work, end);
@@ -194,7 +194,7 @@
     logDecision(log_event::TurnBrokeOff,
                 {{"request", call.request.id},
                  {"program", call.request.program.value},
-                 {"replica", call.replica.value},
+                 {"replica", call.replica.id.value},
                  {"cut", std::string(toName(call.cut))},
                  {"events", end.events}});
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -80,6 +80,11 @@
     return now - heard > std::max<duration>(silenceTime, 2 * call.route->eventGap);
 }
 
+void upstream_sender::dropConnections(const replica_entry &ended)
+{
+    m_pool.drop(ended.address);
+}
+
 void upstream_sender::sweep(time_point now)
 {
     m_pool.expire(now);
@@ -105,7 +110,7 @@
     auto connection = std::make_shared<http_connection>(
         m_pool.take(address, runtime_clock::now(), once ? maxIdleForOnce : maxIdle));
     call->connection = connection.get();
-    call->replica = where.replica.id;
+    call->replica = where.replica.incarnation;
     call->sentAt = runtime_clock::now();
     call->lastByteAt = call->sentAt;
     call->attemptDeadline.reset();
@@ -129,14 +134,14 @@
     const time_point now = runtime_clock::now();
     if (call->route->kind == route_kind::Idempotent)
         call->attemptDeadline = now + attemptTime(*call, m_board, now);
-    const forward_fields fields{where.replica.id, call->deadline - now,
+    const forward_fields fields{where.replica.incarnation.id, call->deadline - now,
                                 std::clamp(call->route->priority, 0, 9)};
     http_request out = encodeForward(original, fields, std::move(body));
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
                  {"program", call->request.program.value},
                  {"attempt", std::int64_t(wanted.tried.size())},
-                 {"replica", where.replica.id.value},
+                 {"replica", where.replica.incarnation.id.value},
                  {"outstanding", std::int64_t(where.outstanding)},
                  {"candidates", std::int64_t(where.candidates)},
                  {"finish_ms",
@@ -173,7 +178,7 @@
         co_return tl::unexpected(send_failure{send_end::Broken, "not the replica's answer"});
     }
     if (kind == reply_kind::WrongReplica)
-        m_board.setLeaving(where.replica.id);
+        m_board.setLeaving(where.replica.incarnation);
     // The rest of a refusal is read so that the connection can be used again.
     while (true) {
         const auto piece = co_await connection->readSome(call->deadline);
@@ -191,7 +196,9 @@
     call.connection = nullptr;
     call.attemptDeadline.reset();
     std::erase_if(m_underWay, [&](const entry_call_ptr &c) { return c.get() == &call; });
-    const bool keep = end == send_end::Answered || end == send_end::NotRun;
+    // A connection to a process that is over is dead, and the next request on it would be cut off.
+    const bool isOver = m_board.isReplaced(reply.where.replica.incarnation);
+    const bool keep = !isOver && (end == send_end::Answered || end == send_end::NotRun);
     if (keep)
         m_pool.give(reply.where.replica.address, std::move(*reply.connection), now);
     else
@@ -201,7 +208,7 @@
     m_metrics.onSend(toName(end));
     logDecision(log_event::SendEnded,
                 {{"request", call.request.id},
-                 {"replica", reply.where.replica.id.value},
+                 {"replica", reply.where.replica.incarnation.id.value},
                  {"end", std::string(toName(end))},
                  {"cut", std::string(toName(call.cut))},
                  {"ms", toMilliseconds(now - call.sentAt)}});
@@ -219,7 +226,7 @@
         const auto where = m_board.choose(wanted, runtime_clock::now());
         if (!where)
             break;
-        wanted.tried.insert(where->replica.id);
+        wanted.tried.insert(where->replica.incarnation);
         std::string copy = body;
         auto reply = co_await sendOnce(call, *where, wanted, original, std::move(copy));
         if (reply)
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -46,6 +46,10 @@
     /// \brief The answer of \p reply is over. Its connection is kept if it can be.
     void finish(entry_call &call, open_reply &reply, send_end end);
 
+    /// \brief Closes the kept connections to a replica whose process is over. One that crashed may
+    /// not have closed them, and a request that may run once only would be lost on them.
+    void dropConnections(const replica_entry &ended);
+
     /// \brief Looks after the sends under way: replicas that went silent, times that are over.
     void sweep(time_point now);
     /// \returns the number of sends under way.
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -1,6 +1,7 @@
 #include "replicas/replica_board.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace azurehill {
 
@@ -38,33 +39,56 @@
     : m_here(std::move(here)), m_random(seed)
 { }
 
-void replica_board::setReplicas(const std::vector<replica_entry> &listed, time_point now)
+std::vector<replica_entry> replica_board::setReplicas(const std::vector<replica_entry> &listed,
+                                                      time_point now)
 {
+    std::vector<replica_entry> ended;
     std::unordered_map<upstream_id, replica_state> next;
     m_byService.clear();
-    for (const replica_entry &entry : listed) {
-        const auto old = m_replicas.find(entry.id);
+    for (const replica_entry &read : listed) {
+        const upstream_id &id = read.incarnation.id;
+        const auto old = m_replicas.find(id);
+        const bool isKnown = old != m_replicas.end();
+        const replica_entry entry = isKnown ? latestEntry(old->second.entry, read) : read;
+        const bool isSame = isKnown && old->second.entry.incarnation == entry.incarnation;
+        if (isKnown && !isSame)
+            ended.push_back(old->second.entry);
         replica_state state;
-        if (old != m_replicas.end())
+        if (isSame) {
             state = std::move(old->second);
-        else
+        } else {
             state.trust.onAnswer(now);
-        if (old == m_replicas.end() || state.entry.id.empty())
             state.listedAt = now;
-        // A replica never comes back from draining; an older entry may be read again.
-        const bool wasDraining = state.entry.draining;
+        }
         state.entry = entry;
-        state.entry.draining = entry.draining || wasDraining;
-        m_byService[entry.service].push_back(entry.id);
-        next.emplace(entry.id, std::move(state));
+        m_byService[entry.service].push_back(id);
+        next.emplace(id, std::move(state));
     }
     m_replicas = std::move(next);
+    return ended;
+}
+
+const replica_board::replica_state *replica_board::find(const replica_incarnation &who) const
+{
+    const auto found = m_replicas.find(who.id);
+    const bool isListed = found != m_replicas.end() && found->second.entry.incarnation == who;
+    return isListed ? &found->second : nullptr;
+}
+
+replica_board::replica_state *replica_board::find(const replica_incarnation &who)
+{
+    return const_cast<replica_state *>(std::as_const(*this).find(who));
+}
+
+bool replica_board::isReplaced(const replica_incarnation &who) const
+{
+    return m_replicas.contains(who.id) && !find(who);
 }
 
-void replica_board::setLeaving(const upstream_id &id)
+void replica_board::setLeaving(const replica_incarnation &who)
 {
-    if (const auto found = m_replicas.find(id); found != m_replicas.end())
-        found->second.leaving = true;
+    if (replica_state *r = find(who))
+        r->leaving = true;
 }
 
 bool replica_board::mayTake(const replica_state &r, time_point now) const
@@ -104,7 +128,7 @@
                                          const service_state &service, time_point now) const
 {
     std::int64_t cached = r.cache.cached(request.parts, ownCapacity(service));
-    if (r.entry.id == request.lastReplica)
+    if (r.entry.incarnation == request.lastReplica)
         cached = std::max(cached, request.lastTokens);
     if (now - r.listedAt < warmUpTime)
         return cached;
@@ -162,7 +186,7 @@
     int candidates = 0;
     for (const upstream_id &id : group->second) {
         const replica_state &r = m_replicas.at(id);
-        if (r.leaving || r.entry.draining || request.tried.contains(id))
+        if (r.leaving || r.entry.draining || request.tried.contains(r.entry.incarnation))
             continue;
         const std::int64_t cached = cachedTokens(r, request, service, now);
         double c = cost(r, request, cached, service);
@@ -188,10 +212,10 @@
 
 void replica_board::onSent(const placement &p, const placement_request &request, time_point now)
 {
-    const auto found = m_replicas.find(p.replica.id);
-    if (found == m_replicas.end())
+    replica_state *const found = find(p.replica.incarnation);
+    if (!found)
         return;
-    replica_state &r = found->second;
+    replica_state &r = *found;
     ++r.outstanding;
     r.trust.onSent(now);
     service_state &service = m_services[request.service];
@@ -202,10 +226,10 @@
 void replica_board::onFirstByte(const placement &p, const placement_request &request,
                                 duration waited, time_point now)
 {
-    const auto found = m_replicas.find(p.replica.id);
-    if (found == m_replicas.end())
+    replica_state *const found = find(p.replica.incarnation);
+    if (!found)
         return;
-    replica_state &r = found->second;
+    replica_state &r = *found;
     r.trust.onAnswer(now);
     service_state &service = m_services[request.service];
     const double ms = std::chrono::duration<double, std::milli>(waited).count();
@@ -220,25 +244,25 @@
     r.slowness += slownessWeight * (slowness - r.slowness);
 }
 
-void replica_board::onHeard(const upstream_id &id, time_point now)
+void replica_board::onHeard(const replica_incarnation &who, time_point now)
 {
-    if (const auto found = m_replicas.find(id); found != m_replicas.end())
-        found->second.trust.onAnswer(now);
+    if (replica_state *r = find(who))
+        r->trust.onAnswer(now);
 }
 
 void replica_board::onDone(const placement &p, send_end end, time_point now)
 {
-    const auto found = m_replicas.find(p.replica.id);
-    if (found == m_replicas.end())
+    replica_state *const found = find(p.replica.incarnation);
+    if (!found)
         return;
-    replica_state &r = found->second;
+    replica_state &r = *found;
     const bool wasDoubted = r.trust.isDoubted();
     r.outstanding = std::max(0, r.outstanding - 1);
     noteEnd(r, end, now);
     if (r.trust.isDoubted() == wasDoubted)
         return;
     logDecision(wasDoubted ? log_event::ReplicaTrusted : log_event::ReplicaDoubted,
-                {{"replica", p.replica.id.value},
+                {{"replica", p.replica.incarnation.id.value},
                  {"end", std::string(toName(end))},
                  {"silent_ms", toMilliseconds(now - r.trust.lastHeard())},
                  {"outstanding", std::int64_t(r.outstanding)}});
@@ -264,10 +288,10 @@
     }
 }
 
-time_point replica_board::lastHeard(const upstream_id &id) const
+time_point replica_board::lastHeard(const replica_incarnation &who) const
 {
-    const auto found = m_replicas.find(id);
-    return found == m_replicas.end() ? time_point() : found->second.trust.lastHeard();
+    const replica_state *const r = find(who);
+    return r ? r->trust.lastHeard() : time_point();
 }
 
 std::optional<duration> replica_board::typicalWait(std::string_view service) const
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -24,13 +24,13 @@
     std::vector<prompt_part> parts;
     /// The replica that answered the turn before, which has read all of the prompt but the last
     /// part; or empty.
-    upstream_id lastReplica;
+    replica_incarnation lastReplica;
     /// Tokens of the prompt up to the turn before.
     std::int64_t lastTokens = 0;
     /// Tokens of the whole prompt.
     std::int64_t promptTokens = 0;
     /// Replicas that the request was sent to already.
-    std::set<upstream_id> tried;
+    std::set<replica_incarnation> tried;
     /// Key of the object that the request is about, where the route keeps to one replica; or empty.
     std::string affinityKey;
 };
@@ -64,14 +64,19 @@
 public:
     replica_board(data_centre_id here, std::uint64_t seed);
 
-    /// \brief Takes in the entries that the store lists now.
-    void setReplicas(const std::vector<replica_entry> &listed, time_point now);
+    /// \brief Takes in the entries that the store lists now. A replica that started again under its
+    /// id begins with nothing: what was learned of its old process does not hold for the new one.
+    /// \returns the entries whose process is over: they were replaced by a newer incarnation.
+    std::vector<replica_entry> setReplicas(const std::vector<replica_entry> &listed,
+                                           time_point now);
     /// \brief Takes in how many daemons send work to the replicas: this one sees its own only.
     void setDaemons(int count) { m_daemons = std::max(1, count); }
     /// \brief Takes in how many tokens a replica of \p service caches.
     void setCacheTokens(const std::string &service, std::int64_t tokens);
     /// \brief The replica said itself that it is leaving, or another one has its address.
-    void setLeaving(const upstream_id &id);
+    void setLeaving(const replica_incarnation &who);
+    /// \returns whether another process than \p who is listed under its id.
+    bool isReplaced(const replica_incarnation &who) const;
 
     /// \returns the replica on which the request is expected to be answered first, or nothing when
     /// none may take it.
@@ -83,12 +88,12 @@
     void onFirstByte(const placement &p, const placement_request &request, duration waited,
                      time_point now);
     /// \brief Bytes of an answer came.
-    void onHeard(const upstream_id &id, time_point now);
+    void onHeard(const replica_incarnation &who, time_point now);
     /// \brief The request of \p p is over.
     void onDone(const placement &p, send_end end, time_point now);
 
     /// \returns when the replica was last heard of on any connection.
-    time_point lastHeard(const upstream_id &id) const;
+    time_point lastHeard(const replica_incarnation &who) const;
     /// \returns the time that answers of \p service typically take to begin, with their spread.
     std::optional<duration> typicalWait(std::string_view service) const;
     std::size_t size() const { return m_replicas.size(); }
@@ -124,6 +129,9 @@
         std::int64_t cacheTokens = 0;
     };
 
+    /// \returns the state of \p who, or null when its process is not the one that is listed.
+    const replica_state *find(const replica_incarnation &who) const;
+    replica_state *find(const replica_incarnation &who);
     bool mayTake(const replica_state &r, time_point now) const;
     static void noteEnd(replica_state &r, send_end end, time_point now);
     std::int64_t ownCapacity(const service_state &service) const;
--- a/src/replicas/replicas.h
+++ b/src/replicas/replicas.h
@@ -4,4 +4,5 @@
 /// \brief The replicas as the store lists them, what requests show of them, and the choice of one.
 
 #include "replicas/replica_board.h"
+#include "replicas/replica_incarnation.h"
 #include "replicas/service_gate.h"
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -34,6 +34,9 @@
     store_version version = 0;
     /// Only in a feed: the row is gone.
     bool deleted = false;
+    /// Whether \c value could be decoded. A row that can't be read is there all the same: it must
+    /// count neither as absent nor as empty.
+    bool isReadable = true;
 };
 
 /// \brief A condition of a transaction: the row has this version.
--- a/src/turns/turn.cpp
+++ b/src/turns/turn.cpp
@@ -49,13 +49,27 @@
     head["turn"] = t.id.value;
     head["program"] = t.program.value;
     head["previous"] = t.previous ? t.previous->id.value : std::string();
-    head["replica"] = t.replica.value;
+    head["replica"] = t.replica.id.value;
+    head["replica_born"] = t.replica.bornUnixMs;
     head["tokens"] = t.tokens;
     head["input"] = t.input.size();
     head["output"] = t.output.size();
     return json::serialize(head) + '\n' + t.input + t.output;
 }
 
+namespace {
+
+/// \returns the replica that \p head names. Daemons of earlier versions wrote no birth: theirs is
+/// unknown and so matches no process that told one, which only costs reading the prompt again.
+replica_incarnation decodeReplica(const json::object &head)
+{
+    const json::value *born = head.if_contains("replica_born");
+    return {{std::string(head.at("replica").as_string())},
+            born ? born->to_number<std::int64_t>() : 0};
+}
+
+} // namespace
+
 std::optional<decoded_turn> decodeTurn(std::string_view row)
 {
     const std::size_t line = row.find('\n');
@@ -74,7 +88,7 @@
         decoded_turn result;
         result.value.id = {text("turn")};
         result.value.program = {text("program")};
-        result.value.replica = {text("replica")};
+        result.value.replica = decodeReplica(head);
         result.value.tokens = head.at("tokens").to_number<std::int64_t>();
         result.value.input = bytes.substr(0, inputSize);
         result.value.output = bytes.substr(inputSize);
--- a/src/turns/turn.h
+++ b/src/turns/turn.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "replicas/replica_incarnation.h"
 
 #include <cstdint>
 #include <memory>
@@ -27,8 +28,9 @@
     std::string input;
     /// The data of each event of the answer, each followed by a line feed.
     std::string output;
-    /// The replica that answered, whose cache probably still holds the prompt.
-    upstream_id replica;
+    /// The replica that answered, whose cache probably still holds the prompt as long as its
+    /// process lives.
+    replica_incarnation replica;
     /// Tokens of the prompt and the answer, as far as the client said.
     std::int64_t tokens = 0;
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -139,8 +139,9 @@
         if (!turn_rows::isAccount(row.name) || row.deleted || row.version <= state.version)
             continue;
         auto account = decodeAccount(row.value);
+        state.isUnreadable = !account;
         if (!account) {
-            logDecision(log_event::RowUnreadable, {{"program", row.name.part}});
+            m_unreadable.tell(log_event::RowUnreadable, row, "not an account");
             continue;
         }
         state.account = std::move(*account);
@@ -403,7 +404,12 @@
     const row_name firstPiece = turn_rows::firstPiece(step.claim.program, step.claim.id);
     bool isFresh = false;
     duration pause = leastPause;
+    state->isUnreadable = false;
     while (runtime_clock::now() < deadline) {
+        // Nobody knows what the program has spent, so it must get neither a fresh budget nor a
+        // refusal for good. Asking again would only show the same row.
+        if (state->isUnreadable)
+            co_return unavailable;
         if (step.isDone(state->account))
             co_return tl::expected<void, turn_refusal>();
         const auto next = step.apply(state->account);
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -2,6 +2,7 @@
 
 #include "runtime/runtime.h"
 #include "store/store.h"
+#include "store/unreadable_rows.h"
 #include "turns/row_janitor.h"
 #include "turns/token_account.h"
 #include "turns/turn_cache.h"
@@ -108,6 +109,8 @@
         token_account account;
         /// Version of the account's row; 0 when it does not exist yet.
         store_version version = 0;
+        /// The row as it was read last can't be decoded: what the program spent is not known.
+        bool isUnreadable = false;
         bool busy = false;
         notifier freed;
         time_point usedAt;
@@ -137,6 +140,7 @@
     ledger_settings m_settings;
     turn_cache m_cache;
     row_janitor m_janitor;
+    unreadable_rows m_unreadable;
     std::unordered_map<program_id, account_ptr> m_accounts;
     /// How long a turn is remembered here after it was read or added.
     duration m_retention = seconds(60);
--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -1,10 +1,12 @@
 #include "core/log.h"
 #include "http/sse.h"
 #include "members/members.h"
+#include "platform/base64.h"
 #include "platform/config_codec.h"
 #include "platform/ingress.h"
 #include "platform/replica_codec.h"
 #include "platform/settings_file.h"
+#include "platform/store_codec.h"
 #include "turns/token_account.h"
 
 #include <doctest/doctest.h>
@@ -15,6 +17,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <set>
 #include <sstream>
 
 namespace azurehill::test {
@@ -132,6 +135,29 @@
     return headers;
 }
 
+/// Rows as another writer might leave them, in the store's form.
+constexpr std::array<std::string_view, 12> spoiledRows
+    = {"3",
+       "null",
+       "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]",
+       "{}",
+       R"({"table":"servers","part":"","key":"x","ver":1,"value":"not base64!"})",
+       R"({"table":"servers","part":"","key":"x","ver":1,"value":7})",
+       R"({"table":"servers","part":"","key":"x","ver":1})",
+       R"({"table":"servers","part":"","key":"x","ver":"1","value":"e30="})",
+       R"({"table":"servers","part":"","key":"x","ver":-1,"value":"e30="})",
+       R"({"table":"servers","part":"","key":"x","ver":1,"value":"//79"})",
+       "{\"table\":\"servers\",\"part\":\"\",\"key\":\"\xff\",\"ver\":1,\"value\":\"e30=\"}",
+       R"({"table":"servers","part":"","key":7,"ver":1,"value":"W1tbW1tb"})"};
+
+std::string soundRow(const std::string &id)
+{
+    const std::string value = toBase64(R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+                                       R"("slots":1,"state":"ready","seq_no":1,"born":5})");
+    return R"({"table":"servers","part":"","key":")" + id + R"(","ver":2,"value":")" + value
+        + R"("})";
+}
+
 void checkRoute(const route_rule &route)
 {
     RC_ASSERT(route.timeout > duration::zero());
@@ -188,6 +214,34 @@
         });
     }
 
+    // One row that another writer had spoiled made the whole list of replicas unreadable, and every
+    // daemon went on with the replicas that it had known before, until all of them were gone.
+    TEST_CASE("a page in which some rows are spoiled: all sound ones survive")
+    {
+        const quiet_log quiet;
+        CHECK(rc::check("spoiled rows hide no sound one", [] {
+            const auto kinds = *rc::gen::container<std::vector<std::size_t>>(
+                rc::gen::inRange<std::size_t>(0, 2 * spoiledRows.size()));
+            std::string rows;
+            std::set<std::string> sound;
+            for (std::size_t i = 0; i < kinds.size(); ++i) {
+                const std::string id = "i-" + std::to_string(i);
+                const bool isSound = kinds[i] >= spoiledRows.size();
+                if (isSound)
+                    sound.insert(id);
+                rows += (rows.empty() ? "" : ",")
+                    + (isSound ? soundRow(id) : std::string(spoiledRows.at(kinds[i])));
+            }
+            std::set<std::string> read;
+            for (const stored_row &row :
+                 decodePage(R"({"ver":9,"rows":[)" + rows + "]}").page.rows) {
+                if (const auto entry = decodeReplica(row))
+                    read.insert(entry->incarnation.id.value);
+            }
+            RC_ASSERT(read == sound);
+        }));
+    }
+
     TEST_CASE("accounts of programs")
     {
         fuzz("account", [](const std::string &text) {
--- a/test/io/entry_service_test.cpp
+++ b/test/io/entry_service_test.cpp
@@ -134,6 +134,17 @@
             }
             CHECK(w.a.connections == 1);
         }
+        SUBCASE("but none to a process that is over")
+        {
+            // A receipt was lost each time a replica had started again under its id: its old
+            // connections looked alive, and the first request on each was cut off.
+            CHECK(statusOf(w.ask(request("/unsafe/x", "r1"))) == 200);
+            replica_entry restarted = w.a.entry;
+            restarted.incarnation.bornUnixMs = 1'700'000'000'000;
+            w.service->setReplicas({restarted});
+            CHECK(statusOf(w.ask(request("/unsafe/x", "r2"))) == 200);
+            CHECK(w.a.connections == 2);
+        }
         SUBCASE("but a request that may run once only gets one that was in use just now")
         {
             // A payment went out on a connection whose replica had fallen silent a while ago. It
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -18,7 +18,7 @@
     scripted_replica(asio::io_context &context, std::string id, std::string service)
         : m_acceptor(context, {asio::ip::address_v4::loopback(), 0})
     {
-        entry.id = {std::move(id)};
+        entry.incarnation.id = {std::move(id)};
         entry.service = std::move(service);
         entry.address = {"127.0.0.1", m_acceptor.local_endpoint().port()};
         entry.dataCentre = {"dc"};
--- a/test/io/platform_codec_test.cpp
+++ b/test/io/platform_codec_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <map>
+
 namespace azurehill::test {
 
 namespace {
@@ -113,17 +115,77 @@
 
     TEST_CASE("a replica's row becomes an entry, or is left out")
     {
-        const auto row = [](const std::string &value) {
-            return decodeReplica({{"servers", "", "i-1"}, value, 3, false});
+        const auto row = [](const std::string &value, const std::string &key = "i-1") {
+            return decodeReplica({{"servers", "", key}, value, 3, false});
+        };
+        /// \returns a sound row with \p field set to the JSON text \p value, or left out if empty.
+        const auto with = [&](const std::string &field, const std::string &value) {
+            std::map<std::string, std::string> fields{
+                {"service", R"("s")"},    {"address", R"("10.0.0.9:80")"}, {"zone", R"("z")"},
+                {"slots", "6"},           {"state", R"("draining")"},      {"seq_no", "4"},
+                {"born", "1700000000123"}};
+            fields[field] = value;
+            std::string text;
+            for (const auto &[name, json] : fields) {
+                if (!json.empty())
+                    text += (text.empty() ? "{\"" : ",\"") + name + "\":" + json;
+            }
+            return row(text + "}");
         };
-        const auto r = row(R"({"service":"s","address":"10.0.0.9:80","zone":"z","slots":6,
-                               "state":"draining","seq_no":4})");
+        const auto r = with("version", R"("v1")");
         REQUIRE(r);
-        CHECK(r->id.value == "i-1");
+        CHECK(r->incarnation.id.value == "i-1");
+        CHECK(r->incarnation.bornUnixMs == 1'700'000'000'123);
         CHECK(r->draining);
         CHECK(r->slots == 6);
-        CHECK_FALSE(row("{}"));
-        CHECK_FALSE(row("garbage"));
+        CHECK(r->sequence == 4);
+
+        SUBCASE("a start that was not told is an unknown one")
+        {
+            const auto unborn = with("born", "");
+            REQUIRE(unborn);
+            CHECK(unborn->incarnation.bornUnixMs == 0);
+        }
+        SUBCASE("a start in the future is taken: hosts' clocks differ")
+        {
+            CHECK(with("born", "4102444800000"));
+        }
+        SUBCASE("a start that makes no sense names no replica")
+        {
+            for (const char *born : {"-1", "0", "1.5", "1e12", "true", "null", R"("17")", "[1]",
+                                     "18446744073709551616", "18446744073709551615"})
+                CHECK_FALSE_MESSAGE(with("born", born), born);
+        }
+        SUBCASE("nor does a field that is missing, of another type or out of its range")
+        {
+            for (const char *field : {"service", "address", "zone", "slots", "state", "seq_no"}) {
+                for (const char *value : {"", "null", "{}", "[[[]]]", "1.5", "true", R"("")"})
+                    CHECK_FALSE_MESSAGE(with(field, value), field << " " << value);
+            }
+            for (const char *slots : {"0", "-3", "1000000000000", "1e3"})
+                CHECK_FALSE_MESSAGE(with("slots", slots), slots);
+            CHECK_FALSE(with("seq_no", "-1"));
+            CHECK_FALSE(with("state", R"("gone")"));
+            for (const char *address : {"10.0.0.9", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0:80",
+                                        ":80", "host:80", "10.0.0.9:80 ", "[::1]:80"})
+                CHECK_FALSE_MESSAGE(with("address", '"' + std::string(address) + '"'), address);
+        }
+        SUBCASE("nor does anything that is no object, or an id that would break a header")
+        {
+            for (const std::string &text :
+                 {std::string(), std::string("garbage"), std::string("[]"), std::string("\xff\xfe"),
+                  std::string(100'000, '[')})
+                CHECK_FALSE(row(text));
+            const std::string sound
+                = R"({"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,"state":"ready","seq_no":1})";
+            CHECK(row(sound));
+            CHECK_FALSE(row(sound, "i\r\nX: y"));
+            CHECK_FALSE(row(sound, ""));
+        }
+        SUBCASE("the reason is told")
+        {
+            CHECK(with("slots", "0").error() == "slots: 0 is too small");
+        }
     }
 
     TEST_CASE("a client's headers become a typed request")
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -161,6 +161,23 @@
             runPaused(context, story());
         }
 
+        SUBCASE("its row is there and can't be read: nobody can know")
+        {
+            auto story = [&]() -> awaitable<void> {
+                ledger_host writer(rows);
+                const turn_claim one = claimFor("t1", program, 100, 60);
+                co_await runTurn(writer.ledger, one, nullptr, 50);
+                store_transaction t;
+                t.writes.push_back({turn_rows::firstPiece(program, {"t1"}), "\xff\xfe"});
+                static_cast<void>(rows.apply(t));
+                const turn_id spoiled{"t1"};
+                const auto b = co_await host.ledger.load(program, spoiled, later(seconds(1)));
+                REQUIRE_FALSE(b);
+                CHECK(b.error() == turn_refusal::StoreUnavailable);
+            };
+            runPaused(context, story());
+        }
+
         SUBCASE("the store is away: nobody can know")
         {
             // A user's next page was answered 404 in an outage, and the lesson ended. The daemon
@@ -226,6 +243,26 @@
             runPaused(context, story());
         }
 
+        SUBCASE("an account that can't be read is neither a fresh budget nor a refusal for good")
+        {
+            // A maintenance script had damaged an account's row. The daemon asked the store for the
+            // same row over and over until the client's time was over.
+            auto story = [&]() -> awaitable<void> {
+                co_await reserveFor(first.ledger, "t1", 100, 60);
+                store_transaction t;
+                t.writes.push_back({turn_rows::account(program), R"({"spent":)"});
+                static_cast<void>(rows.apply(t));
+                const int before = second.access.calls;
+                for (ledger_host *host : {&first, &second}) {
+                    const auto b = co_await reserveFor(host->ledger, "t2", 1000, 1);
+                    REQUIRE_FALSE(b);
+                    CHECK(b.error() == turn_refusal::StoreUnavailable);
+                }
+                CHECK(second.access.calls - before <= 2);
+            };
+            runPaused(context, story());
+        }
+
         SUBCASE("a daemon dies in the middle: what it held stays held")
         {
             auto story = [&]() -> awaitable<void> {
--- a/test/logic/replica_board_test.cpp
+++ b/test/logic/replica_board_test.cpp
@@ -8,7 +8,7 @@
 
 replica_entry entry(const std::string &id, const std::string &dataCentre = "here", int slots = 8)
 {
-    return {{id}, "model", {"10.0.0.1", 80}, {dataCentre}, slots, false, 1};
+    return {{{id}, 1}, "model", {"10.0.0.1", 80}, {dataCentre}, slots, false, 1};
 }
 
 placement_request prompt(std::vector<prompt_part> parts)
@@ -29,7 +29,7 @@
 std::string chosen(replica_board &board, const placement_request &request, time_point now)
 {
     const auto p = board.choose(request, now);
-    return p ? p->replica.id.value : "none";
+    return p ? p->replica.incarnation.id.value : "none";
 }
 
 } // namespace
@@ -46,13 +46,13 @@
         board.onSent(*first, request, at(0));
         board.onDone(*first, send_end::Answered, at(100));
         for (int i = 0; i < 10; ++i)
-            CHECK(chosen(board, request, at(200)) == first->replica.id.value);
+            CHECK(chosen(board, request, at(200)) == first->replica.incarnation.id.value);
 
         SUBCASE("but not when that replica has much more to do")
         {
             for (int i = 0; i < 6; ++i)
                 board.onSent(*first, request, at(200));
-            CHECK(chosen(board, request, at(200)) != first->replica.id.value);
+            CHECK(chosen(board, request, at(200)) != first->replica.incarnation.id.value);
         }
         SUBCASE("and no longer once it has read so much else that the beginning is gone")
         {
@@ -85,7 +85,7 @@
         }
         SUBCASE("when another replica has its address")
         {
-            board.setLeaving({"a"});
+            board.setLeaving({{"a"}, 1});
             CHECK(chosen(board, prompt({}), at(20)) == "b");
         }
         SUBCASE("when its entry is gone")
@@ -109,7 +109,7 @@
         {
             const auto trial = board.choose(prompt({}), at(900));
             REQUIRE(trial);
-            CHECK(trial->replica.id.value == "a");
+            CHECK(trial->replica.incarnation.id.value == "a");
             board.onSent(*trial, prompt({}), at(900));
             CHECK(chosen(board, prompt({}), at(950)) == "b");
             board.onDone(*trial, send_end::Answered, at(1000));
@@ -118,7 +118,7 @@
         SUBCASE("it is better than none")
         {
             placement_request request = prompt({});
-            request.tried.insert({"b"});
+            request.tried.insert({{"b"}, 1});
             CHECK(chosen(board, request, at(400)) == "a");
         }
     }
@@ -161,7 +161,7 @@
                 const auto p = board.choose(prompt({}), at(i));
                 REQUIRE(p);
                 board.onSent(*p, prompt({}), at(i));
-                ++count[p->replica.id.value];
+                ++count[p->replica.incarnation.id.value];
             }
             CHECK(count["a"] >= slots / 2);
             CHECK(count["b"] >= slots / 2);
--- a/test/process/entry_test.cpp
+++ b/test/process/entry_test.cpp
@@ -39,14 +39,9 @@
               [this](const http_request &r, response_writer &w) { return answerRequest(r, w); })
     {
         const std::uint16_t port = m_replica.listen({"127.0.0.1", 0});
-        store_transaction t;
-        t.writes.push_back({{"op", "", "config"}, configuration});
-        t.writes.push_back(
-            {{"servers", "", "i-1"},
-             fmt::format(R"({{"service":"tools","address":"127.0.0.1:{}","zone":"z","slots":4,)"
-                         R"("state":"ready","seq_no":1}})",
-                         port)});
-        static_cast<void>(m_rows.apply(t));
+        m_address = fmt::format("127.0.0.1:{}", port);
+        writeRow({"op", "", "config"}, configuration);
+        writeReplica("ready", bornFirst, 1);
         writeSettings(8);
         m_thread = std::thread([this] { m_context.run(); });
     }
@@ -80,6 +75,27 @@
         return entry;
     }
 
+    /// \brief Writes the replica's entry as its process that began at \p born would.
+    void writeReplica(const std::string &state, std::int64_t born, int sequence)
+    {
+        writeRow({"servers", "", "i-1"},
+                 fmt::format(R"({{"service":"tools","address":"{}","zone":"z","slots":4,)"
+                             R"("state":"{}","seq_no":{},"born":{}}})",
+                             m_address, state, sequence, born));
+    }
+
+    /// \brief Writes a row, on the store's thread once that runs.
+    void writeRow(const row_name &name, const std::string &value)
+    {
+        store_transaction t;
+        t.writes.push_back({name, value});
+        if (!m_thread.joinable()) {
+            static_cast<void>(m_rows.apply(t));
+            return;
+        }
+        asio::post(m_context, [this, t] { static_cast<void>(m_rows.apply(t)); });
+    }
+
     /// \returns the ports that the daemon wrote: clients, readiness, look-ups, peers.
     std::array<std::uint16_t, 4> ports() const
     {
@@ -90,6 +106,8 @@
         return all;
     }
 
+    static constexpr std::int64_t bornFirst = 1'700'000'000'000;
+
     scratch_folder folder;
     /// Requests wait at the replica until this is set.
     std::atomic<bool> mayAnswer{true};
@@ -114,6 +132,7 @@
     store_standin m_store;
     http_server m_replica;
     std::uint16_t m_storePort = 0;
+    std::string m_address;
     std::thread m_thread;
 };
 
@@ -191,6 +210,31 @@
         }
     }
 
+    TEST_CASE("a replica that starts again under its id takes work again")
+    {
+        // A replica drained for planned work, crashed, and came back under its id. Its requests
+        // went unserved for the rest of the day: the daemons remembered that it was leaving.
+        platform_world world;
+        child entry = world.startEntry();
+        REQUIRE(holdsWithin(patience, [&] { return isReady(world); }));
+        const auto isServed = [&] { return get(world.ports()[0], "/a/x").body == "whole"; };
+        REQUIRE(isServed());
+        world.writeReplica("draining", platform_world::bornFirst, 2);
+        REQUIRE(holdsWithin(patience, [&] { return !isServed(); }));
+        world.writeReplica("ready", platform_world::bornFirst + 5000, 1);
+        CHECK(holdsWithin(patience, isServed));
+
+        SUBCASE("and a last word of its old process, written late, changes nothing")
+        {
+            world.writeReplica("draining", platform_world::bornFirst, 3);
+            world.writeRow({"servers", "", "i-2"}, "not a replica");
+            CHECK(holdsWithin(patience, [&] {
+                return entry.log().find("replica_row_unreadable") != std::string::npos;
+            }));
+            CHECK(isServed());
+        }
+    }
+
     TEST_CASE("a reader of the log that stands still costs no request")
     {
         // A collector of logs stopped reading, the pipe filled up, and every daemon of the host
