Log: which turn a refused request goes on from, and which read of it failed

Cause: a refusal of a turn told neither the turn that it continues nor why that turn was not read, so the hypotheses of the incident looked alike: a place waited for with little time left, and a previous turn that is there and can't be put together, both end in 503 after some 100 ms. Change: own_answer tells the previous turn; turn_not_loaded tells the step that failed (unreachable, read, confirm, chain) with the store's detail. No decision changes.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -33,6 +33,7 @@
     NotUnregistered,
     RowUnreadable,
     RowsDropped,
+    TurnNotLoaded,
     TokensHeld,
     HoldNotSettled,
     PlaceGranted,
@@ -50,7 +51,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 35> names = {"started",
+    static constexpr std::array<std::string_view, 36> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -73,6 +74,7 @@
                                                                "not_unregistered",
                                                                "row_unreadable",
                                                                "rows_dropped",
+                                                               "turn_not_loaded",
                                                                "tokens_held",
                                                                "hold_not_settled",
                                                                "place_granted",
@@ -102,6 +104,7 @@
     case log_event::GossipUnreadable:
     case log_event::StoreLost:
     case log_event::NotUnregistered:
+    case log_event::TurnNotLoaded:
     case log_event::HoldNotSettled:
     case log_event::PlaceNotGranted:
     case log_event::TurnNotDurable:
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -11,6 +11,7 @@
     logDecision(log_event::OwnAnswer,
                 {{"request", call->request.id},
                  {"program", call->request.program.value},
+                 {"previous", call->request.previousTurn.value},
                  {"answer", std::string(toName(answer))},
                  {"detail", detail},
                  {"route", call->route ? call->route->name : std::string()},
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -212,13 +212,24 @@
     co_return co_await readProgram(std::move(program), wanted, deadline);
 }
 
-awaitable<bool> turn_ledger::confirmAbsent(turn_id wanted, time_point deadline)
+awaitable<store_result<store_version>> turn_ledger::confirmAbsent(turn_id wanted,
+                                                                  time_point deadline)
 {
     store_transaction t;
     t.urgency = write_urgency::Begin;
     t.conditions.push_back({turn_rows::index(wanted), 0});
-    const auto done = co_await m_store.transact(std::move(t), deadline);
-    co_return done.has_value();
+    co_return co_await m_store.transact(std::move(t), deadline);
+}
+
+void turn_ledger::tellNotLoaded(const program_id &program, const turn_id &wanted, load_step step,
+                                const std::string &detail) const
+{
+    logDecision(log_event::TurnNotLoaded,
+                {{"program", program.value},
+                 {"turn", wanted.value},
+                 {"step", std::string(toName(step))},
+                 {"detail", detail},
+                 {"reachable", m_store.isReachable()}});
 }
 
 awaitable<tl::expected<turn_ptr, turn_refusal>>
@@ -226,8 +237,12 @@
 {
     if (turn_ptr known = m_cache.find(previous))
         co_return known;
-    if (!m_store.isReachable())
+    if (!m_store.isReachable()) {
+        tellNotLoaded(program, previous, load_step::Unreachable, "");
         co_return tl::unexpected(turn_refusal::StoreUnavailable);
+    }
+    load_step failed = load_step::Read;
+    std::string detail;
     // One lost answer must not refuse the turn: the second try takes a new connection.
     constexpr int tries = 2;
     for (int i = 0; i < tries && runtime_clock::now() < deadline; ++i) {
@@ -237,15 +252,22 @@
             found = co_await readByIndex(previous, until);
         if (found && *found)
             co_return *found;
-        if (found) {
+        failed = load_step::Read;
+        if (!found) {
+            detail = found.error().detail;
+        } else {
             // A read may lag behind; only a condition says for certain that there is no such turn.
-            const bool absent = co_await confirmAbsent(previous, until);
+            const auto absent = co_await confirmAbsent(previous, until);
             if (absent)
                 co_return tl::unexpected(turn_refusal::NoSuchTurn);
+            const bool exists = absent.error().kind == store_error_kind::Conflict;
+            failed = exists ? load_step::Chain : load_step::Confirm;
+            detail = absent.error().detail;
         }
         if (!m_store.isReachable())
             break;
     }
+    tellNotLoaded(program, previous, failed, detail);
     co_return tl::unexpected(turn_refusal::StoreUnavailable);
 }
 
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -22,6 +22,25 @@
         = {"store_unavailable", "no_such_turn", "budget_spent", "too_large"};
 };
 
+/// \brief Where the search for a turn ended without telling whether it exists.
+enum class load_step {
+    /// The store was not asked, since its last calls failed.
+    Unreachable,
+    /// A read failed.
+    Read,
+    /// The reads found nothing, and the condition that it does not exist was not answered.
+    Confirm,
+    /// The turn exists, and what was read does not hold its whole chain.
+    Chain,
+};
+
+template <>
+struct enum_names<load_step>
+{
+    static constexpr std::array<std::string_view, 4> names
+        = {"unreachable", "read", "confirm", "chain"};
+};
+
 /// \brief Bounds of the ledger.
 struct ledger_settings
 {
@@ -131,7 +150,11 @@
     awaitable<store_result<turn_ptr>> readProgram(program_id program, turn_id wanted,
                                                   time_point deadline);
     awaitable<store_result<turn_ptr>> readByIndex(turn_id wanted, time_point deadline);
-    awaitable<bool> confirmAbsent(turn_id wanted, time_point deadline);
+    /// \brief Asks the store whether the index does not have \p wanted. \returns a version if so;
+    /// a Conflict if it has.
+    awaitable<store_result<store_version>> confirmAbsent(turn_id wanted, time_point deadline);
+    void tellNotLoaded(const program_id &program, const turn_id &wanted, load_step step,
+                       const std::string &detail) const;
     turn_ptr adoptRows(const program_id &program, const std::vector<stored_row> &rows,
                        const turn_id &wanted);
     void adoptAccount(account_state &state, const std::vector<stored_row> &rows);
