--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/redirect_error.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace azurehill {
@@ -39,11 +40,15 @@
     logDecision(granted ? log_event::PlaceGranted : log_event::PlaceNotGranted,
                 {{"request", call.request.id},
                  {"program", call.request.program.value},
+                 {"previous", call.request.previousTurn.value},
                  {"rank", std::int64_t(ticket.rank)},
                  {"hope", std::string(toName(ticket.hope))},
+                 {"left_ms", toMilliseconds(call.deadline - runtime_clock::now())},
                  {"waiting", std::int64_t(gate.waiting())},
                  {"inside", std::int64_t(gate.inside())},
                  {"limit", gate.limit()},
+                 {"replicas", std::int64_t(gate.share().replicas)},
+                 {"part", gate.share().part},
                  {"inflation", gate.inflation()},
                  {"waited_ms", toMilliseconds(waited)}});
 }
@@ -64,7 +69,9 @@
 void engine_places::update(const replica_board &board, int daemons, time_point now)
 {
     for (auto &[name, gate] : m_gates) {
-        gate.setShare({board.open(name, now), board.openSlots(name, now), daemons});
+        const std::vector<place_demand> others(std::size_t(std::max(0, daemons - 1)), 0);
+        const double part = placePart(gate.inside() + double(gate.waiting()), others);
+        gate.setShare({board.open(name, now), board.openSlots(name, now), part});
         grant(gate);
     }
 }
--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -51,7 +51,7 @@
 void service_gate::setShare(const gate_share &share)
 {
     const double before = replicas();
-    m_share = {std::max(1, share.replicas), std::max(1, share.slots), std::max(1, share.daemons)};
+    m_share = {std::max(1, share.replicas), std::max(1, share.slots), share.part};
     // Before a pace has moved the bound, it is what the replicas that are known by now bear.
     m_limit = m_isLearned ? m_limit * replicas() / before : startLimit();
 }
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -36,8 +36,8 @@
     int replicas = 1;
     /// Requests that all of these replicas together work on at once.
     int slots = 1;
-    /// Daemons that send requests to them.
-    int daemons = 1;
+    /// The part of them that is this daemon's.
+    double part = 1;
 };
 
 /// \brief Bounds how many requests of this daemon the engines of a service work on at once, and
@@ -52,7 +52,7 @@
 public:
     explicit service_gate(const mechanism_set &mechanisms = {}) : m_mechanisms(mechanisms) { }
 
-    /// \brief Takes in the replicas that may take requests, and the daemons that share them.
+    /// \brief Takes in the replicas that may take requests, and this daemon's part of them.
     void setShare(const gate_share &share);
 
     /// \returns whether the request may go now. If not it waits until take() names it.
@@ -70,6 +70,7 @@
     std::size_t waiting() const { return m_waiting.size(); }
     int inside() const { return m_inside; }
     double limit() const { return m_limit; }
+    const gate_share &share() const { return m_share; }
     /// \returns how many times slower events come than from an idle engine.
     double inflation() const;
 
@@ -78,7 +79,7 @@
     using order = std::tuple<bool, int, program_hope, duration, std::uint64_t>;
 
     /// \returns the replicas that are this daemon's part.
-    double replicas() const { return double(m_share.replicas) / m_share.daemons; }
+    double replicas() const { return m_share.replicas * m_share.part; }
     double slotsPerReplica() const { return double(m_share.slots) / m_share.replicas; }
     double startLimit() const;
     double mostLimit() const;
