Divide the engines' places by demand instead of evenly

Cause: a resource that all daemons share was divided by their number, which the callers don't follow: after a restart of all hosts nearly half of them sat on the daemon that was up first, with an eleventh of the places. Change: each daemon tells the others, with its beat, how many requests it has at the engines or waiting for them; two thirds of the places go by that, a third evenly.

--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -4,7 +4,6 @@
 
 #include <boost/asio/redirect_error.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace azurehill {
@@ -53,6 +52,24 @@
                  {"waited_ms", toMilliseconds(waited)}});
 }
 
+place_demand demandOf(const service_gate &gate)
+{
+    return gate.inside() + place_demand(gate.waiting());
+}
+
+/// \returns what each daemon of \p others wants of \p service.
+std::vector<place_demand> demandsOf(const std::vector<place_demands> &others,
+                                    const std::string &service)
+{
+    std::vector<place_demand> demands;
+    demands.reserve(others.size());
+    for (const place_demands &one : others) {
+        const auto found = one.find(service);
+        demands.push_back(found == one.end() ? 0 : found->second);
+    }
+    return demands;
+}
+
 } // namespace
 
 engine_places::engine_places(asio::any_io_executor executor, const mechanism_set &mechanisms,
@@ -66,16 +83,24 @@
         m_gates.try_emplace(service, m_mechanisms);
 }
 
-void engine_places::update(const replica_board &board, int daemons, time_point now)
+void engine_places::update(const replica_board &board, const std::vector<place_demands> &others,
+                           time_point now)
 {
     for (auto &[name, gate] : m_gates) {
-        const std::vector<place_demand> others(std::size_t(std::max(0, daemons - 1)), 0);
-        const double part = placePart(gate.inside() + double(gate.waiting()), others);
+        const double part = placePart(demandOf(gate), demandsOf(others, name));
         gate.setShare({board.open(name, now), board.openSlots(name, now), part});
         grant(gate);
     }
 }
 
+place_demands engine_places::demands() const
+{
+    place_demands all;
+    for (const auto &[name, gate] : m_gates)
+        all.emplace(name, demandOf(gate));
+    return all;
+}
+
 void engine_places::grant(service_gate &gate)
 {
     for (const std::uint64_t number : gate.take()) {
--- a/src/entry/engine_places.h
+++ b/src/entry/engine_places.h
@@ -21,8 +21,13 @@
 
     /// \brief Makes a gate for \p service if it has none yet.
     void addService(const std::string &service);
-    /// \brief Takes in how many replicas may take requests, and grants places that came free.
-    void update(const replica_board &board, int daemons, time_point now);
+    /// \brief Takes in how many replicas may take requests and what the other daemons want of
+    /// them, and grants places that came free.
+    void update(const replica_board &board, const std::vector<place_demands> &others,
+                time_point now);
+    /// \returns the requests of this daemon that are at the engines or wait for a place, by
+    /// service.
+    place_demands demands() const;
 
     /// \brief Waits for a place.
     /// \param times how the call's program stands, if it has an account.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -109,6 +109,11 @@
     m_settings.seeds = settings.seeds;
 }
 
+void entry_control::setPlacesWanted(place_demands wanted)
+{
+    m_members.self().placesWanted = std::move(wanted);
+}
+
 entry_gauges entry_control::gauges() const
 {
     entry_gauges g;
@@ -391,6 +396,14 @@
     m_events.onPeers(std::move(reaching), count);
 }
 
+void entry_control::publishDemands() const
+{
+    std::vector<place_demands> demands;
+    for (const member_state &m : m_members.alive())
+        demands.push_back(m.placesWanted);
+    m_events.onDemands(std::move(demands));
+}
+
 awaitable<void> entry_control::gossip()
 {
     while (true) {
@@ -408,6 +421,7 @@
                 m_gossip.send({seed.host, m_settings.gossip.port}, message);
         }
         publishPeers();
+        publishDemands();
         co_await sleepFor(gossipRound);
     }
 }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -6,6 +6,7 @@
 #include "platform/platform_store.h"
 #include "store/paced_store.h"
 
+#include <functional>
 #include <random>
 
 namespace azurehill {
@@ -28,6 +29,13 @@
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
+    /// \brief Takes in what each of the other daemons that live wants of the engines.
+    void setOtherDemands(std::vector<place_demands> others) { m_otherDemands = std::move(others); }
+    /// \brief Calls \p tell now and then with what this daemon wants of the engines.
+    void onPlacesWanted(std::function<void(place_demands)> tell)
+    {
+        m_tellDemands = std::move(tell);
+    }
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
@@ -40,6 +48,7 @@
                                 response_writer &writer);
     awaitable<void> sweep();
     awaitable<void> removeOldRows();
+    void tellDemands(time_point now);
 
     static bool mayRepeat(const entry_call &call);
     std::string pickService(const route_rule &route);
@@ -62,6 +71,9 @@
     http_server m_server;
     route_book_ptr m_routes;
     int m_daemons = 1;
+    std::vector<place_demands> m_otherDemands;
+    std::function<void(place_demands)> m_tellDemands;
+    time_point m_demandsToldAt;
 };
 
 } // namespace azurehill
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -177,7 +177,15 @@
         asio::post(trafficContext,
                    [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
     };
+    events.onDemands = [&](std::vector<place_demands> others) {
+        asio::post(trafficContext,
+                   [&service, o = std::move(others)] { service.setOtherDemands(o); });
+    };
     entry_control control(controlContext, s, std::move(events));
+    service.onPlacesWanted([&](place_demands wanted) {
+        asio::post(controlContext,
+                   [&control, w = std::move(wanted)] { control.setPlacesWanted(w); });
+    });
     http_server metricsServer(controlContext.get_executor(), {},
                               [&](const http_request &request, response_writer &writer) {
                                   return answerMetrics(metrics, control, request, writer);
--- a/src/members/member_state.cpp
+++ b/src/members/member_state.cpp
@@ -2,6 +2,9 @@
 
 #include <boost/json.hpp>
 
+#include <cmath>
+#include <stdexcept>
+
 namespace azurehill {
 
 namespace json = boost::json;
@@ -21,6 +24,10 @@
     o["serving"] = m.serving;
     o["store"] = m.storeReachable;
     o["config"] = m.configVersion;
+    json::object places;
+    for (const auto &[service, demand] : m.placesWanted)
+        places[service] = std::llround(demand);
+    o["places"] = std::move(places);
     return o;
 }
 
@@ -32,6 +39,24 @@
     return *address;
 }
 
+/// \returns the demands in \p o. A daemon of an older release tells none.
+place_demands demandsIn(const json::object &o)
+{
+    // Above what one daemon can hold; a false number must not take the places of all others.
+    constexpr std::int64_t mostDemand = 100'000;
+    place_demands demands;
+    const json::value *const places = o.if_contains("places");
+    if (!places)
+        return demands;
+    for (const auto &[service, value] : places->as_object()) {
+        const auto demand = value.to_number<std::int64_t>();
+        if (demand < 0 || demand > mostDemand)
+            throw std::out_of_range("a demand for places");
+        demands.emplace(std::string(service), place_demand(demand));
+    }
+    return demands;
+}
+
 member_state decode(const json::object &o)
 {
     member_state m;
@@ -45,6 +70,7 @@
     m.serving = o.at("serving").as_bool();
     m.storeReachable = o.at("store").as_bool();
     m.configVersion = o.at("config").to_number<std::uint64_t>();
+    m.placesWanted = demandsIn(o);
     return m;
 }
 
--- a/src/members/member_state.h
+++ b/src/members/member_state.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "http/http_message.h"
+#include "replicas/place_division.h"
 
 #include <cstdint>
 #include <optional>
@@ -27,6 +28,8 @@
     /// Whether the daemon reaches the store itself.
     bool storeReachable = false;
     std::uint64_t configVersion = 0;
+    /// What the daemon wants of the engines.
+    place_demands placesWanted;
 };
 
 /// \returns \p states as one message.
--- a/test/io/member_list_test.cpp
+++ b/test/io/member_list_test.cpp
@@ -99,6 +99,27 @@
         CHECK(back->front().storeReachable);
         CHECK_FALSE(decodeMembers("{}"));
         CHECK_FALSE(decodeMembers("not json"));
+
+        SUBCASE("with what the daemon wants of the engines")
+        {
+            m.placesWanted = {{"model", 78}, {"other", 0}};
+            CHECK(decodeMembers(encodeMembers({m}))->front().placesWanted == m.placesWanted);
+        }
+        SUBCASE("a daemon of an older release wants nothing")
+        {
+            std::string text = encodeMembers({m});
+            const std::string places = R"(,"places":{})";
+            text.erase(text.find(places), places.size());
+            REQUIRE(decodeMembers(text));
+            CHECK(decodeMembers(text)->front().placesWanted.empty());
+        }
+        SUBCASE("a demand that no daemon can have is refused")
+        {
+            for (const double wrong : {-1.0, 1e9}) {
+                m.placesWanted = {{"model", wrong}};
+                CHECK_FALSE(decodeMembers(encodeMembers({m})));
+            }
+        }
     }
 }
 
