A place in four goes to late programs that others have passed

Cause: starvation by a strict order. A turn whose program is late or can't win any more waited behind every turn of a program on time, for as long as more came than there were places; each of its tries had less time left. Change: such a request that eight others have passed gets one of the next places, one in four at the most.

--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -32,6 +32,13 @@
 /// The idle pace forgets its lowest sample slowly, in case engines really got slower.
 constexpr double idleForget = 0.0005;
 constexpr int enoughSamples = 20;
+/// A request of a program that is late or lost, passed over by so many others, gets one of the next
+/// places. By the order alone it waits behind all others for as long as more come than there are
+/// places: nine tries of one program's turns in a row were refused after a restart of all daemons.
+constexpr std::uint64_t passedUntilNext = 8;
+/// One place in so many goes to such requests at the most. A quarter bounds what programs on time
+/// give up for them.
+constexpr std::uint64_t behindEvery = 4;
 
 } // namespace
 
@@ -80,6 +87,8 @@
                   ticket.number};
     m_waiting.emplace(o, ticket.number);
     m_orders.emplace(ticket.number, o);
+    if (ticket.hope != program_hope::OnTime)
+        m_behind.emplace(ticket.number, m_granted);
     return false;
 }
 
@@ -90,6 +99,7 @@
         return false;
     m_waiting.erase(found->second);
     m_orders.erase(found);
+    m_behind.erase(number);
     return true;
 }
 
@@ -98,11 +108,20 @@
     m_inside = std::max(0, m_inside - 1);
 }
 
+std::uint64_t service_gate::nextInOrder()
+{
+    ++m_granted;
+    const bool mayBePassedBy = m_behind.empty() || m_granted % behindEvery != 0;
+    if (mayBePassedBy || m_granted - m_behind.begin()->second <= passedUntilNext)
+        return m_waiting.begin()->second;
+    return m_behind.begin()->first;
+}
+
 std::vector<std::uint64_t> service_gate::take()
 {
     std::vector<std::uint64_t> granted;
     while (!m_waiting.empty() && m_inside < std::max(1.0, m_limit)) {
-        const std::uint64_t number = m_waiting.begin()->second;
+        const std::uint64_t number = nextInOrder();
         withdraw(number);
         ++m_inside;
         granted.push_back(number);
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -47,7 +47,7 @@
 /// An engine takes far more requests at once than it can serve in time: each makes all others
 /// slower, until every program is late and none is refused. The bound follows the pace at which
 /// events come, so that engines are kept where programs still end in time. Those that wait go by
-/// rank; programs that can no longer win anything come last.
+/// rank; programs that can no longer win anything come last, but never without an end.
 class service_gate
 {
 public:
@@ -88,6 +88,8 @@
     /// \returns the replicas that are this daemon's part.
     double replicas() const { return m_share.replicas * m_share.part; }
     double slotsPerReplica() const { return double(m_share.slots) / m_share.replicas; }
+    /// \returns the number of the request that gets the next place.
+    std::uint64_t nextInOrder();
     double startLimit() const;
     double mostLimit() const;
 
@@ -103,6 +105,11 @@
     time_point m_adjustedAt;
     std::map<order, std::uint64_t> m_waiting;
     std::map<std::uint64_t, order> m_orders;
+    /// Those that wait for programs that are late or lost, with \c m_granted as it was when they
+    /// came.
+    std::map<std::uint64_t, std::uint64_t> m_behind;
+    /// Places that went to requests that had waited.
+    std::uint64_t m_granted = 0;
 };
 
 } // namespace azurehill
