Failing tests: bursts, cut-off daemons, slow agreement and turns that still get no place

Cause: not mended here. Daemons know their own demand at once and the others' 600 ms later, and each takes the whole of what seems free; the mean of old words undoes what each has learned since; a daemon without replicas tells the least bound with the weight of those that wait; the place for those behind counts from each try anew and knows only late and lost programs. Whether a rank may wait without an end is a question of the design.

--- /dev/null
+++ b/test/logic/place_words_test.cpp
@@ -0,0 +1,222 @@
+#include "replicas/replicas.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+#include <vector>
+
+namespace azurehill::test {
+
+namespace {
+
+constexpr int replicas = 18;
+constexpr int slots = 16;
+/// A daemon knows its own demand as it is, and that of others as it was so long ago: a word waits
+/// up to a round of gossip to be told, takes two or three rounds, and a round to be taken in.
+constexpr int sweepMs = 50;
+constexpr int roundMs = 200;
+constexpr int lagRounds = 3;
+
+/// \brief Daemons before the same engines that hear each other's words some rounds late, as they
+/// run: parts from their own demand of the moment at each sweep, bounds agreed on each round.
+class daemons_with_lag
+{
+public:
+    explicit daemons_with_lag(int count) : gates(std::size_t(count)), m_open(gates.size(), replicas)
+    {
+        told.assign(lagRounds + 1, words());
+    }
+
+    /// \brief The daemon doubts all replicas, or has not read them.
+    void hideReplicas(int daemon) { m_open[std::size_t(daemon)] = 0; }
+
+    void step(int ms)
+    {
+        if (ms % roundMs == 0) {
+            told.push_back(words());
+            told.pop_front();
+            for (std::size_t d = 0; d < gates.size(); ++d)
+                gates[d].agree(others(d));
+        }
+        for (std::size_t d = 0; d < gates.size(); ++d) {
+            service_gate &gate = gates[d];
+            const double part = placePart(gate.word().wanted, others(d), gate.places());
+            gate.setShare({m_open[d], m_open[d] * slots, part});
+            gate.take();
+        }
+    }
+
+    int inside() const
+    {
+        int sum = 0;
+        for (const service_gate &gate : gates)
+            sum += gate.inside();
+        return sum;
+    }
+
+    void want(std::size_t daemon, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            gates[daemon].enter({++m_lastTicket, 1, program_hope::OnTime, seconds(1)});
+    }
+
+    std::vector<service_gate> gates;
+    std::deque<std::vector<place_word>> told;
+
+private:
+    std::vector<place_word> words() const
+    {
+        std::vector<place_word> all;
+        for (const service_gate &gate : gates)
+            all.push_back(gate.word());
+        return all;
+    }
+
+    std::vector<place_word> others(std::size_t daemon) const
+    {
+        std::vector<place_word> words = told.front();
+        words.erase(words.begin() + std::ptrdiff_t(daemon));
+        return words;
+    }
+
+    std::vector<int> m_open;
+    std::uint64_t m_lastTicket = 0;
+};
+
+/// \returns the gate of one of ten daemons with thirty requests each, six seconds after a hundred
+/// requests came to an eleventh one that is cut off; nothing comes to it if it is not.
+/// \param isCutOff whether the eleventh doubts all replicas, or has not read them, and so can't use
+/// the places that it asks for.
+service_gate otherGate(bool isCutOff)
+{
+    daemons_with_lag all(11);
+    if (isCutOff)
+        all.hideReplicas(0);
+    constexpr int burstMs = 3000;
+    for (int ms = 0; ms < burstMs + 6000; ms += sweepMs) {
+        if (ms == burstMs)
+            all.want(0, isCutOff ? 100 : 0);
+        for (std::size_t d = 1; d < all.gates.size(); ++d) {
+            all.want(d, std::max(0, 30 - int(all.gates[d].word().wanted)));
+            all.gates[d].onPace(ms < 1000 ? 10 : 25, time_point(milliseconds(1'000'000 + ms)));
+        }
+        all.step(ms);
+    }
+    return all.gates[1];
+}
+
+/// \returns after how many milliseconds of slow events the first daemon's bound has halved.
+int msUntilHalved(int count)
+{
+    daemons_with_lag all(count);
+    int ms = 0;
+    const auto play = [&](double pace) {
+        for (std::size_t d = 0; d < all.gates.size(); ++d)
+            all.gates[d].onPace(pace, time_point(milliseconds(1'000'000 + ms)));
+        all.step(ms);
+        ms += sweepMs;
+    };
+    while (ms < 2000) {
+        for (std::size_t d = 0; d < all.gates.size(); ++d)
+            all.want(d, 200 / count);
+        play(10);
+    }
+    const double before = all.gates[0].word().perReplica;
+    const int began = ms;
+    while (all.gates[0].word().perReplica > before / 2 && ms < 60'000)
+        play(100);
+    return ms - began;
+}
+
+} // namespace
+
+TEST_SUITE("words on places")
+{
+    TEST_CASE("a burst at all daemons at once does not fill the engines beyond what they bear")
+    {
+        for (const auto &burst : {std::pair{11, 40}, {11, 100}, {90, 20}}) {
+            const int count = burst.first;
+            const int each = burst.second;
+            CAPTURE(count);
+            CAPTURE(each);
+            daemons_with_lag all(count);
+            for (int ms = 0; ms < 1000; ms += sweepMs)
+                all.step(ms);
+            for (std::size_t d = 0; d < all.gates.size(); ++d)
+                all.want(d, each);
+            int most = 0;
+            for (int ms = 1000; ms < 1700; ms += sweepMs) {
+                all.step(ms);
+                most = std::max(most, all.inside());
+            }
+            // Each daemon may have one beyond its part.
+            CHECK(most <= 1.25 * replicas * slots + count);
+        }
+    }
+
+    TEST_CASE("a daemon that may use no replica holds back no other")
+    {
+        const service_gate usual = otherGate(false);
+        const service_gate besideCutOff = otherGate(true);
+        CHECK(besideCutOff.word().perReplica > 0.9 * usual.word().perReplica);
+        CHECK(besideCutOff.limit() > 0.9 * usual.limit());
+    }
+
+    TEST_CASE("many daemons take as long as one to see that the engines are slow")
+    {
+        const int alone = msUntilHalved(1);
+        const int together = msUntilHalved(11);
+        MESSAGE("bound halved after ", alone, " ms alone, ", together, " ms with eleven");
+        CHECK(together < 1.5 * alone);
+    }
+
+    TEST_CASE("a request on time gets a place while others of a better rank or less slack come")
+    {
+        // The second one tells no finish of its program, so it comes after all that tell one.
+        for (const auto &[rank, slack] :
+             {std::pair{2, duration(seconds(1))}, {1, duration::max()}}) {
+            service_gate gate;
+            gate.setShare({1, 8, 1});
+            std::uint64_t number = 1;
+            while (gate.enter({++number, 1, program_hope::OnTime, seconds(1)})) { }
+            const std::uint64_t passed = ++number;
+            CHECK_FALSE(gate.enter({passed, rank, program_hope::OnTime, slack}));
+            bool isGranted = false;
+            for (int i = 0; i < 1000; ++i) {
+                gate.enter({++number, 1, program_hope::OnTime, seconds(1)});
+                gate.leave();
+                for (const std::uint64_t granted : gate.take())
+                    isGranted = isGranted || granted == passed;
+            }
+            CHECK(isGranted);
+        }
+    }
+
+    TEST_CASE("late programs' turns that can't wait for eight places are not shut out")
+    {
+        // The later tries of a turn wait for 128, 63 and 13 ms, in which a daemon with 24 places
+        // grants four, two and none. Each try begins to count anew.
+        constexpr int placesDuringTry = 6;
+        service_gate gate;
+        gate.setShare({1, 8, 1});
+        std::uint64_t number = 1;
+        while (gate.enter({++number, 1, program_hope::OnTime, seconds(1)})) { }
+        int granted = 0;
+        for (int i = 0; i < 50; ++i) {
+            const std::uint64_t late = ++number;
+            gate.enter({late, 1, program_hope::Late, seconds(-1)});
+            for (int k = 0; k < placesDuringTry; ++k) {
+                gate.enter({++number, 1, program_hope::OnTime, seconds(1)});
+                gate.leave();
+                for (const std::uint64_t one : gate.take())
+                    granted += one == late ? 1 : 0;
+            }
+            gate.withdraw(late);
+        }
+        CHECK(granted > 0);
+    }
+}
+
+} // namespace azurehill::test
