Words on places: demand of one age, shared pace, and no request passed over without an end

Cause: (1) a daemon knew its own demand at once and that of others a second later, so each took for itself what seemed free to all: 1,100 requests for 288 places when eleven daemons got 100 each at one moment. (2) A daemon without a replica told the least bound and wanted places that it can't use: the others' bound 7.7 in place of 20. (3) Taking the mean of old bounds whole undid what was learned since: 10.5 s until bounds halve, 3 s alone. (4) Requests on time of a worse rank got none of 1,000 places, and a late turn's shorter tries each began to count anew. (5) Look-ups named the first 64 daemons by name. Change: the part goes by the own word as old as the others'; daemons share the pace that they see and go a twentieth of the way to the mean bound in a round; a daemon without replicas tells neither; one place in eight goes to the request that eight others have passed, one in eight to a late or lost one, counted over tries; one daemon's demand counts up to four times all places; look-ups name daemons by chance.

--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -46,8 +46,8 @@
                  {"waiting", std::int64_t(gate.waiting())},
                  {"inside", std::int64_t(gate.inside())},
                  {"limit", gate.limit()},
-                 {"replicas", std::int64_t(gate.share().replicas)},
-                 {"part", gate.share().part},
+                 {"replicas", std::int64_t(gate.engines().replicas)},
+                 {"part", gate.part()},
                  {"inflation", gate.inflation()},
                  {"waited_ms", toMilliseconds(waited)}});
 }
@@ -77,28 +77,30 @@
         m_gates.try_emplace(service, m_mechanisms);
 }
 
-void engine_places::update(const replica_board &board, const std::vector<place_words> &others,
-                           time_point now)
+void engine_places::update(const replica_board &board, time_point now)
 {
     for (auto &[name, gate] : m_gates) {
-        const double part = placePart(gate.word().wanted, wordsOf(others, name), gate.places());
-        gate.setShare({board.open(name, now), board.openSlots(name, now), part});
+        gate.setEngines({board.open(name, now), board.openSlots(name, now)});
         grant(gate);
     }
 }
 
-place_words engine_places::words() const
+place_words engine_places::tell()
 {
     place_words all;
-    for (const auto &[name, gate] : m_gates)
-        all.emplace(name, gate.word());
+    for (auto &[name, gate] : m_gates) {
+        const place_word word = gate.tell();
+        // A service that nobody uses here takes no room in the message.
+        if (word.wanted > 0)
+            all.emplace(name, word);
+    }
     return all;
 }
 
-void engine_places::agree(const std::vector<place_words> &others)
+void engine_places::hear(const std::vector<place_words> &others)
 {
     for (auto &[name, gate] : m_gates)
-        gate.agree(wordsOf(others, name));
+        gate.hear(wordsOf(others, name));
 }
 
 void engine_places::grant(service_gate &gate)
--- a/src/entry/engine_places.h
+++ b/src/entry/engine_places.h
@@ -21,13 +21,12 @@
 
     /// \brief Makes a gate for \p service if it has none yet.
     void addService(const std::string &service);
-    /// \brief Takes in how many replicas may take requests and what the other daemons want of
-    /// them, and grants places that came free.
-    void update(const replica_board &board, const std::vector<place_words> &others, time_point now);
-    /// \returns what this daemon tells the others of its places.
-    place_words words() const;
-    /// \brief Takes in a round of what the other daemons told.
-    void agree(const std::vector<place_words> &others);
+    /// \brief Takes in how many replicas may take requests, and grants places that came free.
+    void update(const replica_board &board, time_point now);
+    /// \returns what this daemon tells the others of its places. Call it once for each round.
+    place_words tell();
+    /// \brief Takes in a round of what the other daemons that live told.
+    void hear(const std::vector<place_words> &others);
 
     /// \brief Waits for a place.
     /// \param times how the call's program stands, if it has an account.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -77,6 +77,7 @@
       m_peerServer(context.get_executor(), {},
                    [this](const http_request &r, response_writer &w) { return answerPeer(r, w); }),
       m_members(makeSelf(settings), stableHash(settings.name.value)),
+      m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
       m_gossip(context.get_executor(), [this](const std::vector<member_state> &states) {
           logMembers(m_members.onHeard(states, runtime_clock::now()));
       })
@@ -147,7 +148,7 @@
         logDecision(log_event::NotUnregistered, {{"detail", done.error().detail}});
 }
 
-http_response entry_control::answerLookup() const
+http_response entry_control::answerLookup()
 {
     std::vector<member_state> all = m_members.alive();
     all.push_back(m_members.self());
@@ -167,6 +168,9 @@
         = reaching.size() * enoughShare >= serving.size() ? reaching : serving;
     if (chosen.empty())
         return encodeOwnAnswer(own_answer::Refused, "no daemon serves", failedPause);
+    // Others by chance each time: the first by name alone would get all new callers of a system of
+    // more daemons than an answer holds, while everything else is divided among all.
+    std::shuffle(chosen.begin(), chosen.end(), m_random);
     if (chosen.size() > maxAddresses)
         chosen.resize(maxAddresses);
     return encodeAddresses(chosen, std::min<duration>(lookupTtl, m_settings.lookupTtl));
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <memory>
+#include <random>
 
 namespace azurehill {
 
@@ -58,7 +59,7 @@
 private:
     awaitable<void> answer(const http_request &request, response_writer &writer);
     awaitable<void> answerPeer(const http_request &request, response_writer &writer);
-    http_response answerLookup() const;
+    http_response answerLookup();
 
     awaitable<void> followConfiguration();
     awaitable<void> pollConfiguration();
@@ -84,6 +85,7 @@
     http_server m_lookupServer;
     http_server m_peerServer;
     member_list m_members;
+    std::minstd_rand m_random;
     gossip_socket m_gossip;
     route_book_ptr m_routes;
     store_version m_replicasVersion = 0;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -109,17 +109,16 @@
         const time_point now = runtime_clock::now();
         m_sender.sweep(now);
         m_ledger.expire(now);
-        m_places.update(m_board, m_otherPlaceWords, now);
+        m_places.update(m_board, now);
         tellPlaceWords(now);
         m_metrics.setDoubtedReplicas(m_board.doubted());
         co_await sleepFor(sweepPause);
     }
 }
 
-void entry_service::setOtherPlaceWords(std::vector<place_words> others)
+void entry_service::setOtherPlaceWords(const std::vector<place_words> &others)
 {
-    m_otherPlaceWords = std::move(others);
-    m_places.agree(m_otherPlaceWords);
+    m_places.hear(others);
 }
 
 void entry_service::tellPlaceWords(time_point now)
@@ -127,7 +126,7 @@
     if (!m_tellPlaceWords || now < m_wordsToldAt + wordPause)
         return;
     m_wordsToldAt = now;
-    m_tellPlaceWords(m_places.words());
+    m_tellPlaceWords(m_places.tell());
 }
 
 std::string entry_service::pickService(const route_rule &route)
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -30,7 +30,7 @@
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
     /// \brief Takes in what each of the other daemons that live tells of its places at the engines.
-    void setOtherPlaceWords(std::vector<place_words> others);
+    void setOtherPlaceWords(const std::vector<place_words> &others);
     /// \brief Calls \p tell now and then with what this daemon tells of its places.
     void onPlaceWords(std::function<void(place_words)> tell) { m_tellPlaceWords = std::move(tell); }
 
@@ -68,7 +68,6 @@
     http_server m_server;
     route_book_ptr m_routes;
     int m_daemons = 1;
-    std::vector<place_words> m_otherPlaceWords;
     std::function<void(place_words)> m_tellPlaceWords;
     time_point m_wordsToldAt;
 };
--- a/src/members/member_state.cpp
+++ b/src/members/member_state.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cmath>
 #include <stdexcept>
 
@@ -11,8 +12,18 @@
 
 namespace {
 
-/// Requests at one replica are told in tenths.
-constexpr double tenths = 10;
+/// Words on places are told in hundredths, as whole numbers.
+constexpr double hundredths = 100;
+/// Largest number in a word on places, in hundredths: far above what a daemon or a replica bears.
+constexpr std::int64_t mostInWord = 10'000'000;
+
+json::value encode(const place_word &word)
+{
+    json::array numbers;
+    for (const double number : {word.wanted, word.inside, word.inflation, word.perReplica})
+        numbers.push_back(std::min<std::int64_t>(mostInWord, std::llround(hundredths * number)));
+    return numbers;
+}
 
 json::object encode(const member_state &m)
 {
@@ -29,7 +40,7 @@
     o["config"] = m.configVersion;
     json::object places;
     for (const auto &[service, word] : m.placeWords)
-        places[service] = {std::llround(word.wanted), std::llround(tenths * word.perReplica)};
+        places[service] = encode(word);
     o["places"] = std::move(places);
     return o;
 }
@@ -42,15 +53,13 @@
     return *address;
 }
 
-/// \returns the number in \p value. \throws if no daemon can have it.
-std::int64_t numberIn(const json::value &value)
+/// \returns the number in \p value. \throws if no daemon tells it.
+double numberIn(const json::value &value)
 {
-    // A false number must not take the places of all others.
-    constexpr std::int64_t most = 100'000;
     const auto number = value.to_number<std::int64_t>();
-    if (number < 0 || number > most)
+    if (number < 0 || number > mostInWord)
         throw std::out_of_range("a word on places");
-    return number;
+    return double(number) / hundredths;
 }
 
 /// \returns the words on places in \p o. A daemon of an older release tells none.
@@ -61,8 +70,8 @@
     if (!places)
         return words;
     for (const auto &[service, value] : places->as_object()) {
-        const place_word word{double(numberIn(value.at(0))),
-                              double(numberIn(value.at(1))) / tenths};
+        const place_word word{numberIn(value.at(0)), numberIn(value.at(1)), numberIn(value.at(2)),
+                              numberIn(value.at(3))};
         words.emplace(std::string(service), word);
     }
     return words;
--- a/src/replicas/place_division.cpp
+++ b/src/replicas/place_division.cpp
@@ -8,22 +8,50 @@
 namespace {
 
 /// Share of the places that is divided evenly even where places are short: a daemon whose callers
-/// have only just come has some before the others have heard of it, two or three rounds of gossip
+/// have only just come has some before the others have heard of it, three to five rounds of gossip
 /// later.
 constexpr double evenShare = 0.1;
 
-/// Weight of the word of a daemon without requests, in requests.
+/// One daemon's demand counts up to so many times all places: a false word must not take the places
+/// of all others.
+constexpr double mostWanted = 4;
+
+/// Weight of the word of a daemon without requests at the engines, in requests.
 constexpr double leastWeight = 1;
 
+/// \returns the mean of \p member over the words that have it, by the requests that are behind
+/// each.
+double meanOf(double place_word::*member, const place_word &own, std::span<const place_word> others)
+{
+    double sum = 0;
+    double weights = 0;
+    const auto add = [&](const place_word &word) {
+        if (word.*member <= 0)
+            return;
+        // Those that wait have seen nothing of the engines.
+        const double weight = leastWeight + word.inside;
+        sum += weight * (word.*member);
+        weights += weight;
+    };
+    add(own);
+    std::for_each(others.begin(), others.end(), add);
+    return weights > 0 ? sum / weights : 0;
+}
+
 } // namespace
 
 double placePart(place_demand own, std::span<const place_word> others, double places)
 {
     const double even = 1 / double(1 + others.size());
+    if (places <= 0)
+        return even;
+    const double most = mostWanted * places;
+    own = std::min(own, most);
     const double all
-        = std::accumulate(others.begin(), others.end(), own,
-                          [](double sum, const place_word &w) { return sum + w.wanted; });
-    if (all <= 0 || places <= 0)
+        = std::accumulate(others.begin(), others.end(), own, [&](double sum, const place_word &w) {
+              return sum + std::min(w.wanted, most);
+          });
+    if (all <= 0)
         return even;
     const double unwanted = std::max(evenShare, 1 - all / places);
     return unwanted * even + (1 - unwanted) * own / all;
@@ -31,19 +59,12 @@
 
 double agreedPerReplica(const place_word &own, std::span<const place_word> others)
 {
-    double sum = 0;
-    double weights = 0;
-    const auto add = [&](const place_word &word) {
-        if (word.perReplica <= 0)
-            return;
-        // Who has more requests there has seen more answers.
-        const double weight = leastWeight + word.wanted;
-        sum += weight * word.perReplica;
-        weights += weight;
-    };
-    add(own);
-    std::for_each(others.begin(), others.end(), add);
-    return weights > 0 ? sum / weights : 0;
+    return meanOf(&place_word::perReplica, own, others);
+}
+
+double agreedInflation(const place_word &own, std::span<const place_word> others)
+{
+    return meanOf(&place_word::inflation, own, others);
 }
 
 } // namespace azurehill
--- a/src/replicas/place_division.h
+++ b/src/replicas/place_division.h
@@ -12,9 +12,13 @@
 /// \brief What a daemon tells the others of its place at the engines of one service.
 struct place_word
 {
+    /// Requests at the engines, and those that wait for a place there.
     place_demand wanted = 0;
-    /// Requests of all daemons at one replica that it holds to be right; 0 if it has not learned
-    /// it.
+    /// Of these, the ones at the engines.
+    place_demand inside = 0;
+    /// How many times slower events come than from an idle engine; 0 if it has seen too few.
+    double inflation = 0;
+    /// Requests of all daemons at one replica that it holds to be right; 0 if it does not know.
     double perReplica = 0;
 
     friend bool operator==(const place_word &, const place_word &) = default;
@@ -29,11 +33,13 @@
 /// that were up first. Equal parts then refuse for seconds what the engines have room for: at 200
 /// programs, 90 of them at one of eleven daemons, 686 refusals for 2,100 turns, none with parts by
 /// demand (replay of 13 s).
-/// \param own the demand of this daemon.
 ///
 /// A daemon gets what it wants and an even part of what nobody wants. Where all together want more
 /// than there is, all get the same part of what they want, so that a request's chance does not
 /// depend on its daemon.
+/// \param own the demand of this daemon, as old as the words of the others: with its demand of the
+/// moment each daemon would take for itself what seems free to all (1,100 requests for 288 places
+/// when eleven daemons got 100 each at one moment).
 /// \param others what each other daemon that lives told last.
 /// \param places requests that the engines bear from all daemons; 0 if that is not known.
 /// \returns the part that is this daemon's, above 0 and at most 1.
@@ -45,7 +51,12 @@
 /// replicas fill them: 3.9 and 21.7 requests a replica at one moment of a recovery, by the log.
 /// \param own what this daemon tells.
 /// \param others what each other daemon that lives told last.
-/// \returns requests of all daemons at one replica, or 0 if none has learned it.
+/// \returns requests of all daemons at one replica, or 0 if none knows.
 double agreedPerReplica(const place_word &own, std::span<const place_word> others);
 
+/// \brief Puts together how slow daemons before the same replicas see them.
+/// \returns how many times slower events come than from an idle engine, or 0 if none has seen
+/// enough; parameters as for agreedPerReplica().
+double agreedInflation(const place_word &own, std::span<const place_word> others);
+
 } // namespace azurehill
--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -32,13 +32,20 @@
 /// The idle pace forgets its lowest sample slowly, in case engines really got slower.
 constexpr double idleForget = 0.0005;
 constexpr int enoughSamples = 20;
-/// A request of a program that is late or lost, passed over by so many others, gets one of the next
-/// places. By the order alone it waits behind all others for as long as more come than there are
-/// places: nine tries of one program's turns in a row were refused after a restart of all daemons.
+/// A request that so many others have passed gets one of the next places. By the order alone it
+/// waits behind all others for as long as more come than there are places: nine tries of one
+/// program's turns in a row were refused after a restart of all daemons, and a request of a worse
+/// rank got none of a thousand places.
 constexpr std::uint64_t passedUntilNext = 8;
-/// One place in so many goes to such requests at the most. A quarter bounds what programs on time
-/// give up for them.
-constexpr std::uint64_t behindEvery = 4;
+/// One place in so many goes to such requests, by turns to late or lost programs and to any: it
+/// bounds what the programs that the order puts first give up for them.
+constexpr std::uint64_t passedEvery = 4;
+/// Rounds after which a daemon's word has reached the others and is taken in there.
+constexpr std::size_t wordRounds = 3;
+/// Part of the way to the agreed bound that a bound goes in a round. Words are old by some rounds:
+/// going all the way undid what was learned since, and bounds took 10.5 s to halve at slow engines
+/// in place of 3 s (replay of 11 daemons).
+constexpr double agreePull = 0.05;
 
 } // namespace
 
@@ -55,26 +62,64 @@
         * replicas();
 }
 
-void service_gate::setShare(const gate_share &share)
+void service_gate::rescale(double replicasBefore)
 {
-    const double before = replicas();
-    m_share = {std::max(1, share.replicas), std::max(1, share.slots), share.part};
     // Before a pace has moved the bound, it is what the replicas that are known by now bear.
-    m_limit = m_isLearned ? m_limit * replicas() / before : startLimit();
+    m_limit = m_isKnown ? m_limit * replicas() / replicasBefore : startLimit();
+}
+
+void service_gate::setEngines(const gate_engines &engines)
+{
+    const double before = replicas();
+    m_engines = engines;
+    rescale(before);
+}
+
+void service_gate::setPart(double part)
+{
+    const double before = replicas();
+    m_part = part;
+    rescale(before);
+}
+
+bool service_gate::hasEnoughSamples() const
+{
+    return m_samples >= enoughSamples;
 }
 
 place_word service_gate::word() const
 {
-    return {m_inside + place_demand(m_waiting.size()), m_isLearned ? m_limit / replicas() : 0};
+    place_word word;
+    word.inside = m_inside;
+    word.wanted = m_inside;
+    // Without a replica the daemon can use no place, and what it has learned is not of these.
+    if (m_engines.replicas <= 0)
+        return word;
+    word.wanted += place_demand(m_waiting.size());
+    word.inflation = hasEnoughSamples() ? inflation() : 0;
+    word.perReplica = m_isKnown ? m_limit / replicas() : 0;
+    return word;
 }
 
-void service_gate::agree(std::span<const place_word> others)
+place_word service_gate::tell()
 {
-    const double perReplica = agreedPerReplica(word(), others);
-    if (perReplica <= 0)
+    m_told.push_back(word());
+    if (m_told.size() > wordRounds + 1)
+        m_told.pop_front();
+    return m_told.back();
+}
+
+void service_gate::hear(std::span<const place_word> others)
+{
+    m_heard.assign(others.begin(), others.end());
+    const place_demand own = m_told.empty() ? word().wanted : m_told.front().wanted;
+    setPart(placePart(own, others, places()));
+    const double agreed = agreedPerReplica(word(), others) * replicas();
+    if (agreed <= 0)
         return;
-    m_isLearned = true;
-    m_limit = std::clamp(perReplica, leastPerReplica, mostLimit() / replicas()) * replicas();
+    m_limit += (m_isKnown ? agreePull : 1) * (agreed - m_limit);
+    m_limit = std::max(leastPerReplica * replicas(), std::min(m_limit, mostLimit()));
+    m_isKnown = true;
 }
 
 bool service_gate::enter(const gate_ticket &ticket)
@@ -87,8 +132,9 @@
                   ticket.number};
     m_waiting.emplace(o, ticket.number);
     m_orders.emplace(ticket.number, o);
+    m_arrivals.emplace(ticket.number, m_granted);
     if (ticket.hope != program_hope::OnTime)
-        m_behind.emplace(ticket.number, m_granted);
+        m_behind.insert(ticket.number);
     return false;
 }
 
@@ -99,6 +145,7 @@
         return false;
     m_waiting.erase(found->second);
     m_orders.erase(found);
+    m_arrivals.erase(number);
     m_behind.erase(number);
     return true;
 }
@@ -108,20 +155,35 @@
     m_inside = std::max(0, m_inside - 1);
 }
 
-std::uint64_t service_gate::nextInOrder()
+std::optional<std::uint64_t> service_gate::passedOver()
+{
+    if (m_granted % passedEvery != 0)
+        return std::nullopt;
+    const bool isForAny = m_granted % (2 * passedEvery) == 0;
+    const auto &[oldest, grantedBefore] = *m_arrivals.begin();
+    if (isForAny && m_granted - grantedBefore >= passedUntilNext)
+        return oldest;
+    // The tries of a late program's turn wait ever shorter, so what counts is how many places have
+    // passed such turns, not this try.
+    if (isForAny || m_behind.empty() || m_behindPassed < passedUntilNext)
+        return std::nullopt;
+    m_behindPassed = 0;
+    return *m_behind.begin();
+}
+
+std::uint64_t service_gate::next()
 {
     ++m_granted;
-    const bool mayBePassedBy = m_behind.empty() || m_granted % behindEvery != 0;
-    if (mayBePassedBy || m_granted - m_behind.begin()->second <= passedUntilNext)
-        return m_waiting.begin()->second;
-    return m_behind.begin()->first;
+    if (!m_behind.empty())
+        ++m_behindPassed;
+    return passedOver().value_or(m_waiting.begin()->second);
 }
 
 std::vector<std::uint64_t> service_gate::take()
 {
     std::vector<std::uint64_t> granted;
     while (!m_waiting.empty() && m_inside < std::max(1.0, m_limit)) {
-        const std::uint64_t number = nextInOrder();
+        const std::uint64_t number = next();
         withdraw(number);
         ++m_inside;
         granted.push_back(number);
@@ -144,18 +206,19 @@
     m_pace += paceWeight * (msPerEvent - m_pace);
     m_idlePace += idleForget * (m_pace - m_idlePace);
     m_idlePace = std::min(m_idlePace, msPerEvent);
-    if (m_samples < enoughSamples || now < m_adjustedAt + adjustPause)
+    if (!hasEnoughSamples() || now < m_adjustedAt + adjustPause)
         return;
     m_adjustedAt = now;
-    const bool isSlow = inflation() > targetInflation;
+    const double agreed = agreedInflation(word(), m_heard);
+    const bool isSlow = agreed > targetInflation;
     // A bound that does not bind says nothing about how high it may go.
     const bool binds = !m_waiting.empty() || m_inside + 1 >= m_limit;
     const bool fills = m_mechanisms.has(mechanism::FillSlots);
-    m_isLearned = m_isLearned || isSlow || binds;
+    m_isKnown = m_isKnown || isSlow || binds;
     if (isSlow)
         m_limit *= lowerBy;
     else if (binds)
-        m_limit *= fills && inflation() < nearlyIdle ? raiseFastBy : raiseBy;
+        m_limit *= fills && agreed < nearlyIdle ? raiseFastBy : raiseBy;
     m_limit = std::clamp(m_limit, leastPerReplica * replicas(), mostLimit());
 }
 
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -4,8 +4,13 @@
 #include "core/mechanism.h"
 #include "replicas/place_division.h"
 
+#include <algorithm>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
+#include <set>
+#include <span>
 #include <tuple>
 #include <vector>
 
@@ -32,13 +37,12 @@
 };
 
 /// \brief The engines that a gate stands before.
-struct gate_share
+struct gate_engines
 {
-    int replicas = 1;
-    /// Requests that all of these replicas together work on at once.
-    int slots = 1;
-    /// The part of them that is this daemon's.
-    double part = 1;
+    /// Replicas that may take requests.
+    int replicas = 0;
+    /// Requests that all of these together work on at once.
+    int slots = 0;
 };
 
 /// \brief Bounds how many requests of this daemon the engines of a service work on at once, and
@@ -47,20 +51,28 @@
 /// An engine takes far more requests at once than it can serve in time: each makes all others
 /// slower, until every program is late and none is refused. The bound follows the pace at which
 /// events come, so that engines are kept where programs still end in time. Those that wait go by
-/// rank; programs that can no longer win anything come last, but never without an end.
+/// rank; programs that can no longer win anything come last. No request is passed over without an
+/// end.
+///
+/// The engines are all daemons' together, so the bound, the pace and the demand of each are told to
+/// the others, and each takes its part.
 class service_gate
 {
 public:
     explicit service_gate(const mechanism_set &mechanisms = {}) : m_mechanisms(mechanisms) { }
 
-    /// \brief Takes in the replicas that may take requests, and this daemon's part of them.
-    void setShare(const gate_share &share);
+    /// \brief Takes in the replicas that may take requests.
+    void setEngines(const gate_engines &engines);
+    /// \brief Takes in this daemon's part of them, above 0. hear() sets it; before that it is all.
+    void setPart(double part);
 
-    /// \returns what this daemon tells the others of its place at the engines.
+    /// \returns what this daemon knows of its place at the engines now.
     place_word word() const;
+    /// \returns what this daemon tells the others. Call it once for each round of words.
+    place_word tell();
     /// \brief Takes in what the other daemons before the same engines told last. Call it once for
-    /// each round of their words.
-    void agree(std::span<const place_word> others);
+    /// each round of words.
+    void hear(std::span<const place_word> others);
 
     /// \returns whether the request may go now. If not it waits until take() names it.
     bool enter(const gate_ticket &ticket);
@@ -78,8 +90,9 @@
     int inside() const { return m_inside; }
     double limit() const { return m_limit; }
     /// \returns the requests of all daemons that the engines bear, as far as it is known here.
-    double places() const { return m_limit / m_share.part; }
-    const gate_share &share() const { return m_share; }
+    double places() const { return m_limit / m_part; }
+    const gate_engines &engines() const { return m_engines; }
+    double part() const { return m_part; }
     /// \returns how many times slower events come than from an idle engine.
     double inflation() const;
 
@@ -88,30 +101,47 @@
     using order = std::tuple<bool, int, program_hope, duration, std::uint64_t>;
 
     /// \returns the replicas that are this daemon's part.
-    double replicas() const { return m_share.replicas * m_share.part; }
-    double slotsPerReplica() const { return double(m_share.slots) / m_share.replicas; }
+    double replicas() const { return std::max(1, m_engines.replicas) * m_part; }
+    double slotsPerReplica() const
+    {
+        return double(std::max(1, m_engines.slots)) / std::max(1, m_engines.replicas);
+    }
+    /// \brief Keeps the bound for a replica while the replicas or the part change.
+    void rescale(double replicasBefore);
+    bool hasEnoughSamples() const;
     /// \returns the number of the request that gets the next place.
-    std::uint64_t nextInOrder();
+    std::uint64_t next();
+    /// \returns the request that must not be passed over again, if there is one.
+    std::optional<std::uint64_t> passedOver();
     double startLimit() const;
     double mostLimit() const;
 
     mechanism_set m_mechanisms;
-    gate_share m_share;
+    gate_engines m_engines;
+    double m_part = 1;
+    /// What this daemon told in the last rounds, oldest first.
+    std::deque<place_word> m_told;
+    /// What the others told last.
+    std::vector<place_word> m_heard;
     int m_inside = 0;
     double m_limit = 0;
-    /// Whether the pace of answers has moved the bound.
-    bool m_isLearned = false;
+    /// Whether the bound is more than where it starts: the pace of answers has moved it, or
+    /// another daemon told its own.
+    bool m_isKnown = false;
     double m_pace = 0;
     double m_idlePace = 0;
     int m_samples = 0;
     time_point m_adjustedAt;
     std::map<order, std::uint64_t> m_waiting;
     std::map<std::uint64_t, order> m_orders;
-    /// Those that wait for programs that are late or lost, with \c m_granted as it was when they
-    /// came.
-    std::map<std::uint64_t, std::uint64_t> m_behind;
     /// Places that went to requests that had waited.
     std::uint64_t m_granted = 0;
+    /// Those that wait in order of arrival, with \c m_granted as it was when they came.
+    std::map<std::uint64_t, std::uint64_t> m_arrivals;
+    /// Of these, the ones whose programs are late or lost.
+    std::set<std::uint64_t> m_behind;
+    /// Places that were given while one of these waited, since one of them got its place so.
+    std::uint64_t m_behindPassed = 0;
 };
 
 } // namespace azurehill
--- a/test/io/member_list_test.cpp
+++ b/test/io/member_list_test.cpp
@@ -102,7 +102,7 @@
 
         SUBCASE("with what the daemon wants of the engines, and holds to be right there")
         {
-            m.placeWords = {{"model", {78, 16.5}}, {"other", {0, 0}}};
+            m.placeWords = {{"model", {78, 24, 2.94, 16.5}}, {"other", {}}};
             CHECK(decodeMembers(encodeMembers({m}))->front().placeWords == m.placeWords);
         }
         SUBCASE("a daemon of an older release tells nothing of it")
@@ -115,11 +115,22 @@
         }
         SUBCASE("numbers that no daemon can have are refused")
         {
-            for (const place_word wrong : {place_word{-1, 0}, {1e9, 0}, {1, -3}, {1, 1e9}}) {
-                m.placeWords = {{"model", wrong}};
-                CHECK_FALSE(decodeMembers(encodeMembers({m})));
+            m.placeWords = {{"model", {1, 1, 1, 1}}};
+            const std::string text = encodeMembers({m});
+            const std::string numbers = "[100,100,100,100]";
+            REQUIRE(text.find(numbers) != std::string::npos);
+            for (const std::string wrong : {"[-1,100,100,100]", "[100,99999999999,100,100]",
+                                            "[100,100]", "7", "[1,1,1,\"x\"]"}) {
+                std::string changed = text;
+                changed.replace(changed.find(numbers), numbers.size(), wrong);
+                CHECK_FALSE(decodeMembers(changed));
             }
         }
+        SUBCASE("a number beyond what is told is told as the largest")
+        {
+            m.placeWords = {{"model", {1e12, 1, 1, 1}}};
+            CHECK(decodeMembers(encodeMembers({m})));
+        }
     }
 }
 
--- a/test/logic/place_division_replay_test.cpp
+++ b/test/logic/place_division_replay_test.cpp
@@ -53,8 +53,8 @@
 
 private:
     static constexpr int stepMs = 10;
-    /// Daemons know each other's demand as it was this long ago or later.
-    static constexpr int toldEveryMs = 400;
+    /// Daemons know each other's demand as it was one to two rounds of this long ago.
+    static constexpr int toldEveryMs = 200;
     static constexpr int answerMs = 700;
     static constexpr int pauseMs = 100;
     static constexpr int clientPatienceMs = 6000;
@@ -77,13 +77,11 @@
         for (int d = 0; d < daemons; ++d) {
             std::vector<place_word> others = m_told;
             others.erase(others.begin() + d);
-            const service_gate &gate = m_gates[std::size_t(d)];
-            const double part = placePart(gate.word().wanted, others, gate.places());
-            m_gates[std::size_t(d)].setShare({replicas, replicas * slots, part});
-        }
-        for (int d = 0; d < daemons; ++d) {
-            m_told[std::size_t(d)] = m_gates[std::size_t(d)].word();
+            m_gates[std::size_t(d)].setEngines({replicas, replicas * slots});
+            m_gates[std::size_t(d)].hear(others);
         }
+        for (int d = 0; d < daemons; ++d)
+            m_told[std::size_t(d)] = m_gates[std::size_t(d)].tell();
     }
 
     service_gate &gateOf(const program_state &p) { return m_gates[std::size_t(p.daemon)]; }
@@ -193,7 +191,8 @@
         constexpr double usualPace = 24;
         std::vector<service_gate> gates(daemons);
         for (service_gate &gate : gates) {
-            gate.setShare({replicas, replicas * 96, 1.0 / daemons});
+            gate.setEngines({replicas, replicas * 96});
+            gate.setPart(1.0 / daemons);
             gate.onPace(idlePace, time_point());
         }
         std::uint64_t ticket = 0;
@@ -209,12 +208,12 @@
             if (ms % 200 != 0)
                 continue;
             std::vector<place_word> told;
-            for (const service_gate &gate : gates)
-                told.push_back(gate.word());
+            for (service_gate &gate : gates)
+                told.push_back(gate.tell());
             for (std::size_t d = 0; d < gates.size(); ++d) {
                 std::vector<place_word> others = told;
                 others.erase(others.begin() + std::ptrdiff_t(d));
-                gates[d].agree(others);
+                gates[d].hear(others);
             }
         }
         const auto [least, most] = std::minmax_element(
--- a/test/logic/place_division_test.cpp
+++ b/test/logic/place_division_test.cpp
@@ -1,9 +1,11 @@
-#include "replicas/place_division.h"
+#include "replicas/replicas.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <numeric>
+#include <utility>
 #include <vector>
 
 namespace azurehill {
@@ -22,6 +24,29 @@
     return parts;
 }
 
+constexpr double usualPlaces = 288;
+
+/// \returns the parts of usualPlaces, given what each daemon wants.
+std::vector<double> partsOf(const std::vector<double> &wanted)
+{
+    std::vector<place_word> words;
+    for (const double w : wanted)
+        words.push_back({.wanted = w});
+    return partsOf(words, usualPlaces);
+}
+
+/// \returns a gate whose places are all taken.
+service_gate fullGate()
+{
+    service_gate gate;
+    gate.setEngines({1, 1});
+    for (int i = 0; gate.enter({std::uint64_t(10'000 + i), 1, program_hope::OnTime, seconds(1)});)
+        ++i;
+    for (std::uint64_t n = 10'000; n < 10'100; ++n)
+        gate.withdraw(n);
+    return gate;
+}
+
 } // namespace
 
 TEST_SUITE("place division")
@@ -33,7 +58,7 @@
             const double places = *rc::gen::inRange(0, 10'000);
             std::vector<place_word> words;
             for (int d = 0; d < daemons; ++d)
-                words.push_back({double(*rc::gen::inRange(0, 500)), 0});
+                words.push_back({.wanted = double(*rc::gen::inRange(0, 500))});
             const std::vector<double> parts = partsOf(words, places);
             const double sum = std::accumulate(parts.begin(), parts.end(), 0.0);
             RC_ASSERT(sum > 0.999);
@@ -45,7 +70,7 @@
 
     TEST_CASE("while there are places for all, each daemon has those that it wants")
     {
-        const std::vector<double> parts = partsOf({{78, 0}, {4, 0}, {3, 0}, {0, 0}}, 200);
+        const std::vector<double> parts = partsOf({{78}, {4}, {3}, {0}}, 200);
         CHECK(parts[0] * 200 >= 78);
         CHECK(parts[1] * 200 >= 4);
         CHECK(parts[3] > 0);
@@ -53,12 +78,12 @@
 
     TEST_CASE("where places are short, a request's chance does not depend on its daemon")
     {
-        const std::vector<double> parts = partsOf({{90, 0}, {30, 0}, {30, 0}}, 60);
-        CHECK(parts[0] / 90 == doctest::Approx(parts[1] / 30).epsilon(0.2));
+        const std::vector<double> parts = partsOf({{45}, {15}, {15}}, 60);
+        CHECK(parts[0] / 45 == doctest::Approx(parts[1] / 15).epsilon(0.2));
 
         SUBCASE("and a daemon whose callers have only just come has some places")
         {
-            CHECK(partsOf({{90, 0}, {30, 0}, {0, 0}}, 60).back() * 60 >= 1);
+            CHECK(partsOf({{45}, {30}, {0}}, 60).back() * 60 >= 1);
         }
     }
 
@@ -66,13 +91,13 @@
     {
         SUBCASE("by the requests behind each word")
         {
-            CHECK(agreedPerReplica({1, 4}, std::vector<place_word>{{77, 20}}) > 19);
-            CHECK(agreedPerReplica({77, 4}, std::vector<place_word>{{1, 20}}) < 5);
+            CHECK(agreedPerReplica({1, 1, 1, 4}, std::vector<place_word>{{77, 77, 1, 20}}) > 19);
+            CHECK(agreedPerReplica({77, 77, 1, 4}, std::vector<place_word>{{1, 1, 1, 20}}) < 5);
         }
         SUBCASE("and one that has learned nothing takes what the others say")
         {
-            CHECK(agreedPerReplica({50, 0}, std::vector<place_word>{{3, 17}}) == 17);
-            CHECK(agreedPerReplica({50, 0}, std::vector<place_word>{{3, 0}}) == 0);
+            CHECK(agreedPerReplica({50, 9, 0, 0}, std::vector<place_word>{{3, 3, 1, 17}}) == 17);
+            CHECK(agreedPerReplica({50, 9, 0, 0}, std::vector<place_word>{{3, 3, 1, 0}}) == 0);
         }
         SUBCASE("never beyond what one of them holds to be right")
         {
@@ -97,6 +122,91 @@
             }));
         }
     }
+
+    TEST_CASE("parts of daemons that know the same make a whole")
+    {
+        for (const auto &wanted : std::vector<std::vector<double>>{
+                 {0}, {50}, {0, 0, 0}, {90, 10, 0}, {200, 200, 1}, std::vector<double>(90, 7)}) {
+            const std::vector<double> parts = partsOf(wanted);
+            CHECK(std::accumulate(parts.begin(), parts.end(), 0.0) == doctest::Approx(1));
+        }
+    }
+
+    TEST_CASE("while places suffice, each gets what it wants and an even part of the rest")
+    {
+        const std::vector<double> parts = partsOf({90, 10, 0, 0});
+        CHECK(parts[0] * usualPlaces == doctest::Approx(90 + 47));
+        CHECK(parts[1] * usualPlaces == doctest::Approx(10 + 47));
+        CHECK(parts[2] * usualPlaces == doctest::Approx(47));
+    }
+
+    TEST_CASE("where places are short, nine tenths go by what is wanted and none is left without")
+    {
+        const std::vector<double> parts = partsOf({900, 100, 0, 0});
+        CHECK(parts[0] == doctest::Approx(0.025 + 0.9 * 0.9));
+        CHECK(parts[1] == doctest::Approx(0.025 + 0.9 * 0.1));
+        CHECK(parts[2] == doctest::Approx(0.025));
+    }
+
+    TEST_CASE("what is agreed goes by the requests behind each word, and by no word unlearned")
+    {
+        CHECK(agreedPerReplica({}, {}) == 0);
+        CHECK(agreedPerReplica({5, 5, 1, 12}, {}) == doctest::Approx(12));
+        const std::vector<place_word> others = {{120, 99, 1, 20}, {500, 500, 1, 0}};
+        CHECK(agreedPerReplica({0, 0, 1, 10}, others) == doctest::Approx((10 + 100 * 20) / 101.0));
+    }
+
+    TEST_CASE("an agreed bound stays within what a daemon would learn itself")
+    {
+        for (const auto &[told, bound] : {std::pair{0.1, 3.0}, {12.0, 12.0}, {9999.0, 20.0}}) {
+            service_gate gate;
+            gate.setEngines({18, 18 * 16});
+            const std::vector<place_word> others = {{1e5, 1e5, 1, told}};
+            gate.hear(others);
+            CHECK(gate.limit() == doctest::Approx(bound * 18 * gate.part()).epsilon(0.01));
+        }
+    }
+
+    TEST_CASE("a gate tells those that wait as well as those inside")
+    {
+        service_gate gate = fullGate();
+        const int inside = gate.inside();
+        gate.enter({1, 1, program_hope::OnTime, seconds(1)});
+        gate.enter({2, 1, program_hope::Late, seconds(1)});
+        CHECK(gate.word().wanted == inside + 2);
+    }
+
+    TEST_CASE("late programs' turns get one place in four at the most while others wait")
+    {
+        service_gate gate = fullGate();
+        std::uint64_t number = 0;
+        for (int i = 0; i < 100; ++i)
+            gate.enter({++number, 1, program_hope::Late, seconds(1)});
+        const std::uint64_t lastLate = number;
+        int late = 0;
+        for (int i = 0; i < 100; ++i) {
+            gate.enter({++number, 1, program_hope::OnTime, seconds(1)});
+            gate.leave();
+            for (const std::uint64_t granted : gate.take())
+                late += granted <= lastLate ? 1 : 0;
+        }
+        CHECK(late >= 20);
+        CHECK(late <= 25);
+    }
+
+    TEST_CASE("a late program's turn that gave up waiting gets no place")
+    {
+        service_gate gate = fullGate();
+        gate.enter({1, 1, program_hope::Late, seconds(1)});
+        for (std::uint64_t n = 2; n < 40; ++n)
+            gate.enter({n, 1, program_hope::OnTime, seconds(1)});
+        CHECK(gate.withdraw(1));
+        for (int i = 0; i < 30; ++i) {
+            gate.leave();
+            for (const std::uint64_t granted : gate.take())
+                CHECK(granted != 1);
+        }
+    }
 }
 
 } // namespace azurehill
--- a/test/logic/service_gate_test.cpp
+++ b/test/logic/service_gate_test.cpp
@@ -29,7 +29,7 @@
     TEST_CASE("those that wait go by rank, and by what their programs can still win")
     {
         service_gate gate;
-        gate.setShare({1, 8, 1});
+        gate.setEngines({1, 8});
         fill(gate);
         const auto wait = [&](std::uint64_t number, int rank, program_hope hope, duration slack) {
             CHECK_FALSE(gate.enter({number, rank, hope, slack}));
@@ -59,7 +59,7 @@
         // tries in a row waited in vain: "hope":"late","waited_ms":1447, then 719, 294, 128, 63,
         // while 1,116 turns of programs on time got places in the same seconds.
         service_gate gate;
-        gate.setShare({1, 8, 1});
+        gate.setEngines({1, 8});
         std::uint64_t number = 1;
         fill(gate);
         const auto join = [&](program_hope hope) {
@@ -83,7 +83,7 @@
     TEST_CASE("a request that gives up waiting is passed over")
     {
         service_gate gate;
-        gate.setShare({1, 8, 1});
+        gate.setEngines({1, 8});
         fill(gate);
         CHECK_FALSE(gate.enter({1, 0, program_hope::OnTime, seconds(1)}));
         CHECK_FALSE(gate.enter({2, 0, program_hope::OnTime, seconds(2)}));
@@ -95,7 +95,8 @@
     TEST_CASE("the bound follows the pace of the engines")
     {
         service_gate gate;
-        gate.setShare({18, 18 * 96, 1.0 / 9});
+        gate.setEngines({18, 18 * 96});
+        gate.setPart(1.0 / 9);
         int ms = 0;
         for (int i = 0; i < 30; ++i)
             gate.onPace(10, at(ms += 50));
@@ -126,9 +127,11 @@
         // bear and grew by a tenth in a quarter of a second.
         service_gate gate;
         // The replicas become known one after the other.
-        gate.setShare({0, 0, 1});
-        gate.setShare({2, 2 * 16, 1.0 / 5});
-        gate.setShare({9, 9 * 16, 1.0 / 13});
+        gate.setEngines({0, 0});
+        gate.setEngines({2, 2 * 16});
+        gate.setPart(1.0 / 5);
+        gate.setEngines({9, 9 * 16});
+        gate.setPart(1.0 / 13);
         CHECK(fill(gate) >= 11);
 
         SUBCASE("the bound stays at what their slots hold, as the engine's own queue knows no rank")
@@ -147,7 +150,8 @@
         for (const auto &[replicas, daemons] : {std::pair{18, 9}, {72, 87}, {4, 90}, {60, 3}}) {
             service_gate gate;
             constexpr int slots = 6;
-            gate.setShare({replicas, slots * replicas, 1.0 / daemons});
+            gate.setEngines({replicas, slots * replicas});
+            gate.setPart(1.0 / daemons);
             const int inside = fill(gate);
             CHECK(inside >= 1);
             CHECK(inside <= 1 + double(slots) * replicas / daemons);
