Failing test: a turn before that is there is refused as if the store were away

Brought about with reads that lag behind the conditions, a damaged row, and an entry of the index whose turn is gone: each ends in store_unavailable after two tries without a pause.

--- a/test/io/model_store.h
+++ b/test/io/model_store.h
@@ -22,6 +22,8 @@
     std::function<store_fault()> nextFault = [] { return store_fault::None; };
     bool reachable = true;
     int calls = 0;
+    /// Reads show these rows instead of the newest ones; conditions are answered from the newest.
+    const row_store *readsShow = nullptr;
 
     awaitable<store_result<store_version>> transact(store_transaction t,
                                                     time_point deadline) override
@@ -60,7 +62,7 @@
             co_return tl::unexpected(store_error{store_error_kind::Refused, "refused", {}});
         if (fault != store_fault::None && fault != store_fault::Slow)
             co_return tl::unexpected(lost());
-        co_return m_rows.read(range);
+        co_return (readsShow ? *readsShow : m_rows).read(range);
     }
 
     awaitable<store_result<row_page>> changes(std::string table, store_version after,
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -192,6 +192,90 @@
         }
     }
 
+    TEST_CASE("a turn that is there is read as soon as the reads show it")
+    {
+        // After all hosts had lost their power, turns that went on from earlier ones were refused
+        // eight times in a row, each within 100 ms, and no replica was asked. A ledger whose reads
+        // lag refuses like that: "step":"chain" after two tries without a pause between them, for
+        // as long as the lag lasts.
+        ledger_pair w;
+        auto &[rows, first, second, context, program] = w;
+        row_store before;
+        second.access.readsShow = &before;
+
+        SUBCASE("reads that catch up within the turn's time refuse nothing")
+        {
+            auto catchUp = [&]() -> awaitable<void> {
+                co_await sleepFor(milliseconds(600));
+                second.access.readsShow = nullptr;
+            };
+            auto story = [&]() -> awaitable<void> {
+                co_await w.runUsual(first.ledger, "t1", nullptr);
+                spawn(context.get_executor(), "catchUp", catchUp());
+                const turn_id wanted{"t1"};
+                const auto found
+                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                CHECK(found);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("reads that stay behind end in a refusal, after few calls")
+        {
+            auto story = [&]() -> awaitable<void> {
+                co_await w.runUsual(first.ledger, "t1", nullptr);
+                const turn_id wanted{"t1"};
+                const time_point began = runtime_clock::now();
+                const auto found
+                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                REQUIRE_FALSE(found);
+                CHECK(toName(found.error()) == "reads_lag");
+                CHECK(runtime_clock::now() - began >= milliseconds(1000));
+                CHECK(second.access.calls <= 24);
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a row that can't be read does not change by waiting")
+        {
+            second.access.readsShow = nullptr;
+            auto story = [&]() -> awaitable<void> {
+                co_await w.runUsual(first.ledger, "t1", nullptr);
+                store_transaction t;
+                t.writes.push_back({turn_rows::firstPiece(program, {"t1"}), "\xff\xfe"});
+                static_cast<void>(rows.apply(t));
+                const turn_id wanted{"t1"};
+                const time_point began = runtime_clock::now();
+                const auto found
+                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                REQUIRE_FALSE(found);
+                CHECK(toName(found.error()) == "turn_unreadable");
+                CHECK(runtime_clock::now() - began < milliseconds(400));
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("an entry of the index whose turn is gone is no turn")
+        {
+            // The daemon that added a program's last turn removes all its rows, and the entries of
+            // the turns that it added itself. Those of others' turns stay.
+            second.access.readsShow = nullptr;
+            auto story = [&]() -> awaitable<void> {
+                const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
+                co_await w.runUsual(second.ledger, "t2", a);
+                runtime_clock::advance(seconds(75));
+                co_await second.ledger.removeOldRows();
+                CHECK(rows.size() == 1);
+                ledger_host fresh(rows);
+                const turn_id wanted{"t1"};
+                const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                REQUIRE_FALSE(found);
+                CHECK(found.error() == turn_refusal::NoSuchTurn);
+            };
+            runPaused(context, story());
+        }
+    }
+
     TEST_CASE("a budget holds over daemons")
     {
         ledger_pair w;
