Turns: absence, lag, damage and outage of the turn before are told apart

Conditions say where the newest state has the turn; reads are repeated until they have caught up with that version or the turn's store time is over (reads_lag). A read that is new enough and holds no chain ends at once (turn_unreadable). An entry of the index without its turn is no turn.

The check of the damaged row now asks for turn_unreadable: still a refusal that says nothing of absence, told more exactly.

--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -43,6 +43,8 @@
     case turn_refusal::TooLarge:
         return own_answer::TooLarge;
     case turn_refusal::StoreUnavailable:
+    case turn_refusal::ReadsLag:
+    case turn_refusal::TurnUnreadable:
         break;
     }
     return own_answer::Refused;
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -188,17 +188,21 @@
     return last;
 }
 
-awaitable<store_result<turn_ptr>> turn_ledger::readProgram(program_id program, turn_id wanted,
-                                                           time_point deadline)
+awaitable<store_result<turn_ledger::turn_view>>
+turn_ledger::readProgram(program_id program, turn_id wanted, time_point deadline)
 {
     row_range range = turn_rows::ofProgram(program);
     const auto page = co_await m_store.read(std::move(range), deadline);
     if (!page)
         co_return tl::unexpected(page.error());
-    co_return adoptRows(program, page->rows, wanted);
+    turn_view view;
+    view.found = adoptRows(program, page->rows, wanted);
+    view.readAt = page->version;
+    co_return view;
 }
 
-awaitable<store_result<turn_ptr>> turn_ledger::readByIndex(turn_id wanted, time_point deadline)
+awaitable<store_result<turn_ledger::turn_view>> turn_ledger::readByIndex(turn_id wanted,
+                                                                         time_point deadline)
 {
     const row_name name = turn_rows::index(wanted);
     row_range range{name.table, name.part, name.key, name.key + '\0'};
@@ -207,18 +211,70 @@
         co_return tl::unexpected(page.error());
     const stored_row *row = findRow(page->rows, name);
     if (!row)
-        co_return nullptr;
+        co_return turn_view();
     program_id program{row->value};
     co_return co_await readProgram(std::move(program), wanted, deadline);
 }
 
-awaitable<store_result<store_version>> turn_ledger::confirmAbsent(turn_id wanted,
-                                                                  time_point deadline)
+awaitable<store_result<stored_row>> turn_ledger::newestOf(row_name name, time_point deadline)
 {
     store_transaction t;
     t.urgency = write_urgency::Begin;
-    t.conditions.push_back({turn_rows::index(wanted), 0});
-    co_return co_await m_store.transact(std::move(t), deadline);
+    t.conditions.push_back({name, 0});
+    const auto absent = co_await m_store.transact(std::move(t), deadline);
+    if (absent)
+        co_return stored_row();
+    const stored_row *row = findRow(absent.error().current, name);
+    if (absent.error().kind == store_error_kind::Conflict && row)
+        co_return *row;
+    store_error error = absent.error();
+    error.kind = store_error_kind::Unknown;
+    co_return tl::unexpected(std::move(error));
+}
+
+awaitable<store_result<std::optional<turn_ledger::turn_place>>>
+turn_ledger::locate(turn_id wanted, time_point deadline)
+{
+    row_name name = turn_rows::index(wanted);
+    const auto entry = co_await newestOf(std::move(name), deadline);
+    if (!entry)
+        co_return tl::unexpected(entry.error());
+    if (entry->version == 0)
+        co_return std::nullopt;
+    // An entry outlives its turn when another daemon added the turn than the one that removes the
+    // program, or the turn was never added: then there is no such turn.
+    const program_id program{entry->value};
+    name = turn_rows::firstPiece(program, wanted);
+    const auto piece = co_await newestOf(std::move(name), deadline);
+    if (!piece)
+        co_return tl::unexpected(piece.error());
+    if (piece->version == 0)
+        co_return std::nullopt;
+    co_return turn_place{program, piece->version};
+}
+
+awaitable<tl::expected<turn_ptr, turn_refusal>>
+turn_ledger::awaitTurn(turn_place place, turn_id wanted, time_point deadline)
+{
+    duration pause = leastPause;
+    store_result<turn_view> view;
+    while (runtime_clock::now() < deadline) {
+        view = co_await readProgram(place.program, wanted, callDeadline(deadline));
+        if (view && view->found)
+            co_return view->found;
+        // What was read after the turn was added shows it as it is; what is older says nothing.
+        if (view && view->readAt >= place.version) {
+            tellNotLoaded(place.program, wanted, load_step::Chain, "");
+            co_return tl::unexpected(turn_refusal::TurnUnreadable);
+        }
+        if (!view && !m_store.isReachable())
+            break;
+        co_await sleepFor(std::min(pause, deadline - runtime_clock::now()));
+        pause = std::min(2 * pause, mostPause);
+    }
+    const std::string detail = view ? "" : view.error().detail;
+    tellNotLoaded(place.program, wanted, view ? load_step::Lag : load_step::Read, detail);
+    co_return tl::unexpected(view ? turn_refusal::ReadsLag : turn_refusal::StoreUnavailable);
 }
 
 void turn_ledger::tellNotLoaded(const program_id &program, const turn_id &wanted, load_step step,
@@ -248,21 +304,22 @@
     for (int i = 0; i < tries && runtime_clock::now() < deadline; ++i) {
         const time_point until = callDeadline(deadline);
         auto found = co_await readProgram(program, previous, until);
-        if (found && !*found)
+        if (found && !found->found)
             found = co_await readByIndex(previous, until);
-        if (found && *found)
-            co_return *found;
+        if (found && found->found)
+            co_return found->found;
         failed = load_step::Read;
         if (!found) {
             detail = found.error().detail;
         } else {
             // A read may lag behind; only a condition says for certain that there is no such turn.
-            const auto absent = co_await confirmAbsent(previous, until);
-            if (absent)
+            const auto place = co_await locate(previous, until);
+            if (place && !*place)
                 co_return tl::unexpected(turn_refusal::NoSuchTurn);
-            const bool exists = absent.error().kind == store_error_kind::Conflict;
-            failed = exists ? load_step::Chain : load_step::Confirm;
-            detail = absent.error().detail;
+            if (place)
+                co_return co_await awaitTurn(**place, previous, deadline);
+            failed = load_step::Confirm;
+            detail = place.error().detail;
         }
         if (!m_store.isReachable())
             break;
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -13,13 +13,23 @@
 namespace azurehill {
 
 /// \brief Why a turn can't go on.
-enum class turn_refusal { StoreUnavailable, NoSuchTurn, BudgetSpent, TooLarge };
+enum class turn_refusal {
+    StoreUnavailable,
+    NoSuchTurn,
+    BudgetSpent,
+    TooLarge,
+    /// The turn before exists, and the store's reads did not show it in time.
+    ReadsLag,
+    /// The turn before exists, and its rows don't make a chain: waiting would not change them.
+    TurnUnreadable,
+};
 
 template <>
 struct enum_names<turn_refusal>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"store_unavailable", "no_such_turn", "budget_spent", "too_large"};
+    static constexpr std::array<std::string_view, 6> names
+        = {"store_unavailable", "no_such_turn", "budget_spent",
+           "too_large",         "reads_lag",    "turn_unreadable"};
 };
 
 /// \brief Where the search for a turn ended without telling whether it exists.
@@ -30,15 +40,17 @@
     Read,
     /// The reads found nothing, and the condition that it does not exist was not answered.
     Confirm,
-    /// The turn exists, and what was read does not hold its whole chain.
+    /// The turn exists, and the reads are older than it.
+    Lag,
+    /// The turn exists, and what was read after it does not hold its whole chain.
     Chain,
 };
 
 template <>
 struct enum_names<load_step>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"unreachable", "read", "confirm", "chain"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"unreachable", "read", "confirm", "lag", "chain"};
 };
 
 /// \brief Bounds of the ledger.
@@ -147,12 +159,32 @@
                                     const token_account &next) const;
     awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
     awaitable<bool> indexFirst(turn_ptr t, time_point deadline);
-    awaitable<store_result<turn_ptr>> readProgram(program_id program, turn_id wanted,
-                                                  time_point deadline);
-    awaitable<store_result<turn_ptr>> readByIndex(turn_id wanted, time_point deadline);
-    /// \brief Asks the store whether the index does not have \p wanted. \returns a version if so;
-    /// a Conflict if it has.
-    awaitable<store_result<store_version>> confirmAbsent(turn_id wanted, time_point deadline);
+    /// \brief What a read of a program showed.
+    struct turn_view
+    {
+        /// The wanted turn with its chain, or null.
+        turn_ptr found;
+        /// The store's version that was read.
+        store_version readAt = 0;
+    };
+    /// \brief Where the store's newest state has a turn.
+    struct turn_place
+    {
+        program_id program;
+        /// Version of the turn's first row.
+        store_version version = 0;
+    };
+    awaitable<store_result<turn_view>> readProgram(program_id program, turn_id wanted,
+                                                   time_point deadline);
+    awaitable<store_result<turn_view>> readByIndex(turn_id wanted, time_point deadline);
+    /// \brief Asks the store by conditions, which lag behind nothing, where \p wanted is.
+    /// \returns its place, or nothing if there is certainly no such turn.
+    awaitable<store_result<std::optional<turn_place>>> locate(turn_id wanted, time_point deadline);
+    /// \returns the version of \p name in the newest state with its value; version 0 if absent.
+    awaitable<store_result<stored_row>> newestOf(row_name name, time_point deadline);
+    /// \brief Reads the turn at \p place until the reads have caught up with it.
+    awaitable<tl::expected<turn_ptr, turn_refusal>> awaitTurn(turn_place place, turn_id wanted,
+                                                              time_point deadline);
     void tellNotLoaded(const program_id &program, const turn_id &wanted, load_step step,
                        const std::string &detail) const;
     turn_ptr adoptRows(const program_id &program, const std::vector<stored_row> &rows,
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -173,7 +173,7 @@
                 const turn_id spoiled{"t1"};
                 const auto b = co_await host.ledger.load(program, spoiled, later(seconds(1)));
                 REQUIRE_FALSE(b);
-                CHECK(b.error() == turn_refusal::StoreUnavailable);
+                CHECK(b.error() == turn_refusal::TurnUnreadable);
             };
             runPaused(context, story());
         }
