--- a/test/io/platform_store_test.cpp
+++ b/test/io/platform_store_test.cpp
@@ -161,6 +161,39 @@
         CHECK(w.client.isReachable());
     }
 
+    TEST_CASE("a store at its limit is no outage, also for a daemon that was quiet before")
+    {
+        // When all hosts had come back at once, the store refused calls beyond its rate. A daemon
+        // whose last answer was over half a second old took the first such refusals for an outage:
+        // it went through its peers, and refused turns without asking the store.
+        const paused_clock pause;
+        store_world w;
+        const auto writeLimited = [&] {
+            store_result<store_version> result;
+            auto go = [&]() -> awaitable<void> {
+                store_transaction t = put("a", "x", 0);
+                result = co_await w.client.transact(std::move(t), later(seconds(1)));
+            };
+            runInSteps(w.context, go(), milliseconds(5));
+            CHECK(result.error().kind == store_error_kind::Limited);
+        };
+        w.standin.nextTrouble = [](std::string_view) { return store_trouble::TooMany; };
+        runtime_clock::advance(seconds(3));
+        writeLimited();
+        writeLimited();
+        CHECK(w.client.isReachable());
+        CHECK(w.transport->isDirectWorking());
+
+        SUBCASE("but one that refuses everything for a while turns this host away")
+        {
+            runtime_clock::advance(seconds(1));
+            writeLimited();
+            CHECK_FALSE(w.transport->isDirectWorking());
+            writeLimited();
+            CHECK_FALSE(w.client.isReachable());
+        }
+    }
+
     TEST_CASE("a call that the store holds on purpose is no outage")
     {
         // Every daemon told "store lost" twice a second on a calm day, and made half of its calls
