--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -121,12 +121,14 @@
     if (result && !turnsAway(result->status)) {
         m_directFailures = 0;
         m_answeredAt = now;
-        m_directAnsweredAt = now;
+        m_limitedSince.reset();
         return;
     }
+    if (isLimited(result))
+        m_limitedSince = m_limitedSince.value_or(now);
     // Taken for an outage, the store's limit would send every call a second time, through a peer.
     const bool isTolerated = m_mechanisms.has(mechanism::LimitIsNoOutage) && isLimited(result);
-    if (isTolerated && isDirectWorking() && now - m_directAnsweredAt < limitedTime)
+    if (isTolerated && isDirectWorking() && now - *m_limitedSince < limitedTime)
         return;
     const bool isTimeout = !result && result.error().kind == http_error_kind::TimedOut;
     m_directFailures += isTimeout ? 1 : failuresUntilLost;
--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -5,6 +5,8 @@
 #include "members/member_state.h"
 #include "store/store_transport.h"
 
+#include <optional>
+
 namespace azurehill {
 
 /// \brief Reaches the store directly, or through another daemon that can.
@@ -22,8 +24,8 @@
     /// \brief Takes in which peers reach the store.
     void setPeers(std::vector<endpoint> reachingStore);
     /// \returns whether direct calls are answered. A call beyond the store's rate is answered,
-    /// unless nothing else came for a while: then the store turns this host away. One answer that
-    /// does not come may be lost; two in a row, or one refusal, say that they are not.
+    /// unless only such answers came for a while: then the store turns this host away. One answer
+    /// that does not come may be lost; two in a row, or one refusal, say that they are not.
     bool isDirectWorking() const { return m_directFailures < failuresUntilLost; }
     /// \returns when the store last answered, directly or through a peer.
     time_point lastAnswer() const { return m_answeredAt; }
@@ -56,8 +58,8 @@
     std::size_t m_nextPeer = 0;
     int m_directFailures = 0;
     time_point m_directFailedAt;
-    /// When a direct call was last answered with anything but "too many".
-    time_point m_directAnsweredAt = runtime_clock::now();
+    /// When direct calls were first answered "too many", if nothing else has come since.
+    std::optional<time_point> m_limitedSince;
     time_point m_answeredAt = runtime_clock::now();
     std::string m_lastDirectFailure;
 };
