--- a/test/process/entry_test.cpp
+++ b/test/process/entry_test.cpp
@@ -40,6 +40,9 @@
     {
         const std::uint16_t port = m_replica.listen({"127.0.0.1", 0});
         m_address = fmt::format("127.0.0.1:{}", port);
+        m_store.nextTrouble = [this](std::string_view) {
+            return isStoreSilent ? store_trouble::Silent : store_trouble::None;
+        };
         writeRow({"op", "", "config"}, configuration);
         writeReplica("ready", bornFirst, 1);
         writeSettings(8);
@@ -112,6 +115,8 @@
     /// Requests wait at the replica until this is set.
     std::atomic<bool> mayAnswer{true};
     std::atomic<int> arrived{0};
+    /// Calls of the store get no answer.
+    std::atomic<bool> isStoreSilent{false};
 
 private:
     awaitable<void> answerRequest(const http_request &request, response_writer &writer)
@@ -210,6 +215,29 @@
         }
     }
 
+    TEST_CASE("SIGTERM while the store is silent ends it within its grace time")
+    {
+        // In a rolling restart beside a silent store, each daemon logged "not_unregistered",
+        // "deadline passed" a second after SIGTERM. Its row in the store was waited for whatever
+        // the grace time, so a daemon with one of a second was killed in the middle of its answers.
+        platform_world world;
+        constexpr int graceSeconds = 1;
+        world.writeSettings(graceSeconds);
+        child entry = world.startEntry();
+        REQUIRE(holdsWithin(patience, [&] { return isReady(world); }));
+        world.isStoreSilent = true;
+        entry.signal(SIGTERM);
+        CHECK(holdsWithin(patience, [&] { return entry.exitStatus().has_value(); }));
+        CHECK(entry.exitStatus() == 0);
+        const std::string log = entry.log();
+        CHECK(log.find("not_unregistered") != std::string::npos);
+        const std::size_t stopped = log.find(R"("event":"stopped")");
+        REQUIRE(stopped != std::string::npos);
+        const std::string_view key = R"("ms":)";
+        const int ms = std::stoi(log.substr(log.find(key, stopped) + key.size()));
+        CHECK(ms < graceSeconds * 1000);
+    }
+
     TEST_CASE("a replica that starts again under its id takes work again")
     {
         // A replica drained for planned work, crashed, and came back under its id. Its requests
