--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -133,11 +133,14 @@
         m_gossip.send(m.gossip, message);
 }
 
-awaitable<void> entry_control::unregister()
+awaitable<void> entry_control::unregister(time_point latest)
 {
     store_transaction t;
     t.removals.push_back(memberRow(m_settings.name));
-    const auto done = co_await m_store.transact(std::move(t), soon());
+    // A silent store must not take the time in which answers end: peers drop the row's daemon
+    // without it, since it beats no more.
+    const time_point until = std::min(soon(), latest);
+    const auto done = co_await m_store.transact(std::move(t), until);
     if (!done)
         logDecision(log_event::NotUnregistered, {{"detail", done.error().detail}});
 }
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -43,8 +43,8 @@
     std::optional<control_ports> start();
     /// \brief Leaves look-ups and the readiness check, and tells the others.
     void leave();
-    /// \brief Takes the daemon's row out of the store.
-    awaitable<void> unregister();
+    /// \brief Takes the daemon's row out of the store, by \p latest at the latest.
+    awaitable<void> unregister(time_point latest);
     /// \brief Takes over the bounds and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
     /// \returns what the daemon believes, for the metrics.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -37,8 +37,8 @@
     const time_point began = runtime_clock::now();
     control.leave();
     asio::post(trafficContext, [&service] { service.announceClose(); });
-    co_await control.unregister();
     const auto latest = std::chrono::duration_cast<duration>(s.grace * graceShare);
+    co_await control.unregister(began + latest);
     const duration stale = std::min<duration>(staleLookups, latest);
     int quietSteps = 0;
     constexpr int enoughQuietSteps = 4;
