Failing test: a turn is answered whole and its chain is not stored

Two ways: another program goes on with the program while its rows are removed, and a daemon remembers a turn longer than the store has its rows.

--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -398,6 +398,70 @@
         }
     }
 
+    TEST_CASE("a turn whose program's rows were removed brings its whole chain along")
+    {
+        // A turn was answered whole, and the next one that went on from it was refused everywhere
+        // with "step":"chain" until its program failed. The daemon had taken the older turns for
+        // stored, since they were its program's own: their rows had been removed meanwhile.
+        ledger_pair w;
+        auto &[rows, first, second, context, program] = w;
+        const auto loadAfresh = [&](const char *id) -> awaitable<std::string> {
+            ledger_host fresh(rows);
+            const turn_id wanted{id};
+            const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+            co_return found ? buildPrompt(*found, "") : std::string(toName(found.error()));
+        };
+
+        SUBCASE("another program went on with it in between")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
+                runtime_clock::advance(seconds(50));
+                const turn_claim other = claimFor("t2", {"p2"}, 1000, 50);
+                const turn_ptr b = co_await runTurn(second.ledger, other, a, 10);
+                runtime_clock::advance(seconds(25));
+                co_await first.ledger.removeOldRows();
+                co_await w.runUsual(second.ledger, "t3", b);
+                const std::string read = co_await loadAfresh("t3");
+                CHECK(read == "in-t1;out-t1\nin-t2;out-t2\nin-t3;out-t3\n");
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("a daemon remembers the turn longer than the store has it")
+        {
+            auto story = [&]() -> awaitable<void> {
+                co_await w.runUsual(first.ledger, "t1", nullptr);
+                runtime_clock::advance(seconds(50));
+                const turn_id t1{"t1"};
+                const auto a = co_await second.ledger.load(program, t1, later(seconds(1)));
+                REQUIRE(a);
+                runtime_clock::advance(seconds(25));
+                co_await first.ledger.removeOldRows();
+                co_await w.runUsual(second.ledger, "t2", *a);
+                const std::string read = co_await loadAfresh("t2");
+                CHECK(read == "in-t1;out-t1\nin-t2;out-t2\n");
+            };
+            runPaused(context, story());
+        }
+
+        SUBCASE("turns that are still stored are not written again")
+        {
+            auto story = [&]() -> awaitable<void> {
+                const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
+                const turn_ptr b = co_await w.runUsual(second.ledger, "t2", a);
+                const store_version before = rows.version();
+                co_await w.runUsual(first.ledger, "t3", b);
+                for (const char *id : {"t1", "t2"}) {
+                    const row_name piece = turn_rows::firstPiece(program, {id});
+                    row_range range{piece.table, piece.part, piece.key, piece.key + '\0'};
+                    CHECK(rows.read(range).rows.at(0).version <= before);
+                }
+            };
+            runPaused(context, story());
+        }
+    }
+
     TEST_CASE("an answer of the store that is lost changes nothing")
     {
         row_store rows;
