--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -153,6 +153,7 @@
         }
         state.account = std::move(*account);
         state.version = row.version;
+        state.stored.reset();
     }
 }
 
@@ -462,8 +463,11 @@
     // The same turn must not be added twice by a try whose answer was lost.
     t.conditions.push_back({turn_rows::firstPiece(step.claim.program, step.claim.id), 0});
     for (const turn_ptr &one : chainOf(step.added)) {
-        // A turn of another program is copied, so that a part holds whole chains.
-        if (one != step.added && one->program == step.claim.program)
+        // A turn of another program is copied, so that a part holds whole chains. So is one whose
+        // rows were removed with the program's part before this daemon began it anew.
+        const bool isKept
+            = state.version != 0 && (!state.stored || state.stored->contains(one->id));
+        if (one != step.added && one->program == step.claim.program && isKept)
             continue;
         for (row_value &row : turn_rows::pieces(*one, step.claim.program, m_settings.rowBytes))
             t.writes.push_back(std::move(row));
@@ -473,6 +477,19 @@
     return t;
 }
 
+void turn_ledger::adoptStep(account_state &state, const account_step &step, token_account next,
+                            store_version version)
+{
+    if (state.version == 0)
+        state.stored.emplace();
+    if (state.stored && step.added) {
+        for (const turn_ptr &one : chainOf(step.added))
+            state.stored->insert(one->id);
+    }
+    state.account = std::move(next);
+    state.version = version;
+}
+
 awaitable<bool> turn_ledger::refreshAccount(account_ptr state, program_id program,
                                             time_point deadline)
 {
@@ -518,8 +535,7 @@
             co_return tl::unexpected(turn_refusal::TooLarge);
         const auto version = co_await m_store.transact(std::move(t), callDeadline(deadline));
         if (version) {
-            state->account = *next;
-            state->version = *version;
+            adoptStep(*state, step, *next, *version);
             co_return tl::expected<void, turn_refusal>();
         }
         if (version.error().kind == store_error_kind::Conflict) {
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -8,6 +8,8 @@
 #include "turns/turn_cache.h"
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <unordered_map>
 
 namespace azurehill {
@@ -142,6 +144,9 @@
         store_version version = 0;
         /// The row as it was read last can't be decoded: what the program spent is not known.
         bool isUnreadable = false;
+        /// The turns in the program's part, if this daemon began it and nobody else has written
+        /// there since. Otherwise the part holds what was read from it.
+        std::optional<std::set<turn_id>> stored;
         bool busy = false;
         notifier freed;
         time_point usedAt;
@@ -155,6 +160,9 @@
                                                       time_point deadline);
     awaitable<tl::expected<void, turn_refusal>> applyAlone(account_ptr state, account_step step,
                                                            time_point deadline);
+    /// \brief Takes in that \p step made \p next the account at \p version.
+    static void adoptStep(account_state &state, const account_step &step, token_account next,
+                          store_version version);
     store_transaction transactionOf(const account_state &state, const account_step &step,
                                     const token_account &next) const;
     awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
