--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -445,6 +445,25 @@
             runPaused(context, story());
         }
 
+        SUBCASE("a daemon that does not know the account takes no stored chain for a lost one")
+        {
+            // Turns without a budget reserve nothing: their commit is the first that the daemon
+            // does with the account, and a long chain would be too large to be copied.
+            auto story = [&]() -> awaitable<void> {
+                auto big = std::make_shared<turn>(*makeTurn("t1", program, nullptr));
+                big->input.assign(500'000, 'x');
+                auto next = std::make_shared<turn>(*makeTurn("t2", program, big));
+                next->input.assign(300'000, 'y');
+                const auto one
+                    = co_await first.ledger.commit(big, 1, seconds(60), later(seconds(3)));
+                REQUIRE(one);
+                const auto two
+                    = co_await second.ledger.commit(next, 1, seconds(60), later(seconds(3)));
+                CHECK(two);
+            };
+            runPaused(context, story());
+        }
+
         SUBCASE("turns that are still stored are not written again")
         {
             auto story = [&]() -> awaitable<void> {
