--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -531,8 +531,16 @@
             continue;
         }
         store_transaction t = transactionOf(*state, step, *next);
-        if (bytesOf(t) > maxTransactionBytes)
+        const bool isTooLarge = bytesOf(t) > maxTransactionBytes;
+        if (isTooLarge && (isFresh || state->version != 0))
             co_return tl::unexpected(turn_refusal::TooLarge);
+        if (isTooLarge) {
+            // An account that is not known here may be there: then its part holds the chain.
+            isFresh = co_await refreshAccount(state, step.claim.program, callDeadline(deadline));
+            if (!isFresh)
+                co_await sleepFor(pause);
+            continue;
+        }
         const auto version = co_await m_store.transact(std::move(t), callDeadline(deadline));
         if (version) {
             adoptStep(*state, step, *next, *version);
