--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -110,9 +110,9 @@
     m_settings.seeds = settings.seeds;
 }
 
-void entry_control::setPlaceWords(place_words wanted)
+void entry_control::setPlaceWords(place_words words)
 {
-    m_members.self().placeWords = std::move(wanted);
+    m_members.self().placeWords = std::move(words);
 }
 
 entry_gauges entry_control::gauges() const
@@ -139,11 +139,14 @@
         m_gossip.send(m.gossip, message);
 }
 
-awaitable<void> entry_control::unregister()
+awaitable<void> entry_control::unregister(time_point latest)
 {
     store_transaction t;
     t.removals.push_back(memberRow(m_settings.name));
-    const auto done = co_await m_store.transact(std::move(t), soon());
+    // A silent store must not take the time in which answers end: peers drop the row's daemon
+    // without it, since it beats no more.
+    const time_point until = std::min(soon(), latest);
+    const auto done = co_await m_store.transact(std::move(t), until);
     if (!done)
         logDecision(log_event::NotUnregistered, {{"detail", done.error().detail}});
 }
@@ -402,10 +405,10 @@
 
 void entry_control::publishPlaceWords() const
 {
-    std::vector<place_words> demands;
+    std::vector<place_words> told;
     for (const member_state &m : m_members.alive())
-        demands.push_back(m.placeWords);
-    m_events.onPlaceWords(std::move(demands));
+        told.push_back(m.placeWords);
+    m_events.onPlaceWords(std::move(told));
 }
 
 awaitable<void> entry_control::gossip()
