Turns that go on from earlier ones get places before first turns of their rank

Cause: at the gate a turn with a program's work behind it waited like one that begins a program, so work begun was lost while new work was let in; after a power loss those that went on from before it were among them. Change: within a rank, turns that go on come first, late ones too; lost ones stay last.

--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -142,7 +142,13 @@
         ++m_inside;
         return true;
     }
-    const order o{ticket.hope == program_hope::Lost, ticket.rank, ticket.hope, ticket.slack,
+    // What was begun goes before what begins: a first turn that is refused costs its caller little,
+    // a later one all that its program has done.
+    const order o{ticket.hope == program_hope::Lost,
+                  ticket.rank,
+                  !ticket.continues,
+                  ticket.hope,
+                  ticket.slack,
                   ticket.number};
     m_waiting.emplace(o, ticket.number);
     m_orders.emplace(ticket.number, o);
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -100,7 +100,7 @@
 
 private:
     /// Sorts those that wait; the one that goes first comes first.
-    using order = std::tuple<bool, int, program_hope, duration, std::uint64_t>;
+    using order = std::tuple<bool, int, bool, program_hope, duration, std::uint64_t>;
 
     /// \returns the replicas that are this daemon's part.
     double replicas() const { return std::max(1, m_engines.replicas) * m_part; }
