Engines are slow if a daemon sees it and all together do

Cause: with the mean alone, bounds were lowered on words of some rounds ago after engines had recovered, and on others' unlucky answers: at 46 s of a recovery a mean of 3.9 where six of eleven daemons saw 2.5 and less. Change: the lower of the own and the agreed inflation counts.

--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -229,8 +229,10 @@
     if (!hasEnoughSamples() || now < m_adjustedAt + adjustPause)
         return;
     m_adjustedAt = now;
-    const double agreed = agreedInflation(word(), m_heard);
-    const bool isSlow = agreed > targetInflation;
+    // Slow are engines that both this daemon and all together see slow: what one sees alone may be
+    // a few unlucky answers, and what all have told is old by some rounds when engines recover.
+    const double seen = std::min(inflation(), agreedInflation(word(), m_heard));
+    const bool isSlow = seen > targetInflation;
     // A bound that does not bind says nothing about how high it may go.
     const bool binds = !m_waiting.empty() || m_inside + 1 >= m_limit;
     const bool fills = m_mechanisms.has(mechanism::FillSlots);
@@ -238,7 +240,7 @@
     if (isSlow)
         m_limit *= lowerBy;
     else if (binds)
-        m_limit *= fills && agreed < nearlyIdle ? raiseFastBy : raiseBy;
+        m_limit *= fills && seen < nearlyIdle ? raiseFastBy : raiseBy;
     m_limit = bounded(m_limit);
 }
 
