--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -4,6 +4,7 @@
 #include "loopback.h"
 #include "standin/store_standin.h"
 
+#include <doctest/doctest.h>
 #include <fmt/format.h>
 
 #include <deque>
