--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -110,8 +110,13 @@
 peer_transport::exchangeDirectly(http_request request, time_point deadline)
 {
     std::string path(request.path());
+    const time_point began = runtime_clock::now();
     auto response = co_await m_direct.exchange(std::move(request), deadline, {});
-    noteDirect(response, std::move(path));
+    // A call that went into a silence that is over tells nothing of the direct way as it is now.
+    const bool isOutdated
+        = began < m_directAnsweredAt && !(response && !turnsAway(response->status));
+    if (!isOutdated)
+        noteDirect(response, std::move(path));
     co_return response;
 }
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -14,6 +14,8 @@
 /// wait for the same outage to end and the store's calls are limited.
 constexpr duration leastPause = milliseconds(40);
 constexpr duration mostPause = milliseconds(640);
+/// In an outage those who wait look this often whether it is over. Looking costs no call.
+constexpr duration lookPause = milliseconds(20);
 /// How long the account of a broken turn is tried to be settled. What fails stays held, which is
 /// safe: the program may only spend less.
 constexpr duration settleTime = seconds(20);
@@ -345,6 +347,19 @@
     }
 }
 
+awaitable<void> turn_ledger::waitToRetry(duration pause, time_point deadline)
+{
+    // The end of an answer has some four seconds until its client leaves. With a pause, and a call
+    // that the silence swallows, it was written up to 1.4 s after the store's return: of 567
+    // answers cut off in an outage of 4 s more than 460 were cut after its end (logs of 87 hosts).
+    if (m_store.isReachable()) {
+        co_await sleepFor(pause);
+        co_return;
+    }
+    while (!m_store.isReachable() && runtime_clock::now() < deadline)
+        co_await sleepFor(lookPause);
+}
+
 awaitable<bool> turn_ledger::indexFirst(turn_ptr t, time_point deadline)
 {
     // Before the turn itself: a turn that is there and can't be found would be lost, while an entry
@@ -357,7 +372,7 @@
         const auto version = co_await m_store.transact(std::move(entry), callDeadline(deadline));
         if (version)
             co_return true;
-        co_await sleepFor(pause);
+        co_await waitToRetry(pause, deadline);
         pause = std::min(2 * pause, mostPause);
     }
     co_return false;
@@ -471,7 +486,7 @@
             if (!isFresh && !m_store.isReachable())
                 co_return unavailable;
             if (!isFresh)
-                co_await sleepFor(pause);
+                co_await waitToRetry(pause, deadline);
             continue;
         }
         store_transaction t = transactionOf(*state, step, *next);
@@ -499,7 +514,7 @@
         isFresh = false;
         if (isReserve && !m_store.isReachable())
             co_return unavailable;
-        co_await sleepFor(pause);
+        co_await waitToRetry(pause, deadline);
         pause = std::min(2 * pause, mostPause);
     }
     co_return unavailable;
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -158,6 +158,8 @@
     store_transaction transactionOf(const account_state &state, const account_step &step,
                                     const token_account &next) const;
     awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
+    /// \brief Waits before a call is made again: for \p pause, or in an outage until it is over.
+    awaitable<void> waitToRetry(duration pause, time_point deadline);
     awaitable<bool> indexFirst(turn_ptr t, time_point deadline);
     awaitable<store_result<turn_ptr>> readProgram(program_id program, turn_id wanted,
                                                   time_point deadline);
--- a/test/io/platform_store_test.cpp
+++ b/test/io/platform_store_test.cpp
@@ -161,6 +161,67 @@
         CHECK(w.client.isReachable());
     }
 
+    TEST_CASE("a watched store is asked by itself whether it is back")
+    {
+        // Nobody called in the last seconds of an outage. The first program that came after it was
+        // refused all the same, since only a call could have shown that the store was back.
+        store_world w;
+        spawn(w.context.get_executor(), "watchOutages", w.client.watchOutages());
+        w.standin.nextTrouble = [](std::string_view) { return store_trouble::Unavailable; };
+        CHECK_FALSE(w.write("a", "x", 0));
+        CHECK_FALSE(w.write("a", "x", 0));
+        const paused_clock pause;
+        auto lookFor = [&](duration most) -> awaitable<void> {
+            const time_point until = later(most);
+            while (!w.client.isReachable() && runtime_clock::now() < until)
+                co_await sleepFor(milliseconds(10));
+        };
+        SUBCASE("until then no caller is sent ahead to find out")
+        {
+            runInSteps(w.context, lookFor(seconds(2)), milliseconds(10));
+            CHECK_FALSE(w.client.isReachable());
+        }
+        SUBCASE("and then all may call again")
+        {
+            w.standin.nextTrouble = [](std::string_view) { return store_trouble::None; };
+            runInSteps(w.context, lookFor(seconds(5)), milliseconds(10));
+            CHECK(w.client.isReachable());
+        }
+    }
+
+    TEST_CASE("a call that was made before the last answer tells of no outage")
+    {
+        // The store was back and had answered. Calls that its silence had swallowed ended one by
+        // one in the next 0.8 s, and the daemon took them for a new outage: it refused turns with
+        // `store_unavailable` after 0 ms and held back the ends of answers until their clients
+        // left.
+        store_world w;
+        int calls = 0;
+        int lost = 0;
+        w.standin.nextTrouble = [&](std::string_view) {
+            return ++calls <= 2 ? store_trouble::Silent : store_trouble::None;
+        };
+        auto loseOne = [&]() -> awaitable<void> {
+            store_transaction t = put("a", "x", 0);
+            const auto result = co_await w.client.transact(std::move(t), later(milliseconds(100)));
+            CHECK_FALSE(result);
+            ++lost;
+        };
+        auto story = [&]() -> awaitable<void> {
+            spawn(w.context.get_executor(), "loseOne", loseOne());
+            spawn(w.context.get_executor(), "loseOne", loseOne());
+            while (calls < 2)
+                co_await sleepFor(milliseconds(1));
+            store_transaction t = put("b", "x", 0);
+            const auto result = co_await w.client.transact(std::move(t), later(seconds(1)));
+            CHECK(result);
+            while (lost < 2)
+                co_await sleepFor(milliseconds(1));
+        };
+        runIn(w.context, story());
+        CHECK(w.client.isReachable());
+    }
+
     TEST_CASE("a call that the store holds on purpose is no outage")
     {
         // Every daemon told "store lost" twice a second on a calm day, and made half of its calls
