--- a/src/members/peer_transport.h
+++ b/src/members/peer_transport.h
@@ -58,6 +58,8 @@
     std::size_t m_nextPeer = 0;
     int m_directFailures = 0;
     time_point m_directFailedAt;
+    /// When a direct call last worked.
+    time_point m_directAnsweredAt;
     /// When direct calls were first answered "too many", if nothing else has come since.
     std::optional<time_point> m_limitedSince;
     time_point m_answeredAt = runtime_clock::now();
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -16,7 +16,10 @@
 
 /// \brief Why a turn can't go on.
 enum class turn_refusal {
+    /// The store can't be asked, or said that nothing was done.
     StoreUnavailable,
+    /// The store did not answer: what was asked of it may still take effect.
+    InDoubt,
     NoSuchTurn,
     BudgetSpent,
     TooLarge,
@@ -29,9 +32,9 @@
 template <>
 struct enum_names<turn_refusal>
 {
-    static constexpr std::array<std::string_view, 6> names
-        = {"store_unavailable", "no_such_turn", "budget_spent",
-           "too_large",         "reads_lag",    "turn_unreadable"};
+    static constexpr std::array<std::string_view, 7> names
+        = {"store_unavailable", "store_in_doubt", "no_such_turn",   "budget_spent",
+           "too_large",         "reads_lag",      "turn_unreadable"};
 };
 
 /// \brief Where the search for a turn ended without telling whether it exists.
@@ -114,6 +117,7 @@
                                                          time_point deadline);
 
     /// \brief Holds the most that a turn can generate. Nothing may run before this is durable.
+    /// \returns InDoubt if the hold may still take effect, and so has to be settled.
     awaitable<tl::expected<void, turn_refusal>> reserve(turn_claim claim, time_point deadline);
 
     /// \brief Adds a turn that was answered whole and settles its account. The client may learn of
@@ -148,7 +152,7 @@
         /// there since. Otherwise the part holds what was read from it.
         std::optional<std::set<turn_id>> stored;
         bool busy = false;
-        notifier freed;
+        std::shared_ptr<notifier> freed = std::make_shared<notifier>();
         time_point usedAt;
     };
     using account_ptr = std::shared_ptr<account_state>;
@@ -156,6 +160,9 @@
     struct account_step;
 
     account_ptr accountOf(const program_id &program);
+    /// \brief Waits until no other change of \p state is under way. \returns whether that came by
+    /// \p deadline.
+    awaitable<bool> waitForAccount(account_ptr state, time_point deadline);
     awaitable<tl::expected<void, turn_refusal>> apply(account_ptr state, account_step step,
                                                       time_point deadline);
     awaitable<tl::expected<void, turn_refusal>> applyAlone(account_ptr state, account_step step,
@@ -166,6 +173,8 @@
     store_transaction transactionOf(const account_state &state, const account_step &step,
                                     const token_account &next) const;
     awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
+    /// \brief Waits before a call is made again: for \p pause, or in an outage until it is over.
+    awaitable<void> waitToRetry(duration pause, time_point deadline);
     awaitable<bool> indexFirst(turn_ptr t, time_point deadline);
     /// \brief What a read of a program showed.
     struct turn_view
