--- a/test/logic/store_overload_replay_test.cpp
+++ b/test/logic/store_overload_replay_test.cpp
@@ -44,6 +44,7 @@
             queue.setRates(callsPerSecond, daemons);
         // The busiest daemon had three times the turns of the idlest.
         std::vector<double> weights;
+        weights.reserve(daemons);
         for (int i = 0; i < daemons; ++i)
             weights.push_back(1 + 2.0 * i / (daemons - 1));
         m_pick = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
