--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -102,9 +102,9 @@
 
 /// \brief Makes turns and budgets durable in the store, so that any daemon can go on from them.
 ///
-/// A program has a part of its own. It holds the program's account and its turns, so that one
-/// transaction settles and adds a turn, and one read finds a whole program. A second table finds
-/// the program of a turn by the turn's id alone. Used from one thread.
+/// A program has a part of its own. It holds the program's account and its turns, so that one read
+/// finds a whole program, and shows of which turns the account still holds more than they used. A
+/// second table finds the program of a turn by the turn's id alone. Used from one thread.
 class turn_ledger
 {
 public:
@@ -122,7 +122,7 @@
 
     /// \brief Adds a turn that was answered whole and settles its account. The client may learn of
     /// the end of its answer only after that.
-    awaitable<tl::expected<void, turn_refusal>> commit(turn_ptr t, std::int64_t used,
+    awaitable<tl::expected<void, turn_refusal>> commit(turn_ptr answered, std::int64_t used,
                                                        duration retention, time_point deadline);
 
     /// \brief Settles a turn that did not end whole.
@@ -151,6 +151,9 @@
         /// The turns in the program's part, if this daemon began it and nobody else has written
         /// there since. Otherwise the part holds what was read from it.
         std::optional<std::set<turn_id>> stored;
+        /// Turns that are known to have ended, and what they used. The account's row may still hold
+        /// their most.
+        std::unordered_map<turn_id, std::int64_t> ended;
         bool busy = false;
         std::shared_ptr<notifier> freed = std::make_shared<notifier>();
         time_point usedAt;
@@ -172,6 +175,13 @@
                           store_version version);
     store_transaction transactionOf(const account_state &state, const account_step &step,
                                     const token_account &next) const;
+    /// \brief Notes that the turn of \p step and its chain are in the program's part.
+    static void noteStored(account_state &state, const account_step &step);
+    /// \brief Adds the turn of \p step, whose tokens are held, and leaves its account as it is.
+    awaitable<tl::expected<void, turn_refusal>> addHeld(account_ptr state, account_step step,
+                                                        time_point deadline);
+    void addPieces(store_transaction &t, const account_state &state,
+                   const account_step &step) const;
     awaitable<bool> refreshAccount(account_ptr state, program_id program, time_point deadline);
     /// \brief Waits before a call is made again: for \p pause, or in an outage until it is over.
     awaitable<void> waitToRetry(duration pause, time_point deadline);
@@ -207,6 +217,10 @@
     turn_ptr adoptRows(const program_id &program, const std::vector<stored_row> &rows,
                        const turn_id &wanted);
     void adoptAccount(account_state &state, const std::vector<stored_row> &rows);
+    /// \brief Takes in which turns of the account's program \p turns shows as ended.
+    static void adoptEnded(account_state &state, const std::map<turn_id, decoded_turn> &turns);
+    /// \brief Charges ended turns what they used in place of what was held for them.
+    static void settleEnded(account_state &state);
 
     store &m_store;
     ledger_settings m_settings;
