Tests of the division of places: the bound's property has bounds; vectors reserve

Cause: the property "never beyond what one of them holds to be right" made words without a bound, so it could not fail; the linter asked for reserve() in four loops. Change: words with a bound; reserve().

--- a/test/logic/place_division_replay_test.cpp
+++ b/test/logic/place_division_replay_test.cpp
@@ -208,6 +208,7 @@
             if (ms % 200 != 0)
                 continue;
             std::vector<place_word> told;
+            told.reserve(gates.size());
             for (service_gate &gate : gates)
                 told.push_back(gate.tell());
             for (std::size_t d = 0; d < gates.size(); ++d) {
--- a/test/logic/place_division_test.cpp
+++ b/test/logic/place_division_test.cpp
@@ -30,6 +30,7 @@
 std::vector<double> partsOf(const std::vector<double> &wanted)
 {
     std::vector<place_word> words;
+    words.reserve(wanted.size());
     for (const double w : wanted)
         words.push_back({.wanted = w});
     return partsOf(words, usualPlaces);
@@ -57,6 +58,7 @@
             const int daemons = *rc::gen::inRange(1, 100);
             const double places = *rc::gen::inRange(0, 10'000);
             std::vector<place_word> words;
+            words.reserve(std::size_t(daemons));
             for (int d = 0; d < daemons; ++d)
                 words.push_back({.wanted = double(*rc::gen::inRange(0, 500))});
             const std::vector<double> parts = partsOf(words, places);
@@ -104,9 +106,10 @@
             CHECK(rc::check("any words", [] {
                 std::vector<place_word> words;
                 const int daemons = *rc::gen::inRange(2, 40);
+                words.reserve(std::size_t(daemons));
                 for (int d = 0; d < daemons; ++d) {
-                    words.push_back(
-                        {double(*rc::gen::inRange(0, 500)), double(*rc::gen::inRange(1, 100))});
+                    words.push_back({.inside = double(*rc::gen::inRange(0, 500)),
+                                     .perReplica = double(*rc::gen::inRange(1, 100))});
                 }
                 const place_word own = words.back();
                 words.pop_back();
