--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -12,8 +12,8 @@
 constexpr double startPerReplica = 16;
 /// Requests at one replica that the bound never goes below, and the same as a share of its slots.
 /// So few don't slow an engine down: if events come slowly all the same, holding more requests back
-/// only leaves it idle. With the first alone, 18 replicas of 96 slots were kept at 70 requests for
-/// five seconds after half of them had been slow, with half of the turns refused.
+/// only leaves it idle. With the first alone, the bound at replicas of 96 slots was still falling
+/// four seconds after slow ones had recovered, to 3.9 requests at each (log of a recovery).
 constexpr double leastRequests = 3;
 constexpr double leastSlotShare = 1.0 / 12;
 /// The bound never goes above this many times the slots: what does not fit waits in the engine,
@@ -38,7 +38,7 @@
 constexpr int enoughSamples = 20;
 /// A request that so many others have passed gets one of the next places. By the order alone it
 /// waits behind all others for as long as more come than there are places: nine tries of one
-/// program's turns in a row were refused after a restart of all daemons, and a request of a worse
+/// program's turns were refused after a restart of all daemons, and a request of a worse
 /// rank got none of a thousand places.
 constexpr std::uint64_t passedUntilNext = 8;
 /// One place in so many goes to such requests, by turns to late or lost programs and to any: it
--- a/test/logic/service_gate_test.cpp
+++ b/test/logic/service_gate_test.cpp
@@ -53,11 +53,10 @@
 
     TEST_CASE("a late program's turn gets a place while others keep coming")
     {
-        // Ten seconds after all hosts had lost power, a runner's registration was refused for good.
-        // Its program had become late in the outage. Each of its tries waited behind every turn of
-        // a program that was on time, and more of those came than places became free, so eight
-        // tries in a row waited in vain: "hope":"late","waited_ms":1447, then 719, 294, 128, 63,
-        // while 1,116 turns of programs on time got places in the same seconds.
+        // After all hosts had lost power, runners whose programs had become late in the outage were
+        // refused try after try. Each try waited behind every turn of a program that was on time,
+        // and more of those came than places became free. One program's tries on two daemons:
+        // "hope":"late","waited_ms":1447, then 719, then 294, none granted.
         service_gate gate;
         gate.setEngines({1, 8});
         std::uint64_t number = 1;
