Membership: probes and news in place of the beats of all to all

Cause: each daemon told 40 states drawn by chance to four others in a round. Everything that is divided by the number of daemons changed with it. Change: SWIM. Three pings a round, second tries directly and through three others, a suspicion that the suspected daemon may deny, news with pings and answers twelve times. A daemon that stood still blames nobody. Words on places come from those it talks to; at hundreds of daemons they are a sample, and the division of places counts the others like the mean of those heard. Members' rows are read by sixteen daemons at a time. Lines on members are bounded.

--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -98,10 +98,12 @@
     return all;
 }
 
-void engine_places::hear(const std::vector<place_words> &others)
+void engine_places::hear(const std::vector<place_words> &heard, std::size_t others)
 {
-    for (auto &[name, gate] : m_gates)
-        gate.hear(wordsOf(others, name));
+    for (auto &[name, gate] : m_gates) {
+        const std::vector<place_word> words = wordsOf(heard, name);
+        gate.hear({words, others});
+    }
 }
 
 void engine_places::grant(service_gate &gate)
--- a/src/entry/engine_places.h
+++ b/src/entry/engine_places.h
@@ -25,8 +25,10 @@
     void update(const replica_board &board, time_point now);
     /// \returns what this daemon tells the others of its places. Call it once for each round.
     place_words tell();
-    /// \brief Takes in a round of what the other daemons that live told.
-    void hear(const std::vector<place_words> &others);
+    /// \brief Takes in a round of what the other daemons told.
+    /// \param heard the words of those that were heard lately.
+    /// \param others the other daemons that live, heard ones included.
+    void hear(const std::vector<place_words> &heard, std::size_t others);
 
     /// \brief Waits for a place.
     /// \param times how the call's program stands, if it has an account.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -12,12 +12,6 @@
 
 namespace {
 
-constexpr duration gossipRound = milliseconds(200);
-/// Members told in a round, and states in one message: with these a beat is everywhere in two or
-/// three rounds, at a bounded cost whatever the number of daemons.
-constexpr std::size_t gossipFanout = 4;
-constexpr std::size_t gossipStates = 40;
-
 /// Longest wait of one call to the feed. Short, since a feed may go silent while changes are made.
 constexpr duration feedWait = seconds(2);
 constexpr duration feedSlack = seconds(1);
@@ -26,10 +20,17 @@
 /// The configuration is read this often within the time in which it must be in force, beside the
 /// feed: a feed that went silent would otherwise leave the daemon with an old one.
 constexpr double configReadsPerApply = 1.3;
+/// The members' rows are read this often by any daemon. Daemons tell each other who lives; the rows
+/// only show those of whom nobody has heard, so a few readers at a time are enough for all.
 constexpr duration membersPause = seconds(2);
+constexpr std::size_t membersReaders = 16;
 constexpr duration storeCallTime = milliseconds(1000);
 constexpr duration failedPause = milliseconds(200);
 
+/// Lines on members that came or went in one message or round: a restart of all hosts would
+/// otherwise have each write a line on each other.
+constexpr std::size_t mostMemberLines = 4;
+
 constexpr std::string_view memberTable = "members";
 /// Callers keep an answer this long. Short, so that they leave a stopped daemon soon.
 constexpr duration lookupTtl = seconds(1);
@@ -76,10 +77,11 @@
                      [this](const http_request &r, response_writer &w) { return answer(r, w); }),
       m_peerServer(context.get_executor(), {},
                    [this](const http_request &r, response_writer &w) { return answerPeer(r, w); }),
-      m_members(makeSelf(settings), stableHash(settings.name.value)),
+      m_membership(makeSelf(settings), stableHash(settings.name.value)),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
-      m_gossip(context.get_executor(), [this](const std::vector<member_state> &states) {
-          logMembers(m_members.onHeard(states, runtime_clock::now()));
+      m_gossip(context.get_executor(), [this](const probe_message &message, const endpoint &from) {
+          send(m_membership.onMessage(message, from, runtime_clock::now()));
+          logMembers();
       })
 { }
 
@@ -112,13 +114,13 @@
 
 void entry_control::setPlaceWords(place_words words)
 {
-    m_members.self().placeWords = std::move(words);
+    m_membership.setWords(std::move(words));
 }
 
 entry_gauges entry_control::gauges() const
 {
     entry_gauges g;
-    g.members = static_cast<int>(m_members.alive().size()) + 1;
+    g.members = static_cast<int>(m_membership.members().aliveCount()) + 1;
     g.replicas = static_cast<int>(m_replicas.size());
     g.drainingReplicas
         = static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
@@ -132,11 +134,7 @@
 void entry_control::leave()
 {
     m_isLeaving = true;
-    m_members.self().serving = false;
-    ++m_members.self().beat;
-    const std::string message = encodeMembers({m_members.self()});
-    for (const member_state &m : m_members.alive())
-        m_gossip.send(m.gossip, message);
+    send(m_membership.leave());
 }
 
 awaitable<void> entry_control::unregister(time_point latest)
@@ -153,16 +151,17 @@
 
 http_response entry_control::answerLookup()
 {
-    std::vector<member_state> all = m_members.alive();
-    all.push_back(m_members.self());
+    // A suspected daemon may have stopped; callers find enough others until that is certain.
+    member_list::selection all = m_membership.members().healthy();
+    all.push_back(&m_membership.self());
     std::vector<endpoint> reaching;
     std::vector<endpoint> serving;
-    for (const member_state &m : all) {
-        if (!m.serving)
+    for (const member_state *m : all) {
+        if (!m->serving)
             continue;
-        serving.push_back(m.clients);
-        if (m.storeReachable)
-            reaching.push_back(m.clients);
+        serving.push_back(m->clients);
+        if (m->storeReachable)
+            reaching.push_back(m->clients);
     }
     // A daemon that the store turns away is slower, so callers go elsewhere, unless too few would
     // be left to carry them.
@@ -185,7 +184,7 @@
     if (isLookup(request.path())) {
         response = answerLookup();
     } else if (isReadinessCheck(request.path())) {
-        const bool ready = m_members.self().serving;
+        const bool ready = m_membership.self().serving;
         response = ready ? jsonResponse(200, "{}")
                          : encodeOwnAnswer(own_answer::Refused, "not ready", failedPause);
     } else {
@@ -215,7 +214,6 @@
     if (m_routes && (*book)->version() <= m_routes->version())
         return;
     m_routes = *book;
-    m_members.self().configVersion = m_routes->version();
     logDecision(log_event::ConfigurationAdopted,
                 {{"version", static_cast<std::int64_t>(m_routes->version())},
                  {"row_version", static_cast<std::int64_t>(row.version)},
@@ -353,16 +351,17 @@
     if (!states || states->size() != 1 || states->front().name.value != row.name.key)
         m_unreadable.tell(log_event::RowUnreadable, row, "not a member's state");
     else
-        m_members.onListed(states->front());
+        m_membership.onListed(states->front());
 }
 
 awaitable<void> entry_control::pollMembers()
 {
     bool isRegistered = false;
+    bool hasRead = false;
     while (true) {
         if (!isRegistered) {
             store_transaction t;
-            t.writes.push_back({memberRow(m_settings.name), encodeMembers({m_members.self()})});
+            t.writes.push_back({memberRow(m_settings.name), encodeMembers({m_membership.self()})});
             const auto done = co_await m_store.transact(std::move(t), soon());
             isRegistered = done.has_value();
         }
@@ -372,29 +371,51 @@
             for (const stored_row &row : page->rows)
                 adoptMember(row);
         }
-        co_await sleepFor(isRegistered ? membersPause : failedPause);
+        hasRead = hasRead || page;
+        const duration pause = hasRead ? membersReadPause() : membersPause;
+        co_await sleepFor(isRegistered ? pause : failedPause);
     }
 }
 
-void entry_control::logMembers(const std::vector<member_change> &changes)
+duration entry_control::membersReadPause()
+{
+    const std::size_t daemons = m_membership.members().aliveCount() + 1;
+    const double turns = std::max(1.0, double(daemons) / membersReaders);
+    // By chance, so that daemons that started together don't read together.
+    const double chance = std::uniform_real_distribution<double>(0.5, 1.5)(m_random);
+    return std::chrono::duration_cast<duration>(membersPause * turns * chance);
+}
+
+void entry_control::logMembers()
 {
+    const std::vector<member_change> changes = m_membership.takeChanges();
+    std::size_t told = 0;
     for (const member_change &c : changes) {
-        logDecision(c.isAlive ? log_event::MemberBack : log_event::MemberGone,
-                    {{"member", c.member.name.value},
-                     {"beat", static_cast<std::int64_t>(c.member.beat)},
-                     {"silent_ms", toMilliseconds(c.silence)}});
+        if (++told > mostMemberLines)
+            break;
+        logDecision(
+            c.isAlive ? log_event::MemberBack : log_event::MemberGone,
+            {{"member", c.member.name.value},
+             {"incarnation", c.member.incarnation},
+             {"version", static_cast<std::int64_t>(c.member.version)},
+             {"alive", static_cast<std::int64_t>(m_membership.members().aliveCount() + 1)}});
     }
 }
 
+void entry_control::send(const std::vector<probe_datagram> &datagrams)
+{
+    for (const probe_datagram &d : datagrams)
+        m_gossip.send(d.to, encodeProbe(d.message));
+}
+
 void entry_control::publishPeers()
 {
     std::vector<endpoint> reaching;
-    const std::vector<member_state> alive = m_members.alive();
-    for (const member_state &m : alive) {
-        if (m.storeReachable)
-            reaching.push_back(m.peers);
+    for (const member_state *m : m_membership.members().healthy()) {
+        if (m->storeReachable)
+            reaching.push_back(m->peers);
     }
-    const int count = static_cast<int>(alive.size()) + 1;
+    const int count = static_cast<int>(m_membership.members().aliveCount()) + 1;
     if (reaching == m_peersReachingStore && count == m_aliveCount)
         return;
     m_peersReachingStore = reaching;
@@ -405,31 +426,27 @@
 
 void entry_control::publishPlaceWords() const
 {
-    std::vector<place_words> told;
-    for (const member_state &m : m_members.alive())
-        told.push_back(m.placeWords);
-    m_events.onPlaceWords(std::move(told));
+    m_events.onPlaceWords(m_membership.wordsHeard());
 }
 
 awaitable<void> entry_control::gossip()
 {
     while (true) {
-        logMembers(m_members.onRound(runtime_clock::now()));
-        member_state &self = m_members.self();
-        self.serving = !m_isLeaving && m_routes && m_hasReplicas;
-        self.storeReachable = m_transport->isDirectWorking();
-        const std::string message = encodeMembers(m_members.digest(gossipStates));
-        for (const member_state &peer : m_members.pickPeers(gossipFanout))
-            m_gossip.send(peer.gossip, message);
+        m_membership.setSelf(!m_isLeaving && m_routes && m_hasReplicas,
+                             m_transport->isDirectWorking());
+        send(m_membership.onRound(runtime_clock::now()));
+        logMembers();
         // Before the store has named any member, the seeds are the only way to the others. They
         // name other hosts' inner addresses; all hosts use the same ports.
-        if (m_members.known() == 0) {
-            for (const endpoint &seed : m_settings.seeds)
-                m_gossip.send({seed.host, m_settings.gossip.port}, message);
+        if (m_membership.members().known() == 0) {
+            for (const endpoint &seed : m_settings.seeds) {
+                const probe_message message = m_membership.introduction();
+                m_gossip.send({seed.host, m_settings.gossip.port}, encodeProbe(message));
+            }
         }
         publishPeers();
         publishPlaceWords();
-        co_await sleepFor(gossipRound);
+        co_await sleepFor(membership_protocol::round);
     }
 }
 
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -22,7 +22,7 @@
     std::function<void(std::vector<replica_entry>)> onReplicas;
     /// The addresses of the peers that reach the store, and the number of daemons that live.
     std::function<void(std::vector<endpoint>, int)> onPeers;
-    /// What each of the other daemons that live tells of its places at the engines.
+    /// What some of the other daemons that live told lately of their places at the engines.
     std::function<void(std::vector<place_words>)> onPlaceWords;
 };
 
@@ -74,7 +74,10 @@
     void logReplica(const replica_entry *known, const replica_entry &entry) const;
     void publishPeers();
     void publishPlaceWords() const;
-    void logMembers(const std::vector<member_change> &changes);
+    /// \returns the time until this daemon reads the members' rows again.
+    duration membersReadPause();
+    void logMembers();
+    void send(const std::vector<probe_datagram> &datagrams);
 
     asio::io_context &m_context;
     host_settings m_settings;
@@ -84,7 +87,7 @@
     http_server m_readinessServer;
     http_server m_lookupServer;
     http_server m_peerServer;
-    member_list m_members;
+    membership_protocol m_membership;
     std::minstd_rand m_random;
     gossip_socket m_gossip;
     route_book_ptr m_routes;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -117,9 +117,9 @@
     }
 }
 
-void entry_service::setOtherPlaceWords(const std::vector<place_words> &others)
+void entry_service::setOtherPlaceWords(const std::vector<place_words> &heard)
 {
-    m_places.hear(others);
+    m_places.hear(heard, static_cast<std::size_t>(m_daemons - 1));
 }
 
 void entry_service::tellPlaceWords(time_point now)
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -29,8 +29,8 @@
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
-    /// \brief Takes in what each of the other daemons that live tells of its places at the engines.
-    void setOtherPlaceWords(const std::vector<place_words> &others);
+    /// \brief Takes in what some of the other daemons told lately of their places at the engines.
+    void setOtherPlaceWords(const std::vector<place_words> &heard);
     /// \brief Calls \p tell now and then with what this daemon tells of its places.
     void onPlaceWords(std::function<void(place_words)> tell) { m_tellPlaceWords = std::move(tell); }
 
--- a/src/members/gossip_socket.cpp
+++ b/src/members/gossip_socket.cpp
@@ -20,17 +20,17 @@
 struct gossip_socket::state
 {
     state(const asio::any_io_executor &executor, receiver r)
-        : socket(executor), onStates(std::move(r))
+        : socket(executor), onMessage(std::move(r))
     { }
 
     udp::socket socket;
-    receiver onStates;
+    receiver onMessage;
     std::array<char, maxMessage> buffer{};
     bool stopped = false;
 };
 
-gossip_socket::gossip_socket(const asio::any_io_executor &executor, receiver onStates)
-    : m_state(std::make_shared<state>(executor, std::move(onStates)))
+gossip_socket::gossip_socket(const asio::any_io_executor &executor, receiver onMessage)
+    : m_state(std::make_shared<state>(executor, std::move(onMessage)))
 { }
 
 gossip_socket::~gossip_socket()
@@ -54,9 +54,9 @@
             co_return;
         if (code)
             continue;
-        const auto states = decodeMembers(std::string_view(s->buffer.data(), length));
-        if (states)
-            s->onStates(*states);
+        const auto message = decodeProbe(std::string_view(s->buffer.data(), length));
+        if (message)
+            s->onMessage(*message, {from.address().to_string(), from.port()});
         else
             logDecision(log_event::GossipUnreadable, {{"from", from.address().to_string()}});
     }
--- a/src/members/gossip_socket.h
+++ b/src/members/gossip_socket.h
@@ -1,20 +1,20 @@
 #pragma once
 
-#include "members/member_state.h"
+#include "members/probe_message.h"
 #include "runtime/runtime.h"
 
 #include <functional>
 
 namespace azurehill {
 
-/// \brief Carries states of members as datagrams. Used from one thread.
+/// \brief Carries messages between daemons as datagrams. Used from one thread.
 class gossip_socket
 {
 public:
-    using receiver = std::function<void(const std::vector<member_state> &)>;
+    using receiver = std::function<void(const probe_message &, const endpoint &from)>;
 
-    /// \param onStates called with each message that can be read.
-    gossip_socket(const asio::any_io_executor &executor, receiver onStates);
+    /// \param onMessage called with each message that can be read.
+    gossip_socket(const asio::any_io_executor &executor, receiver onMessage);
     ~gossip_socket();
     gossip_socket(const gossip_socket &) = delete;
     gossip_socket &operator=(const gossip_socket &) = delete;
--- a/src/members/member_list.cpp
+++ b/src/members/member_list.cpp
@@ -1,110 +1,111 @@
 #include "members/member_list.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace azurehill {
 
-namespace {
+void member_list::set(entry &e, entry next)
+{
+    const bool wasAlive = e.isAlive();
+    e = std::move(next);
+    if (e.isAlive() == wasAlive)
+        return;
+    if (wasAlive)
+        --m_aliveCount;
+    else
+        ++m_aliveCount;
+    m_changes.push_back({e.update.state, e.isAlive()});
+}
 
-/// \returns whether \p a is a later word of the same daemon than \p b.
-bool isNewer(const member_state &a, const member_state &b)
+bool member_list::apply(const member_update &news, time_point deadAt)
 {
-    if (a.incarnation != b.incarnation)
-        return a.incarnation > b.incarnation;
-    return a.beat > b.beat;
+    const auto [found, isNew] = m_members.try_emplace(news.state.name);
+    entry &e = found->second;
+    const bool isFirst = e.isOnlyListed && compareAge(news.state, e.update.state) >= 0;
+    if (!isNew && !isFirst && !overrides(news, e.update))
+        return false;
+    set(e, {news, false, deadAt});
+    return true;
 }
 
-} // namespace
+void member_list::onListed(const member_state &state)
+{
+    const auto [found, isNew] = m_members.try_emplace(state.name);
+    entry &e = found->second;
+    if (isNew || (e.isOnlyListed && compareAge(state, e.update.state) > 0))
+        e = {{state, member_health::Alive}, true, {}};
+}
 
-member_list::member_list(member_state self, std::uint64_t seed)
-    : m_self(std::move(self)), m_random(seed)
-{ }
+bool member_list::onHeard(const daemon_id &name, std::int64_t incarnation, std::uint64_t version)
+{
+    const auto found = m_members.find(name);
+    if (found == m_members.end())
+        return false;
+    entry &e = found->second;
+    member_state said;
+    said.incarnation = incarnation;
+    said.version = version;
+    const auto age = compareAge(said, e.update.state);
+    if (age == 0 && e.isOnlyListed)
+        set(e, {e.update, false, {}});
+    return age <= 0;
+}
 
-std::vector<member_change> member_list::onHeard(const std::vector<member_state> &states,
-                                                time_point now)
+std::vector<daemon_id> member_list::expire(time_point now)
 {
-    std::vector<member_change> back;
-    for (const member_state &s : states) {
-        if (s.name == m_self.name)
-            continue;
-        entry &e = m_members[s.name];
-        const bool isFirst = e.state.name.empty();
-        if (!isFirst && !isNewer(s, e.state))
+    std::vector<daemon_id> gone;
+    for (auto &[name, e] : m_members) {
+        if (e.update.health != member_health::Suspect || now < e.deadAt)
             continue;
-        if (!e.isAlive)
-            back.push_back({s, true, isFirst ? duration::zero() : now - e.heardAt});
-        e = {s, now, true};
+        entry dead = e;
+        dead.update.health = member_health::Dead;
+        set(e, std::move(dead));
+        gone.push_back(name);
     }
-    return back;
+    return gone;
 }
 
-void member_list::onListed(const member_state &state)
+void member_list::extendSuspicions(duration time)
 {
-    if (state.name == m_self.name)
-        return;
-    entry &e = m_members[state.name];
-    if (e.state.name.empty())
-        e.state = state;
+    for (auto &[name, e] : m_members)
+        e.deadAt += time;
 }
 
-duration member_list::silenceLimit() const
+const member_list::entry *member_list::find(const daemon_id &name) const
 {
-    constexpr duration sixRounds = milliseconds(1200);
-    // States that a daemon hears in a round: four messages of forty.
-    constexpr std::size_t heardInRound = 160;
-    return sixRounds * static_cast<std::int64_t>(1 + m_members.size() / heardInRound);
+    const auto found = m_members.find(name);
+    return found == m_members.end() ? nullptr : &found->second;
 }
 
-std::vector<member_change> member_list::onRound(time_point now)
+template <class Predicate>
+member_list::selection member_list::select(Predicate predicate) const
 {
-    ++m_self.beat;
-    std::vector<member_change> gone;
-    for (auto &[name, e] : m_members) {
-        if (e.isAlive && now - e.heardAt > silenceLimit()) {
-            e.isAlive = false;
-            gone.push_back({e.state, false, now - e.heardAt});
-        }
+    selection result;
+    for (const auto &[name, e] : m_members) {
+        if (predicate(e))
+            result.push_back(&e.update.state);
     }
-    return gone;
+    return result;
 }
 
-void member_list::remove(const daemon_id &name)
+member_list::selection member_list::alive() const
 {
-    m_members.erase(name);
+    return select([](const entry &e) { return e.isAlive(); });
 }
 
-std::vector<member_state> member_list::digest(std::size_t most)
+member_list::selection member_list::healthy() const
 {
-    // Chosen by chance: the freshest words only would pass among the few that heard them first.
-    std::vector<member_state> living = alive();
-    std::shuffle(living.begin(), living.end(), m_random);
-    living.resize(std::min(living.size(), most - 1));
-    living.push_back(m_self);
-    return living;
+    return select([](const entry &e) { return e.isHealthy(); });
 }
 
-std::vector<member_state> member_list::pickPeers(std::size_t count)
+member_list::selection member_list::silent() const
 {
-    std::vector<member_state> living;
-    std::vector<member_state> silent;
-    for (const auto &[name, e] : m_members)
-        (e.isAlive ? living : silent).push_back(e.state);
-    std::shuffle(living.begin(), living.end(), m_random);
-    std::shuffle(silent.begin(), silent.end(), m_random);
-    living.resize(std::min(living.size(), count));
-    if (!silent.empty())
-        living.push_back(silent.front());
-    return living;
+    return select([](const entry &e) { return !e.isHealthy(); });
 }
 
-std::vector<member_state> member_list::alive() const
+std::vector<member_change> member_list::takeChanges()
 {
-    std::vector<member_state> result;
-    for (const auto &[name, e] : m_members) {
-        if (e.isAlive)
-            result.push_back(e.state);
-    }
-    return result;
+    return std::exchange(m_changes, {});
 }
 
 } // namespace azurehill
--- a/src/members/member_list.h
+++ b/src/members/member_list.h
@@ -1,69 +1,74 @@
 #pragma once
 
-#include "members/member_state.h"
+#include "members/member_update.h"
 
 #include <map>
-#include <random>
 
 namespace azurehill {
 
-/// \brief A member that was heard of, or was not for too long.
+/// \brief A member that was heard of, or is gone.
 struct member_change
 {
     member_state member;
     bool isAlive = false;
-    /// How long it had been silent.
-    duration silence = duration::zero();
 };
 
-/// \brief The daemons of the system, and which of them live.
-///
-/// Each round a daemon raises its beat and tells a few others what it heard last; a beat so reaches
-/// everyone in a few rounds, whatever the number of daemons. A member whose beat stands still is
-/// taken as gone until it moves again.
+/// \brief The other daemons of the system, and what is held of each.
 class member_list
 {
 public:
-    /// \returns the time without a new beat after which a member is taken as gone. Six rounds, so
-    /// that some lost datagrams do no harm, and little enough that callers are sent elsewhere
-    /// within two seconds; longer where beats pass through many hands.
-    duration silenceLimit() const;
-
-    explicit member_list(member_state self, std::uint64_t seed);
+    /// \brief A member as it is known here.
+    struct entry
+    {
+        member_update update;
+        /// Whether only the store names it: nobody has heard of it yet.
+        bool isOnlyListed = true;
+        /// When a suspicion becomes a death, unless the member denies it.
+        time_point deadAt;
 
-    member_state &self() { return m_self; }
-    const member_state &self() const { return m_self; }
+        bool isAlive() const { return !isOnlyListed && update.health != member_health::Dead; }
+        bool isHealthy() const { return !isOnlyListed && update.health == member_health::Alive; }
+    };
 
-    /// \brief Takes in what another daemon said. \returns the members that came back by it.
-    std::vector<member_change> onHeard(const std::vector<member_state> &states, time_point now);
+    /// \brief Takes in \p news. \returns whether it says more than what was known.
+    /// \param deadAt when the member is gone, if the news is a suspicion.
+    bool apply(const member_update &news, time_point deadAt);
     /// \brief Takes in a member that the store names; it counts as alive once it is heard of.
     void onListed(const member_state &state);
-    /// \brief Begins a round. \returns the members that have been silent for too long since the
-    /// last one.
-    std::vector<member_change> onRound(time_point now);
-    /// \brief The member said that it stops.
-    void remove(const daemon_id &name);
+    /// \brief The member itself said its \p incarnation and \p version.
+    /// \returns whether that is its last word that is known here.
+    bool onHeard(const daemon_id &name, std::int64_t incarnation, std::uint64_t version);
+    /// \brief Takes suspected members whose time is over for dead. \returns their names.
+    std::vector<daemon_id> expire(time_point now);
+    /// \brief Gives suspected members \p time more.
+    void extendSuspicions(duration time);
+
+    /// \returns what is known of \p name, or null.
+    const entry *find(const daemon_id &name) const;
+    /// Members as they are known here, until the list changes.
+    using selection = std::vector<const member_state *>;
 
-    /// \returns this daemon and some that live, \p most in all, for a message to another daemon.
-    std::vector<member_state> digest(std::size_t most);
-    /// \returns up to \p count members to talk to, silent ones now and then as well: they may be
-    /// back.
-    std::vector<member_state> pickPeers(std::size_t count);
-    /// \returns the other members that live.
-    std::vector<member_state> alive() const;
+    /// \returns the members that live, suspected ones included.
+    selection alive() const;
+    /// \returns the members that live and that nobody suspects.
+    selection healthy() const;
+    /// \returns the members that the store or others name, and that are suspected, gone or not
+    /// heard of yet.
+    selection silent() const;
+    std::size_t aliveCount() const { return m_aliveCount; }
     std::size_t known() const { return m_members.size(); }
 
+    /// \returns what changed since the last call, from dead to alive or back.
+    std::vector<member_change> takeChanges();
+
 private:
-    struct entry
-    {
-        member_state state;
-        time_point heardAt;
-        bool isAlive = false;
-    };
+    template <class Predicate>
+    selection select(Predicate predicate) const;
+    void set(entry &e, entry next);
 
-    member_state m_self;
-    std::minstd_rand m_random;
     std::map<daemon_id, entry> m_members;
+    std::vector<member_change> m_changes;
+    std::size_t m_aliveCount = 0;
 };
 
 } // namespace azurehill
--- a/src/members/members.h
+++ b/src/members/members.h
@@ -5,5 +5,5 @@
 
 #include "members/answer_patience.h"
 #include "members/gossip_socket.h"
-#include "members/member_list.h"
+#include "members/membership_protocol.h"
 #include "members/peer_transport.h"
--- /dev/null
+++ b/src/members/membership_protocol.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "members/member_list.h"
+#include "members/probe_message.h"
+#include "members/update_queue.h"
+#include "members/word_sample.h"
+
+#include <random>
+
+namespace azurehill {
+
+/// \brief A message and where it goes.
+struct probe_datagram
+{
+    endpoint to;
+    probe_message message;
+};
+
+/// \brief Finds out which daemons live by probes, and passes on what changed (SWIM).
+///
+/// In each round a daemon pings a few others. One that does not answer is asked again, directly and
+/// through others; if that fails as well it is suspected, and gone if it does not deny that in
+/// time. News travels with the pings and their answers, so a daemon's cost is the same whatever
+/// their number, and silence of one link or of the daemon that probes makes nobody dead.
+///
+/// It does no input or output: messages and the time go in, messages come out.
+class membership_protocol
+{
+public:
+    /// Time from one call of onRound() to the next.
+    static constexpr duration round = milliseconds(200);
+
+    membership_protocol(member_state self, std::uint64_t seed);
+
+    const member_state &self() const { return m_self; }
+    /// \brief Takes in whether callers may be sent here, and whether this daemon reaches the store.
+    void setSelf(bool isServing, bool isStoreReachable);
+    /// \brief Takes in what this daemon tells the others of its places at the engines.
+    void setWords(place_words words) { m_words = std::move(words); }
+
+    /// \brief Takes in a member that the store names. A row of this daemon's own name that an
+    /// earlier run left has this run tell a larger incarnation, also if the clock went back.
+    void onListed(const member_state &state);
+    /// \brief Begins a round. \returns the messages to send.
+    std::vector<probe_datagram> onRound(time_point now);
+    /// \brief Takes in a message that came from \p from. \returns the messages to send.
+    std::vector<probe_datagram> onMessage(const probe_message &message, const endpoint &from,
+                                          time_point now);
+    /// \brief This daemon stops. \returns the messages that tell some others at once.
+    std::vector<probe_datagram> leave();
+    /// \returns a message for a daemon of which only the address is known.
+    probe_message introduction();
+
+    const member_list &members() const { return m_members; }
+    /// \returns what other daemons told lately of their places at the engines.
+    std::vector<place_words> wordsHeard() const { return m_sample.heard(); }
+    /// \returns the members that came or went since the last call.
+    std::vector<member_change> takeChanges() { return m_members.takeChanges(); }
+
+private:
+    /// \brief A ping that was not answered yet.
+    struct probe
+    {
+        daemon_id target;
+        int rounds = 0;
+    };
+    /// \brief A ping that was made for another daemon.
+    struct relayed_ping
+    {
+        endpoint asker;
+        std::uint64_t sequence = 0;
+        int rounds = 0;
+    };
+
+    /// \returns a message with news of members, which counts as sent to one more.
+    probe_message message(probe_kind kind, std::uint64_t sequence);
+    /// \returns a message without news, for a receiver that may be gone.
+    probe_message bareMessage(probe_kind kind, std::uint64_t sequence) const;
+    /// \returns up to \p count members by chance out of \p candidates.
+    member_list::selection pick(member_list::selection candidates, std::size_t count);
+    std::vector<daemon_id> nextTargets();
+    void learn(const member_update &news, time_point now);
+    void deny(const member_state &said);
+    void suspect(const daemon_id &name, time_point now);
+    void checkProbes(std::vector<probe_datagram> &out, time_point now);
+    void askOthers(std::uint64_t sequence, const probe &p, std::vector<probe_datagram> &out);
+    void probeNext(std::vector<probe_datagram> &out);
+
+    member_state m_self;
+    std::minstd_rand m_random;
+    member_list m_members;
+    update_queue m_updates;
+    word_sample m_sample;
+    place_words m_words;
+    std::map<std::uint64_t, probe> m_probes;
+    std::map<std::uint64_t, relayed_ping> m_relayed;
+    std::uint64_t m_lastSequence = 0;
+    /// Members that this daemon pings next, in an order by chance that names each once.
+    std::vector<daemon_id> m_targets;
+    std::optional<time_point> m_lastRound;
+    int m_rounds = 0;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/members/word_sample.cpp
@@ -0,0 +1,32 @@
+#include "members/word_sample.h"
+
+namespace azurehill {
+
+namespace {
+
+/// Words older than this say little of a demand that follows bursts of some seconds. In this time
+/// some 36 messages come, six a round, of as many daemons where there are many.
+constexpr duration mostAge = milliseconds(1200);
+
+} // namespace
+
+void word_sample::onHeard(const daemon_id &member, place_words words, time_point now)
+{
+    m_heard[member] = {std::move(words), now};
+}
+
+void word_sample::expire(time_point now)
+{
+    std::erase_if(m_heard, [now](const auto &item) { return now - item.second.at > mostAge; });
+}
+
+std::vector<place_words> word_sample::heard() const
+{
+    std::vector<place_words> all;
+    all.reserve(m_heard.size());
+    for (const auto &[member, heard] : m_heard)
+        all.push_back(heard.words);
+    return all;
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/members/word_sample.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/core.h"
+#include "replicas/place_division.h"
+
+#include <map>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief The words on places that came lately, one of each daemon that was heard.
+///
+/// Each daemon talks to some others by chance in each round, so what it hears in a second is a
+/// sample of all, as fresh as a second, at a cost that does not grow with their number. Where there
+/// are few daemons it is all of them.
+class word_sample
+{
+public:
+    /// \brief \p member told \p words.
+    void onHeard(const daemon_id &member, place_words words, time_point now);
+    /// \brief Forgets words that are too old.
+    void expire(time_point now);
+    /// \returns what each daemon that was heard lately told last.
+    std::vector<place_words> heard() const;
+
+private:
+    struct heard_words
+    {
+        place_words words;
+        time_point at;
+    };
+
+    std::map<daemon_id, heard_words> m_heard;
+};
+
+} // namespace azurehill
--- a/src/replicas/place_division.cpp
+++ b/src/replicas/place_division.cpp
@@ -21,7 +21,7 @@
 
 /// \returns the mean of \p member over the words that have it, by the requests that are behind
 /// each.
-double meanOf(double place_word::*member, const place_word &own, std::span<const place_word> others)
+double meanOf(double place_word::*member, const place_word &own, const place_sample &others)
 {
     double sum = 0;
     double weights = 0;
@@ -34,35 +34,38 @@
         weights += weight;
     };
     add(own);
-    std::for_each(others.begin(), others.end(), add);
+    std::for_each(others.heard.begin(), others.heard.end(), add);
     return weights > 0 ? sum / weights : 0;
 }
 
 } // namespace
 
-double placePart(place_demand own, std::span<const place_word> others, double places)
+double placePart(place_demand own, const place_sample &others, double places)
 {
-    const double even = 1 / double(1 + others.size());
-    if (places <= 0)
+    const double even = 1 / double(1 + others.others);
+    const bool isAnyHeard = !others.heard.empty() || others.others == 0;
+    if (places <= 0 || !isAnyHeard)
         return even;
     const double most = mostWanted * places;
     own = std::min(own, most);
-    const double all
-        = std::accumulate(others.begin(), others.end(), own, [&](double sum, const place_word &w) {
-              return sum + std::min(w.wanted, most);
-          });
+    const double heard = std::accumulate(
+        others.heard.begin(), others.heard.end(), 0.0,
+        [&](double sum, const place_word &w) { return sum + std::min(w.wanted, most); });
+    const double daemonsPerWord
+        = double(others.others) / double(std::max<std::size_t>(1, others.heard.size()));
+    const double all = own + heard * daemonsPerWord;
     if (all <= 0)
         return even;
     const double unwanted = std::max(evenShare, 1 - all / places);
     return unwanted * even + (1 - unwanted) * own / all;
 }
 
-double agreedPerReplica(const place_word &own, std::span<const place_word> others)
+double agreedPerReplica(const place_word &own, const place_sample &others)
 {
     return meanOf(&place_word::perReplica, own, others);
 }
 
-double agreedInflation(const place_word &own, std::span<const place_word> others)
+double agreedInflation(const place_word &own, const place_sample &others)
 {
     return meanOf(&place_word::inflation, own, others);
 }
--- a/src/replicas/place_division.h
+++ b/src/replicas/place_division.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <span>
 #include <string>
+#include <vector>
 
 namespace azurehill {
 
@@ -27,6 +29,22 @@
 /// \brief The words of one daemon by service.
 using place_words = std::map<std::string, place_word, std::less<>>;
 
+/// \brief What some or all of the other daemons told last.
+struct place_sample
+{
+    place_sample() = default;
+    /// \brief All others were heard.
+    place_sample(const std::vector<place_word> &all) : heard(all), others(all.size()) { }
+    /// \brief \p words came of some of \p count others.
+    place_sample(std::span<const place_word> words, std::size_t count)
+        : heard(words), others(std::max(count, words.size()))
+    { }
+
+    std::span<const place_word> heard;
+    /// Other daemons that live, heard ones included. The rest counts like the mean of those.
+    std::size_t others = 0;
+};
+
 /// \brief Divides the places at a service's engines among the daemons before them.
 ///
 /// Callers find a daemon by chance and stay with it; after a restart of all, most are at the few
@@ -40,23 +58,23 @@
 /// \param own the demand of this daemon, as old as the words of the others: with its demand of the
 /// moment each daemon would take for itself what seems free to all (1,100 requests for 288 places
 /// when eleven daemons got 100 each at one moment).
-/// \param others what each other daemon that lives told last.
+/// \param others what the other daemons told last.
 /// \param places requests that the engines bear from all daemons; 0 if that is not known.
 /// \returns the part that is this daemon's, above 0 and at most 1.
-double placePart(place_demand own, std::span<const place_word> others, double places);
+double placePart(place_demand own, const place_sample &others, double places);
 
 /// \brief Puts together what daemons before the same replicas hold to be right.
 ///
 /// Alone, a daemon that sees a few slow answers holds back its callers while others before the same
 /// replicas fill them: 3.9 and 21.7 requests a replica at one moment of a recovery, by the log.
 /// \param own what this daemon tells.
-/// \param others what each other daemon that lives told last.
+/// \param others what the other daemons told last.
 /// \returns requests of all daemons at one replica, or 0 if none knows.
-double agreedPerReplica(const place_word &own, std::span<const place_word> others);
+double agreedPerReplica(const place_word &own, const place_sample &others);
 
 /// \brief Puts together how slow daemons before the same replicas see them.
 /// \returns how many times slower events come than from an idle engine, or 0 if none has seen
 /// enough; parameters as for agreedPerReplica().
-double agreedInflation(const place_word &own, std::span<const place_word> others);
+double agreedInflation(const place_word &own, const place_sample &others);
 
 } // namespace azurehill
--- a/src/replicas/service_gate.cpp
+++ b/src/replicas/service_gate.cpp
@@ -123,9 +123,9 @@
     return m_told.back();
 }
 
-void service_gate::hear(std::span<const place_word> others)
+void service_gate::hear(const place_sample &others)
 {
-    m_heard.assign(others.begin(), others.end());
+    m_heard.assign(others.heard.begin(), others.heard.end());
     const place_demand own = m_told.empty() ? word().wanted : m_told.front().wanted;
     setPart(placePart(own, others, places()));
     const double agreed = agreedPerReplica(word(), others) * replicas();
--- a/src/replicas/service_gate.h
+++ b/src/replicas/service_gate.h
@@ -74,7 +74,7 @@
     place_word tell();
     /// \brief Takes in what the other daemons before the same engines told last. Call it once for
     /// each round of words.
-    void hear(std::span<const place_word> others);
+    void hear(const place_sample &others);
 
     /// \returns whether the request may go now. If not it waits until take() names it.
     bool enter(const gate_ticket &ticket);
@@ -127,7 +127,7 @@
     double m_part = 1;
     /// What this daemon told in the last rounds, oldest first.
     std::deque<place_word> m_told;
-    /// What the others told last.
+    /// What those of the others that were heard told last.
     std::vector<place_word> m_heard;
     int m_inside = 0;
     double m_limit = 0;
--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -255,7 +255,7 @@
         });
     }
 
-    TEST_CASE("messages of other daemons")
+    TEST_CASE("rows of other daemons")
     {
         fuzz("members", [](const std::string &text) {
             if (const auto states = decodeMembers(text))
@@ -263,6 +263,14 @@
         });
     }
 
+    TEST_CASE("messages of other daemons")
+    {
+        fuzz("probe", [](const std::string &text) {
+            if (const auto message = decodeProbe(text))
+                RC_ASSERT(decodeProbe(encodeProbe(*message)).has_value());
+        });
+    }
+
     TEST_CASE("clients' headers")
     {
         fuzz("request", [](const std::string &text) {
