Replicas' entries are read by turns and passed on between daemons

Cause: each daemon read all entries four times in the drain time: 16 MB a second at the store with 295 daemons and 233 entries, growing with the product of both. Change: table_cache holds the entries with the store's version and the time at which they were certainly the table. Answers to pings carry version, hash and age; a daemon whose copy is older takes the changes from the one that answered, and reads for itself when its copy is older than a third of the drain time or it is its turn (sixteen of all at a look). replica_follower is split out of entry_control.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -18,6 +18,7 @@
     CantListen,
     ConfigurationAdopted,
     ConfigurationUnreadable,
+    ReplicasAdopted,
     ReplicaListed,
     ReplicaDraining,
     ReplicaRestarted,
@@ -51,7 +52,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 36> names = {"started",
+    static constexpr std::array<std::string_view, 37> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -59,6 +60,7 @@
                                                                "cant_listen",
                                                                "configuration_adopted",
                                                                "configuration_unreadable",
+                                                               "replicas_adopted",
                                                                "replica_listed",
                                                                "replica_draining",
                                                                "replica_restarted",
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -15,8 +15,6 @@
 /// Longest wait of one call to the feed. Short, since a feed may go silent while changes are made.
 constexpr duration feedWait = seconds(2);
 constexpr duration feedSlack = seconds(1);
-/// The replicas' entries are read this often within the time that a leaving one allows.
-constexpr int replicaReadsPerDrain = 4;
 /// The configuration is read this often within the time in which it must be in force, beside the
 /// feed: a feed that went silent would otherwise leave the daemon with an old one.
 constexpr double configReadsPerApply = 1.3;
@@ -79,10 +77,11 @@
                    [this](const http_request &r, response_writer &w) { return answerPeer(r, w); }),
       m_membership(makeSelf(settings), stableHash(settings.name.value)),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
-      m_gossip(context.get_executor(), [this](const probe_message &message, const endpoint &from) {
-          send(m_membership.onMessage(message, from, runtime_clock::now()));
-          logMembers();
-      })
+      m_gossip(context.get_executor(),
+               [this](const probe_message &m, const endpoint &from) { onGossip(m, from); }),
+      m_replicas(
+          context.get_executor(), m_store, m_transport, settings.name,
+          [this](std::vector<replica_entry> listed) { m_events.onReplicas(std::move(listed)); })
 { }
 
 std::optional<control_ports> entry_control::start()
@@ -97,7 +96,8 @@
     const auto executor = m_context.get_executor();
     spawn(executor, "followConfiguration", followConfiguration());
     spawn(executor, "pollConfiguration", pollConfiguration());
-    spawn(executor, "pollReplicas", pollReplicas());
+    m_replicas.setDrain(m_settings.replicaDrain);
+    spawn(executor, "followReplicas", m_replicas.follow());
     spawn(executor, "pollMembers", pollMembers());
     spawn(executor, "gossip", gossip());
     return ports;
@@ -105,7 +105,7 @@
 
 void entry_control::setSettings(const host_settings &settings)
 {
-    m_settings.replicaDrain = settings.replicaDrain;
+    m_replicas.setDrain(settings.replicaDrain);
     m_settings.configApply = settings.configApply;
     m_settings.grace = settings.grace;
     m_settings.lookupTtl = settings.lookupTtl;
@@ -121,10 +121,10 @@
 {
     entry_gauges g;
     g.members = static_cast<int>(m_membership.members().aliveCount()) + 1;
-    g.replicas = static_cast<int>(m_replicas.size());
-    g.drainingReplicas
-        = static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
-                                         [](const auto &item) { return item.second.draining; }));
+    const auto &replicas = m_replicas.replicas();
+    g.replicas = static_cast<int>(replicas.size());
+    g.drainingReplicas = static_cast<int>(std::count_if(
+        replicas.begin(), replicas.end(), [](const auto &item) { return item.second.draining; }));
     g.configVersion = m_routes ? m_routes->version() : 0;
     g.storeReachable = m_transport->isDirectWorking();
     g.storeAge = runtime_clock::now() - m_transport->lastAnswer();
@@ -198,6 +198,8 @@
     http_response response;
     if (isRelayedCall(request))
         response = co_await answerRelayedCall(*m_transport, request);
+    else if (replica_follower::isChangesRequest(request))
+        response = m_replicas.answerChanges(request);
     else
         response = encodeOwnAnswer(own_answer::NoRoute, "", {});
     co_await writer.write(std::move(response));
@@ -275,75 +277,6 @@
     }
 }
 
-void entry_control::adoptReplicas(const row_page &page)
-{
-    // An answer that lags behind an earlier one would bring back replicas that are leaving.
-    if (page.version < m_replicasVersion)
-        return;
-    m_replicasVersion = page.version;
-    std::map<upstream_id, replica_entry> next;
-    for (const stored_row &row : page.rows) {
-        const auto read = decodeReplica(row);
-        if (!read) {
-            m_unreadable.tell(log_event::ReplicaRowUnreadable, row, read.error());
-            continue;
-        }
-        const auto old = m_replicas.find(read->incarnation.id);
-        const replica_entry *const known = old == m_replicas.end() ? nullptr : &old->second;
-        replica_entry entry = known ? latestEntry(*known, *read) : *read;
-        logReplica(known, entry);
-        next.emplace(read->incarnation.id, std::move(entry));
-    }
-    for (const auto &[id, old] : m_replicas) {
-        if (!next.contains(id))
-            logDecision(log_event::ReplicaGone, {{"replica", id.value}});
-    }
-    m_replicas = std::move(next);
-    m_hasReplicas = true;
-    std::vector<replica_entry> listed;
-    for (const auto &[id, entry] : m_replicas)
-        listed.push_back(entry);
-    m_events.onReplicas(std::move(listed));
-}
-
-void entry_control::logReplica(const replica_entry *known, const replica_entry &entry) const
-{
-    const replica_incarnation &who = entry.incarnation;
-    if (!known) {
-        logDecision(
-            log_event::ReplicaListed,
-            {{"replica", who.id.value}, {"born", who.bornUnixMs}, {"service", entry.service}});
-        return;
-    }
-    if (known->incarnation != who) {
-        logDecision(log_event::ReplicaRestarted,
-                    {{"replica", who.id.value},
-                     {"born", who.bornUnixMs},
-                     {"born_before", known->incarnation.bornUnixMs},
-                     {"was_draining", known->draining}});
-    }
-    const bool wasDraining = known->incarnation == who && known->draining;
-    if (entry.draining && !wasDraining)
-        logDecision(log_event::ReplicaDraining, {{"replica", who.id.value}});
-}
-
-awaitable<void> entry_control::pollReplicas()
-{
-    while (true) {
-        row_range range = replicaRange();
-        const auto page = co_await m_store.read(std::move(range), soon());
-        if (page)
-            adoptReplicas(*page);
-        const bool reachable = m_transport->isDirectWorking();
-        if (reachable != m_storeWasReachable) {
-            logDecision(reachable ? log_event::StoreRegained : log_event::StoreLost,
-                        {{"detail", m_transport->lastDirectFailure()}});
-            m_storeWasReachable = reachable;
-        }
-        co_await sleepFor(part(m_settings.replicaDrain, replicaReadsPerDrain));
-    }
-}
-
 void entry_control::adoptMember(const stored_row &row)
 {
     const auto states = decodeMembers(row.value);
@@ -386,6 +319,21 @@
     return std::chrono::duration_cast<duration>(membersPause * turns * chance);
 }
 
+void entry_control::tellReplicas()
+{
+    if (const auto digest = m_replicas.digest())
+        m_membership.setReplicas(*digest, runtime_clock::now());
+}
+
+void entry_control::onGossip(const probe_message &message, const endpoint &from)
+{
+    tellReplicas();
+    send(m_membership.onMessage(message, from, runtime_clock::now()));
+    for (const digest_news &news : m_membership.takeDigests())
+        m_replicas.onDigest(news);
+    logMembers();
+}
+
 void entry_control::logMembers()
 {
     const std::vector<member_change> changes = m_membership.takeChanges();
@@ -432,7 +380,9 @@
 awaitable<void> entry_control::gossip()
 {
     while (true) {
-        m_membership.setSelf(!m_isLeaving && m_routes && m_hasReplicas,
+        m_replicas.setDaemons(m_membership.members().aliveCount() + 1);
+        tellReplicas();
+        m_membership.setSelf(!m_isLeaving && m_routes && m_replicas.hasReplicas(),
                              m_transport->isDirectWorking());
         send(m_membership.onRound(runtime_clock::now()));
         logMembers();
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -2,6 +2,7 @@
 
 #include "entry/entry_metrics.h"
 #include "entry/host_settings.h"
+#include "entry/replica_follower.h"
 #include "http/http_server.h"
 #include "members/members.h"
 #include "platform/platform_store.h"
@@ -64,18 +65,18 @@
     awaitable<void> followConfiguration();
     awaitable<void> pollConfiguration();
     awaitable<void> readConfiguration();
-    awaitable<void> pollReplicas();
     awaitable<void> pollMembers();
     awaitable<void> gossip();
 
     void adoptConfiguration(const stored_row &row, std::string_view source);
-    void adoptReplicas(const row_page &page);
     void adoptMember(const stored_row &row);
-    void logReplica(const replica_entry *known, const replica_entry &entry) const;
     void publishPeers();
     void publishPlaceWords() const;
     /// \returns the time until this daemon reads the members' rows again.
     duration membersReadPause();
+    void onGossip(const probe_message &message, const endpoint &from);
+    /// \brief Has the other daemons hear of the newest copy of the replicas' entries.
+    void tellReplicas();
     void logMembers();
     void send(const std::vector<probe_datagram> &datagrams);
 
@@ -91,14 +92,11 @@
     std::minstd_rand m_random;
     gossip_socket m_gossip;
     route_book_ptr m_routes;
-    store_version m_replicasVersion = 0;
-    std::map<upstream_id, replica_entry> m_replicas;
+    replica_follower m_replicas;
     unreadable_rows m_unreadable;
     std::vector<endpoint> m_peersReachingStore;
     int m_aliveCount = 0;
-    bool m_hasReplicas = false;
     bool m_isLeaving = false;
-    bool m_storeWasReachable = true;
 };
 
 } // namespace azurehill
--- /dev/null
+++ b/src/entry/replica_follower.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "entry/host_settings.h"
+#include "http/connection_pool.h"
+#include "members/members.h"
+#include "replicas/replicas.h"
+#include "rows/rows.h"
+#include "rows/table_cache.h"
+#include "store/store.h"
+
+#include <functional>
+#include <random>
+
+namespace azurehill {
+
+/// \brief Keeps up with the replicas' entries: reads them now and then, and takes what others read.
+///
+/// All daemons together read the table as often as sixteen would, whatever their number, and hear
+/// from each other within a second that it changed. A daemon whose copy gets too old, since nobody
+/// reaches the store or it reaches nobody, reads for itself. Lives on the control thread.
+class replica_follower
+{
+public:
+    using receiver = std::function<void(std::vector<replica_entry>)>;
+
+    /// \param transport tells whether the store answers this daemon directly.
+    /// \param onReplicas called whenever entries changed.
+    replica_follower(asio::any_io_executor executor, store &rows,
+                     std::shared_ptr<peer_transport> transport, const daemon_id &self,
+                     receiver onReplicas);
+
+    /// \brief Reads as often as \p drain, the time that a leaving replica allows, and the \p
+    /// daemons that live ask for. Runs until the program ends.
+    awaitable<void> follow();
+    /// \brief Takes in how long a leaving replica goes on serving.
+    void setDrain(duration drain) { m_drain = drain; }
+    /// \brief Takes in how many daemons live, this one included.
+    void setDaemons(std::size_t count) { m_daemons = std::max<std::size_t>(1, count); }
+
+    /// \brief Another daemon told of its copy. A newer one is asked for in the background.
+    void onDigest(const digest_news &news);
+    /// \returns the digest to tell, or nothing before the first rows came.
+    std::optional<table_digest> digest() const { return m_table.digest(runtime_clock::now()); }
+    /// \returns whether \p request asks for changes of the entries.
+    static bool isChangesRequest(const http_request &request);
+    /// \returns the changes that another daemon asks for.
+    http_response answerChanges(const http_request &request) const;
+
+    /// \returns whether the entries are known.
+    bool hasReplicas() const { return m_hasReplicas; }
+    const std::map<upstream_id, replica_entry> &replicas() const { return m_replicas; }
+
+private:
+    /// \returns whether this daemon reads the table now.
+    bool mustRead();
+    awaitable<void> readTable();
+    /// \brief Reads one row, to learn whether the store answers.
+    awaitable<void> touchStore();
+    awaitable<void> takeChanges(digest_news news);
+    void adopt(std::string_view source);
+    void logReplica(const replica_entry *known, const replica_entry &entry) const;
+    void logStore();
+
+    asio::any_io_executor m_executor;
+    store &m_store;
+    std::shared_ptr<peer_transport> m_transport;
+    daemon_id m_self;
+    receiver m_onReplicas;
+    connection_pool m_pool;
+    std::minstd_rand m_random;
+    duration m_drain = seconds(2);
+    std::size_t m_daemons = 1;
+    table_cache m_table;
+    std::map<upstream_id, replica_entry> m_replicas;
+    unreadable_rows m_unreadable;
+    bool m_hasReplicas = false;
+    bool m_isTakingChanges = false;
+    bool m_storeWasReachable = true;
+};
+
+} // namespace azurehill
--- a/src/members/membership_protocol.cpp
+++ b/src/members/membership_protocol.cpp
@@ -50,6 +50,21 @@
     m_updates.add(m_self.name);
 }
 
+void membership_protocol::setReplicas(const table_digest &digest, time_point now)
+{
+    m_replicas = digest;
+    m_replicasAt = now;
+}
+
+std::optional<table_digest> membership_protocol::replicasAt(time_point now) const
+{
+    if (!m_replicas)
+        return std::nullopt;
+    table_digest digest = *m_replicas;
+    digest.age += now - m_replicasAt;
+    return digest;
+}
+
 void membership_protocol::onListed(const member_state &state)
 {
     if (state.name != m_self.name) {
@@ -190,11 +205,11 @@
     }
 }
 
-void membership_protocol::probeNext(std::vector<probe_datagram> &out)
+void membership_protocol::probeNext(std::vector<probe_datagram> &out, time_point now)
 {
     const std::vector<daemon_id> targets = nextTargets();
     for (const daemon_id &name : targets) {
-        m_probes[++m_lastSequence] = {name, 0};
+        m_probes[++m_lastSequence] = {name, now, 0};
         const endpoint to = m_members.find(name)->update.state.gossip;
         out.push_back({to, message(probe_kind::Ping, m_lastSequence)});
     }
@@ -220,11 +235,25 @@
     for (const daemon_id &name : m_members.expire(now))
         m_updates.add(name);
     m_sample.expire(now);
-    probeNext(out);
+    probeNext(out, now);
     ++m_rounds;
     return out;
 }
 
+void membership_protocol::onAck(const probe_message &m, std::vector<probe_datagram> &out)
+{
+    const auto answered = m_probes.extract(m.sequence);
+    const auto *sender = m_members.find(m.sender);
+    // An answer that came through another daemon has that one's digest, and was asked for later.
+    const bool isDirect = answered && answered.mapped().target == m.sender;
+    if (isDirect && m.replicas && sender)
+        m_digests.push_back({sender->update.state.peers, *m.replicas, answered.mapped().sentAt});
+    const auto relayed = m_relayed.extract(m.sequence);
+    if (relayed)
+        out.push_back(
+            {relayed.mapped().asker, message(probe_kind::Ack, relayed.mapped().sequence)});
+}
+
 std::vector<probe_datagram> membership_protocol::onMessage(const probe_message &m,
                                                            const endpoint &from, time_point now)
 {
@@ -241,13 +270,8 @@
         m_relayed[++m_lastSequence] = {from, m.sequence};
         out.push_back({*m.target, bareMessage(probe_kind::Ping, m_lastSequence)});
     }
-    if (m.kind == probe_kind::Ack) {
-        m_probes.erase(m.sequence);
-        if (const auto relayed = m_relayed.extract(m.sequence)) {
-            const relayed_ping &r = relayed.mapped();
-            out.push_back({r.asker, message(probe_kind::Ack, r.sequence)});
-        }
-    }
+    if (m.kind == probe_kind::Ack)
+        onAck(m, out);
     // What was told unasked is answered only if it asks, and that answer asks nothing: two daemons
     // that doubt each other would otherwise send messages without an end.
     const bool isUnasked = m.kind == probe_kind::Ack && m.sequence == 0;
@@ -256,6 +280,8 @@
         return out;
     probe_message answer = message(probe_kind::Ack, m.kind == probe_kind::Ping ? m.sequence : 0);
     answer.asksWho = !isKnown && !isUnasked;
+    if (m.kind == probe_kind::Ping)
+        answer.replicas = replicasAt(now);
     if (m.asksWho)
         answer.updates.push_back({m_self, member_health::Alive});
     // What others hold of the sender reaches it, so that it can deny it.
--- a/src/members/membership_protocol.h
+++ b/src/members/membership_protocol.h
@@ -6,6 +6,7 @@
 #include "members/word_sample.h"
 
 #include <random>
+#include <utility>
 
 namespace azurehill {
 
@@ -16,6 +17,16 @@
     probe_message message;
 };
 
+/// \brief What a living daemon told of its copy of the replicas' entries.
+struct digest_news
+{
+    /// Where that daemon answers other daemons.
+    endpoint peer;
+    table_digest digest;
+    /// When this daemon asked: the digest is at least as young.
+    time_point askedAt;
+};
+
 /// \brief Finds out which daemons live by probes, and passes on what changed (SWIM).
 ///
 /// In each round a daemon pings a few others. One that does not answer is asked again, directly and
@@ -38,6 +49,9 @@
     /// \brief Takes in what this daemon tells the others of its places at the engines.
     void setWords(place_words words) { m_words = std::move(words); }
 
+    /// \brief Takes in this daemon's copy of the replicas' entries; its age goes on from \p now.
+    void setReplicas(const table_digest &digest, time_point now);
+
     /// \brief Takes in a member that the store names. A row of this daemon's own name that an
     /// earlier run left has this run tell a larger incarnation, also if the clock went back.
     void onListed(const member_state &state);
@@ -56,12 +70,15 @@
     std::vector<place_words> wordsHeard() const { return m_sample.heard(); }
     /// \returns the members that came or went since the last call.
     std::vector<member_change> takeChanges() { return m_members.takeChanges(); }
+    /// \returns what came of other daemons' copies since the last call.
+    std::vector<digest_news> takeDigests() { return std::exchange(m_digests, {}); }
 
 private:
     /// \brief A ping that was not answered yet.
     struct probe
     {
         daemon_id target;
+        time_point sentAt;
         int rounds = 0;
     };
     /// \brief A ping that was made for another daemon.
@@ -84,7 +101,9 @@
     void suspect(const daemon_id &name, time_point now);
     void checkProbes(std::vector<probe_datagram> &out, time_point now);
     void askOthers(std::uint64_t sequence, const probe &p, std::vector<probe_datagram> &out);
-    void probeNext(std::vector<probe_datagram> &out);
+    void probeNext(std::vector<probe_datagram> &out, time_point now);
+    void onAck(const probe_message &message, std::vector<probe_datagram> &out);
+    std::optional<table_digest> replicasAt(time_point now) const;
 
     member_state m_self;
     std::minstd_rand m_random;
@@ -92,6 +111,10 @@
     update_queue m_updates;
     word_sample m_sample;
     place_words m_words;
+    std::optional<table_digest> m_replicas;
+    /// When \c m_replicas had the age that it tells.
+    time_point m_replicasAt;
+    std::vector<digest_news> m_digests;
     std::map<std::uint64_t, probe> m_probes;
     std::map<std::uint64_t, relayed_ping> m_relayed;
     std::uint64_t m_lastSequence = 0;
--- a/src/members/probe_message.cpp
+++ b/src/members/probe_message.cpp
@@ -1,5 +1,7 @@
 #include "members/probe_message.h"
 
+#include "rows/table_digest_json.h"
+
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -118,6 +120,8 @@
         m.target = addressIn(*target);
     if (const json::value *words = o.if_contains("w"))
         m.words = wordsIn(words->as_object());
+    if (const json::value *replicas = o.if_contains("r"))
+        m.replicas = digestIn(*replicas);
     if (const json::value *updates = o.if_contains("u")) {
         for (const json::value &update : updates->as_array())
             m.updates.push_back(updateIn(update));
@@ -145,6 +149,8 @@
             words[service] = encode(word);
         o["w"] = std::move(words);
     }
+    if (message.replicas)
+        o["r"] = toJson(*message.replicas);
     if (!message.updates.empty()) {
         json::array updates;
         for (const member_update &update : message.updates)
--- a/src/members/probe_message.h
+++ b/src/members/probe_message.h
@@ -2,6 +2,7 @@
 
 #include "members/member_update.h"
 #include "replicas/place_division.h"
+#include "rows/table_cache.h"
 
 namespace azurehill {
 
@@ -36,6 +37,9 @@
     std::optional<endpoint> target;
     /// What the sender wants of the engines, and what it holds to be right there.
     place_words words;
+    /// The sender's copy of the replicas' entries; in an Ack of a Ping only, whose receiver knows
+    /// how old it may be by now.
+    std::optional<table_digest> replicas;
     std::vector<member_update> updates;
 };
 
--- /dev/null
+++ b/src/rows/table_digest_json.cpp
@@ -0,0 +1,28 @@
+#include "rows/table_digest_json.h"
+
+#include <boost/json.hpp>
+
+#include <stdexcept>
+
+namespace azurehill {
+
+boost::json::value toJson(const table_digest &digest)
+{
+    // Rounded up: a copy must never seem younger than it is.
+    return boost::json::array{digest.version, digest.hash, toMilliseconds(digest.age) + 1};
+}
+
+table_digest digestIn(const boost::json::value &value)
+{
+    table_digest digest;
+    digest.version = value.at(0).to_number<store_version>();
+    digest.hash = value.at(1).to_number<std::uint64_t>();
+    const auto ms = value.at(2).to_number<std::int64_t>();
+    constexpr std::int64_t mostMs = 24 * 3600 * 1000;
+    if (ms < 0)
+        throw std::out_of_range("an age");
+    digest.age = milliseconds(std::min(ms, mostMs));
+    return digest;
+}
+
+} // namespace azurehill
