Log: calls and bytes by purpose; tests of the entries' way between daemons

Cause: what a daemon costs the store and the network while nothing goes wrong showed in no line. A property of the copies found that a row that came and went unseen can't be told as gone: that daemon reads for itself.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -31,6 +31,7 @@
     GossipUnreadable,
     StoreLost,
     StoreRegained,
+    TrafficCounted,
     NotUnregistered,
     RowUnreadable,
     RowsDropped,
@@ -52,7 +53,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 37> names = {"started",
+    static constexpr std::array<std::string_view, 38> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -73,6 +74,7 @@
                                                                "gossip_unreadable",
                                                                "store_lost",
                                                                "store_regained",
+                                                               "traffic_counted",
                                                                "not_unregistered",
                                                                "row_unreadable",
                                                                "rows_dropped",
--- a/src/entry/replica_follower.cpp
+++ b/src/entry/replica_follower.cpp
@@ -12,15 +12,6 @@
 
 namespace {
 
-/// The entries are looked after this often within the time that a leaving replica allows.
-constexpr double looksPerDrain = 4;
-/// A copy that is older than that time divided by this is read anew. With the pause to the next look
-/// and a read that takes a second, a leaving replica gets no request at the end of its time.
-constexpr double agesPerDrain = 3;
-/// Daemons that read the table at one look, on average. News passes from one to all in about five
-/// rounds of pings at 2,000 daemons, so copies are some 0.8 s old; and a few readers that are cut
-/// off or slow change little.
-constexpr double readers = 16;
 constexpr duration storeCallTime = milliseconds(1000);
 /// Time for a daemon nearby to hand out its changes; after it this daemon reads for itself.
 constexpr duration changesTime = milliseconds(250);
@@ -31,9 +22,11 @@
 /// Lines on single replicas at one change of the entries; a start would write one for each.
 constexpr std::size_t mostReplicaLines = 8;
 
-duration part(duration whole, double count)
+/// \returns a row that is not there: an answer that says so costs the store least.
+row_range touchedRow()
 {
-    return std::chrono::duration_cast<duration>(whole / count);
+    const std::string key = "touch";
+    return {key, "", key, key + '\0'};
 }
 
 http_request changesRequest(store_version after)
@@ -64,10 +57,8 @@
 
 bool replica_follower::mustRead()
 {
-    const auto age = m_table.age(runtime_clock::now());
-    if (!age || *age > part(m_drain, agesPerDrain))
-        return true;
-    return std::uniform_real_distribution<double>(0, double(m_daemons))(m_random) < readers;
+    const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
+    return isReadDue(m_turns, m_table.age(runtime_clock::now()), chance);
 }
 
 awaitable<void> replica_follower::readTable()
@@ -81,7 +72,7 @@
 
 awaitable<void> replica_follower::touchStore()
 {
-    row_range range = configurationRange();
+    row_range range = touchedRow();
     const time_point deadline = runtime_clock::now() + storeCallTime;
     static_cast<void>(co_await m_store.read(std::move(range), deadline));
 }
@@ -99,7 +90,7 @@
 awaitable<void> replica_follower::follow()
 {
     while (true) {
-        const duration pause = part(m_drain, looksPerDrain);
+        const duration pause = lookPause(m_turns);
         // Callers are sent to daemons that reach the store, so each looks as often whether it does.
         const bool isStoreSilent
             = runtime_clock::now() - m_transport->lastAnswer() > pause || !m_storeWasReachable;
--- a/src/entry/replica_follower.h
+++ b/src/entry/replica_follower.h
@@ -5,7 +5,6 @@
 #include "members/members.h"
 #include "replicas/replicas.h"
 #include "rows/rows.h"
-#include "rows/table_cache.h"
 #include "store/store.h"
 
 #include <functional>
@@ -29,13 +28,12 @@
                      std::shared_ptr<peer_transport> transport, const daemon_id &self,
                      receiver onReplicas);
 
-    /// \brief Reads as often as \p drain, the time that a leaving replica allows, and the \p
-    /// daemons that live ask for. Runs until the program ends.
+    /// rief Reads when it is this daemon's turn. Runs until the program ends.
     awaitable<void> follow();
     /// \brief Takes in how long a leaving replica goes on serving.
-    void setDrain(duration drain) { m_drain = drain; }
+    void setDrain(duration drain) { m_turns.bound = drain; }
     /// \brief Takes in how many daemons live, this one included.
-    void setDaemons(std::size_t count) { m_daemons = std::max<std::size_t>(1, count); }
+    void setDaemons(std::size_t count) { m_turns.daemons = std::max<std::size_t>(1, count); }
 
     /// \brief Another daemon told of its copy. A newer one is asked for in the background.
     void onDigest(const digest_news &news);
@@ -54,7 +52,7 @@
     /// \returns whether this daemon reads the table now.
     bool mustRead();
     awaitable<void> readTable();
-    /// \brief Reads one row, to learn whether the store answers.
+    /// \brief Reads one row, to learn whether the store answers this daemon.
     awaitable<void> touchStore();
     awaitable<void> takeChanges(digest_news news);
     void adopt(std::string_view source);
@@ -68,8 +66,7 @@
     receiver m_onReplicas;
     connection_pool m_pool;
     std::minstd_rand m_random;
-    duration m_drain = seconds(2);
-    std::size_t m_daemons = 1;
+    read_turns m_turns;
     table_cache m_table;
     std::map<upstream_id, replica_entry> m_replicas;
     unreadable_rows m_unreadable;
--- a/src/members/gossip_socket.cpp
+++ b/src/members/gossip_socket.cpp
@@ -1,6 +1,7 @@
 #include "members/gossip_socket.h"
 
 #include "core/log_event.h"
+#include "core/traffic_meter.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -27,6 +28,7 @@
     receiver onMessage;
     std::array<char, maxMessage> buffer{};
     bool stopped = false;
+    traffic_meter meter;
 };
 
 gossip_socket::gossip_socket(const asio::any_io_executor &executor, receiver onMessage)
@@ -83,6 +85,7 @@
 {
     boost::system::error_code code;
     const auto ip = asio::ip::make_address(peer.host, code);
+    m_state->meter.onCall("gossip", message.size(), 0, runtime_clock::now());
     if (!code)
         m_state->socket.send_to(asio::buffer(message), {ip, peer.port}, 0, code);
     // A datagram that does not leave is like one that got lost: the next round makes up for it.
--- a/src/rows/row.h
+++ b/src/rows/row.h
@@ -56,6 +56,12 @@
     Upkeep,
 };
 
+template <>
+struct enum_names<write_urgency>
+{
+    static constexpr std::array<std::string_view, 3> names = {"end", "begin", "upkeep"};
+};
+
 /// \brief Changes that happen together, or not at all when one condition fails.
 struct store_transaction
 {
--- a/test/io/membership_replay.cpp
+++ b/test/io/membership_replay.cpp
@@ -1,5 +1,7 @@
 #include "io/membership_replay.h"
 
+#include <algorithm>
+
 namespace azurehill::test {
 
 namespace {
@@ -20,7 +22,7 @@
     const std::string ip
         = "10.1." + std::to_string(daemon / 250) + "." + std::to_string(daemon % 250 + 1);
     m.clients = {ip, 8080};
-    m.peers = {ip, 8081};
+    m.peers = {ip, std::uint16_t(daemon)};
     m.gossip = {ip, std::uint16_t(10'000 + daemon)};
     m.dataCentre = {"zone-" + std::to_string(daemon % 5)};
     m.serving = true;
@@ -48,7 +50,7 @@
         for (int other = 0; other < size; ++other)
             m_daemons[std::size_t(i)].onListed(stateOf(other));
         const auto phase = std::uniform_int_distribution<int>(0, 199)(m_random);
-        push(m_now + milliseconds(phase), i, -1, {});
+        push(m_now + milliseconds(phase), {i, -1, {}, false});
     }
     if (how == start::Acquainted)
         acquaint();
@@ -69,10 +71,9 @@
     }
 }
 
-void membership_replay::push(time_point at, int daemon, int from,
-                             std::optional<probe_message> message)
+void membership_replay::push(time_point at, event e)
 {
-    m_events.push({at, ++m_lastNumber, daemon, from, std::move(message)});
+    m_events.emplace(std::pair(at, ++m_lastNumber), std::move(e));
 }
 
 duration membership_replay::latency()
@@ -83,12 +84,12 @@
 void membership_replay::play(duration time)
 {
     const time_point end = m_now + time;
-    while (!m_events.empty() && m_events.top().at <= end) {
-        const event e = m_events.top();
-        m_events.pop();
-        m_now = e.at;
+    while (!m_events.empty() && m_events.begin()->first.first <= end) {
+        auto next = m_events.extract(m_events.begin());
+        m_now = next.key().first;
+        event &e = next.mapped();
         if (m_stopped.contains(e.daemon))
-            m_held[e.daemon].push_back(e);
+            m_held[e.daemon].push_back(std::move(e));
         else
             happen(e);
     }
@@ -105,7 +106,7 @@
 {
     m_stopped.erase(daemon);
     for (event &e : m_held[daemon])
-        push(m_now, daemon, e.from, std::move(e.message));
+        push(m_now, std::move(e));
     m_held.erase(daemon);
 }
 
@@ -116,7 +117,7 @@
     const int target = indexOf(datagram.to);
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_loss;
     if (!isLost && !m_cut.contains({from, target}))
-        push(m_now + latency(), target, from, datagram.message);
+        push(m_now + latency(), {target, from, datagram.message, false});
 }
 
 void membership_replay::count(const std::vector<member_change> &changes)
@@ -149,17 +150,106 @@
     return true;
 }
 
+void membership_replay::followTable(duration bound)
+{
+    m_turns = {bound, m_daemons.size()};
+    m_copies.resize(m_daemons.size());
+    changeTable();
+    for (int i = 0; i < int(m_daemons.size()); ++i) {
+        const double phase = std::uniform_real_distribution<double>(0, 1)(m_random);
+        const auto wait = std::chrono::duration_cast<duration>(phase * lookPause(m_turns));
+        push(m_now + wait, {i, -1, std::nullopt, true});
+    }
+}
+
+void membership_replay::changeTable()
+{
+    ++m_storeVersion;
+    m_table.push_back(
+        {{"t", "", "row-" + std::to_string(m_storeVersion)}, "value", m_storeVersion});
+    if (m_table.size() > 3)
+        m_table.erase(m_table.begin());
+}
+
+row_page membership_replay::tablePage() const
+{
+    return {m_table, m_storeVersion};
+}
+
+void membership_replay::look(int daemon)
+{
+    table_cache &copy = m_copies[std::size_t(daemon)];
+    const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
+    if (isReadDue(m_turns, copy.age(m_now), chance) && !m_storeCut.contains(daemon)) {
+        ++tableReads;
+        copy.onRead(tablePage(), m_now);
+    }
+    push(m_now + lookPause(m_turns), {daemon, -1, std::nullopt, true});
+}
+
+void membership_replay::onDigests(int daemon)
+{
+    for (const digest_news &news : m_daemons[std::size_t(daemon)].takeDigests()) {
+        if (m_copies.empty())
+            return;
+        const int other = news.peer.port;
+        table_cache &copy = m_copies[std::size_t(daemon)];
+        const bool isBehind = copy.onDigest(news.digest, news.askedAt) == digest_verdict::Behind;
+        const bool isReached = !m_stopped.contains(other) && !m_cut.contains({daemon, other});
+        if (isBehind && isReached) {
+            const table_cache &theirs = m_copies[std::size_t(other)];
+            copy.onChanges(theirs.changesSince(copy.version(), m_now), m_now);
+        }
+    }
+}
+
+int membership_replay::daemonsBehind() const
+{
+    int behind = 0;
+    for (std::size_t i = 0; i < m_copies.size(); ++i) {
+        if (m_stopped.contains(int(i)))
+            continue;
+        const auto &rows = m_copies[i].rows();
+        const bool isSame = rows.size() == m_table.size()
+            && std::all_of(m_table.begin(), m_table.end(), [&](const stored_row &row) {
+                                const auto found = rows.find(row.name.key);
+                                return found != rows.end() && found->second.version == row.version;
+                            });
+        behind += isSame ? 0 : 1;
+    }
+    return behind;
+}
+
+duration membership_replay::oldestCopy() const
+{
+    duration oldest = duration::zero();
+    for (std::size_t i = 0; i < m_copies.size(); ++i) {
+        if (!m_stopped.contains(int(i)))
+            oldest = std::max(oldest, m_copies[i].age(m_now).value_or(duration::max()));
+    }
+    return oldest;
+}
+
 void membership_replay::happen(const event &e)
 {
+    if (e.isLook) {
+        look(e.daemon);
+        return;
+    }
     membership_protocol &daemon = m_daemons[std::size_t(e.daemon)];
+    if (!m_copies.empty()) {
+        if (const auto digest = m_copies[std::size_t(e.daemon)].digest(m_now))
+            daemon.setReplicas(*digest, m_now);
+    }
     std::vector<probe_datagram> out;
     if (e.message) {
         out = daemon.onMessage(*e.message, addressOf(e.from), m_now);
     } else {
         out = daemon.onRound(m_now);
-        push(m_now + round, e.daemon, -1, {});
+        push(m_now + round, {e.daemon, -1, {}, false});
     }
     count(daemon.takeChanges());
+    onDigests(e.daemon);
     for (const probe_datagram &d : out)
         send(e.daemon, d);
 }
--- a/test/io/membership_replay.h
+++ b/test/io/membership_replay.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "members/members.h"
+#include "rows/rows.h"
 
 #include <map>
-#include <queue>
 #include <random>
 #include <set>
 #include <vector>
@@ -40,6 +40,20 @@
     /// \brief This share of all datagrams is lost from now on.
     void loseShare(double share) { m_loss = share; }
 
+    /// \brief Has all daemons follow a table of the store from now on.
+    /// \param bound the time within which each must act on a change.
+    void followTable(duration bound);
+    /// \brief Another daemon than before has a row in the table.
+    void changeTable();
+    /// \brief The daemon's reads fail from now on.
+    void cutStore(int daemon) { m_storeCut.insert(daemon); }
+    /// \brief All daemons reach the store again.
+    void mendStore() { m_storeCut.clear(); }
+    /// \returns how many running daemons have another table than the store's.
+    int daemonsBehind() const;
+    /// \returns the age of the oldest copy of a running daemon.
+    duration oldestCopy() const;
+
     /// \returns how many of the running daemons hold \p daemon for alive.
     int holdersOf(int daemon) const;
     /// \returns whether each running daemon holds exactly the running ones for alive.
@@ -47,6 +61,8 @@
 
     /// Times that a daemon that never stopped was taken for gone by another.
     int falseDeaths = 0;
+    /// Reads of the table that reached the store.
+    int tableReads = 0;
     /// Whether the bytes that are sent are counted.
     bool countsBytes = false;
     /// Bytes sent meanwhile, with 28 of IP and UDP for each datagram.
@@ -55,22 +71,19 @@
 private:
     struct event
     {
-        time_point at;
-        std::uint64_t number = 0;
         int daemon = 0;
         int from = -1;
-        /// Nothing for the daemon's own round.
+        /// Nothing for the daemon's own round, or its look at the table.
         std::optional<probe_message> message;
-
-        bool operator<(const event &other) const
-        {
-            return std::tie(at, number) > std::tie(other.at, other.number);
-        }
+        bool isLook = false;
     };
 
-    void push(time_point at, int daemon, int from, std::optional<probe_message> message);
+    void push(time_point at, event e);
     void acquaint();
     void happen(const event &e);
+    void look(int daemon);
+    void onDigests(int daemon);
+    row_page tablePage() const;
     void send(int from, const probe_datagram &datagram);
     void count(const std::vector<member_change> &changes);
     duration latency();
@@ -79,12 +92,18 @@
     std::uint64_t m_lastNumber = 0;
     std::minstd_rand m_random{7};
     std::vector<membership_protocol> m_daemons;
-    std::priority_queue<event> m_events;
+    /// By their time, then in the order in which they were made.
+    std::map<std::pair<time_point, std::uint64_t>, event> m_events;
     std::set<int> m_stopped;
     std::set<int> m_everStopped;
     std::map<int, std::vector<event>> m_held;
     std::set<std::pair<int, int>> m_cut;
     double m_loss = 0;
+    read_turns m_turns;
+    std::vector<table_cache> m_copies;
+    std::set<int> m_storeCut;
+    std::vector<stored_row> m_table;
+    store_version m_storeVersion = 1;
 };
 
 } // namespace azurehill::test
