Membership: earlier rows read first, long gone members forgotten; switch and tests

Cause: a daemon wrote its row before it read the one that its earlier run had left, so a run whose clock had gone back told an older start and was taken for the earlier one. Members that are gone were kept without an end.

--- a/src/core/mechanism.h
+++ b/src/core/mechanism.h
@@ -29,14 +29,16 @@
     LimitIsNoOutage,
     /// Calls that the store does not answer here are made through another daemon.
     PeerCalls,
+    /// Daemons read the replicas' entries by turns, and take changes from each other.
+    TableTurns,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<std::string_view, 9> names = {
+    static constexpr std::array<std::string_view, 10> names = {
         "engine_gate",  "fill_slots",    "crowded_reads",      "shared_parts", "learned_slowness",
-        "paced_writes", "merged_writes", "limit_is_no_outage", "peer_calls"};
+        "paced_writes", "merged_writes", "limit_is_no_outage", "peer_calls",   "table_turns"};
 };
 
 /// \brief Which mechanisms are on; all of them unless told otherwise.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -80,7 +80,7 @@
       m_gossip(context.get_executor(),
                [this](const probe_message &m, const endpoint &from) { onGossip(m, from); }),
       m_replicas(
-          context.get_executor(), m_store, m_transport, settings.name,
+          context.get_executor(), m_store, m_transport, settings.name, settings.mechanisms,
           [this](std::vector<replica_entry> listed) { m_events.onReplicas(std::move(listed)); })
 { }
 
@@ -284,29 +284,45 @@
     if (!states || states->size() != 1 || states->front().name.value != row.name.key)
         m_unreadable.tell(log_event::RowUnreadable, row, "not a member's state");
     else
-        m_membership.onListed(states->front());
+        m_membership.onListed(states->front(), runtime_clock::now());
+}
+
+awaitable<bool> entry_control::readMembers()
+{
+    row_range range{std::string(memberTable), "", "", ""};
+    const auto page = co_await m_store.read(std::move(range), soon());
+    if (!page)
+        co_return false;
+    for (const stored_row &row : page->rows)
+        adoptMember(row);
+    co_return true;
+}
+
+awaitable<bool> entry_control::registerSelf()
+{
+    store_transaction t;
+    t.writes.push_back({memberRow(m_settings.name), encodeMembers({m_membership.self()})});
+    const auto done = co_await m_store.transact(std::move(t), soon());
+    co_return done.has_value();
 }
 
 awaitable<void> entry_control::pollMembers()
 {
-    bool isRegistered = false;
-    bool hasRead = false;
+    // The row of an earlier run is read before it is written over: this run has to tell a later
+    // start than that one, also if the host's clock went back in between.
+    bool hasRead = co_await readMembers();
+    while (!hasRead) {
+        co_await sleepFor(failedPause);
+        hasRead = co_await readMembers();
+    }
+    bool isRegistered = co_await registerSelf();
+    while (!isRegistered) {
+        co_await sleepFor(failedPause);
+        isRegistered = co_await registerSelf();
+    }
     while (true) {
-        if (!isRegistered) {
-            store_transaction t;
-            t.writes.push_back({memberRow(m_settings.name), encodeMembers({m_membership.self()})});
-            const auto done = co_await m_store.transact(std::move(t), soon());
-            isRegistered = done.has_value();
-        }
-        row_range range{std::string(memberTable), "", "", ""};
-        const auto page = co_await m_store.read(std::move(range), soon());
-        if (page) {
-            for (const stored_row &row : page->rows)
-                adoptMember(row);
-        }
-        hasRead = hasRead || page;
-        const duration pause = hasRead ? membersReadPause() : membersPause;
-        co_await sleepFor(isRegistered ? pause : failedPause);
+        co_await sleepFor(membersReadPause());
+        co_await readMembers();
     }
 }
 
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -66,6 +66,8 @@
     awaitable<void> pollConfiguration();
     awaitable<void> readConfiguration();
     awaitable<void> pollMembers();
+    awaitable<bool> readMembers();
+    awaitable<bool> registerSelf();
     awaitable<void> gossip();
 
     void adoptConfiguration(const stored_row &row, std::string_view source);
--- a/src/entry/replica_follower.cpp
+++ b/src/entry/replica_follower.cpp
@@ -47,17 +47,20 @@
 
 } // namespace
 
-replica_follower::replica_follower(asio::any_io_executor executor, store &rows,
+replica_follower::replica_follower(const asio::any_io_executor &executor, store &rows,
                                    std::shared_ptr<peer_transport> transport, const daemon_id &self,
-                                   receiver onReplicas)
-    : m_executor(executor), m_store(rows), m_transport(std::move(transport)), m_self(self),
-      m_onReplicas(std::move(onReplicas)), m_pool(executor, maxIdle, maxIdleConnections),
+                                   const mechanism_set &mechanisms, receiver onReplicas)
+    : m_executor(executor), m_store(rows), m_transport(std::move(transport)),
+      m_mechanisms(mechanisms), m_onReplicas(std::move(onReplicas)),
+      m_pool(executor, maxIdle, maxIdleConnections),
       m_random(static_cast<std::uint_fast32_t>(stableHash(self.value)))
 { }
 
 bool replica_follower::mustRead()
 {
     const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
+    if (!m_mechanisms.has(mechanism::TableTurns))
+        return true;
     return isReadDue(m_turns, m_table.age(runtime_clock::now()), chance);
 }
 
@@ -100,7 +103,7 @@
             co_await touchStore();
         logStore();
         // Apart by chance, so that daemons that started together don't read together.
-        const double chance = std::uniform_real_distribution<double>(0.8, 1.0)(m_random);
+        const double chance = std::uniform_real_distribution<double>(0.9, 1.1)(m_random);
         co_await sleepFor(std::chrono::duration_cast<duration>(pause * chance));
     }
 }
--- a/src/entry/replica_follower.h
+++ b/src/entry/replica_follower.h
@@ -24,9 +24,9 @@
 
     /// \param transport tells whether the store answers this daemon directly.
     /// \param onReplicas called whenever entries changed.
-    replica_follower(asio::any_io_executor executor, store &rows,
+    replica_follower(const asio::any_io_executor &executor, store &rows,
                      std::shared_ptr<peer_transport> transport, const daemon_id &self,
-                     receiver onReplicas);
+                     const mechanism_set &mechanisms, receiver onReplicas);
 
     /// rief Reads when it is this daemon's turn. Runs until the program ends.
     awaitable<void> follow();
@@ -62,7 +62,7 @@
     asio::any_io_executor m_executor;
     store &m_store;
     std::shared_ptr<peer_transport> m_transport;
-    daemon_id m_self;
+    mechanism_set m_mechanisms;
     receiver m_onReplicas;
     connection_pool m_pool;
     std::minstd_rand m_random;
--- a/src/members/member_list.cpp
+++ b/src/members/member_list.cpp
@@ -4,6 +4,15 @@
 
 namespace azurehill {
 
+namespace {
+
+/// Members that are gone are remembered for as long as news of them may still pass, and as a cut
+/// between hosts may last. Hosts are replaced for good, two thousand a day in a large system:
+/// without an end the list would grow for as long as the process lives.
+constexpr duration rememberTime = std::chrono::minutes(10);
+
+} // namespace
+
 void member_list::set(entry &e, entry next)
 {
     const bool wasAlive = e.isAlive();
@@ -28,12 +37,14 @@
     return true;
 }
 
-void member_list::onListed(const member_state &state)
+void member_list::onListed(const member_state &state, time_point now)
 {
     const auto [found, isNew] = m_members.try_emplace(state.name);
     entry &e = found->second;
     if (isNew || (e.isOnlyListed && compareAge(state, e.update.state) > 0))
-        e = {{state, member_health::Alive}, true, {}};
+        e = {{state, member_health::Alive}, true, now};
+    else if (e.isOnlyListed)
+        e.deadAt = now;
 }
 
 bool member_list::onHeard(const daemon_id &name, std::int64_t incarnation, std::uint64_t version)
@@ -62,6 +73,9 @@
         set(e, std::move(dead));
         gone.push_back(name);
     }
+    std::erase_if(m_members, [now](const auto &item) {
+        return !item.second.isAlive() && now > item.second.deadAt + rememberTime;
+    });
     return gone;
 }
 
--- a/src/members/member_list.h
+++ b/src/members/member_list.h
@@ -23,7 +23,8 @@
         member_update update;
         /// Whether only the store names it: nobody has heard of it yet.
         bool isOnlyListed = true;
-        /// When a suspicion becomes a death, unless the member denies it.
+        /// When a suspicion becomes a death, unless the member denies it; of others, when they were
+        /// last heard or read of.
         time_point deadAt;
 
         bool isAlive() const { return !isOnlyListed && update.health != member_health::Dead; }
@@ -34,11 +35,12 @@
     /// \param deadAt when the member is gone, if the news is a suspicion.
     bool apply(const member_update &news, time_point deadAt);
     /// \brief Takes in a member that the store names; it counts as alive once it is heard of.
-    void onListed(const member_state &state);
+    void onListed(const member_state &state, time_point now);
     /// \brief The member itself said its \p incarnation and \p version.
     /// \returns whether that is its last word that is known here.
     bool onHeard(const daemon_id &name, std::int64_t incarnation, std::uint64_t version);
-    /// \brief Takes suspected members whose time is over for dead. \returns their names.
+    /// \brief Takes suspected members whose time is over for dead, and forgets those that are long
+    /// gone. \returns the names of the dead.
     std::vector<daemon_id> expire(time_point now);
     /// \brief Gives suspected members \p time more.
     void extendSuspicions(duration time);
--- a/src/members/membership_protocol.cpp
+++ b/src/members/membership_protocol.cpp
@@ -65,10 +65,10 @@
     return digest;
 }
 
-void membership_protocol::onListed(const member_state &state)
+void membership_protocol::onListed(const member_state &state, time_point now)
 {
     if (state.name != m_self.name) {
-        m_members.onListed(state);
+        m_members.onListed(state, now);
         return;
     }
     if (state.incarnation <= m_self.incarnation)
--- a/src/members/membership_protocol.h
+++ b/src/members/membership_protocol.h
@@ -54,7 +54,7 @@
 
     /// \brief Takes in a member that the store names. A row of this daemon's own name that an
     /// earlier run left has this run tell a larger incarnation, also if the clock went back.
-    void onListed(const member_state &state);
+    void onListed(const member_state &state, time_point now);
     /// \brief Begins a round. \returns the messages to send.
     std::vector<probe_datagram> onRound(time_point now);
     /// \brief Takes in a message that came from \p from. \returns the messages to send.
--- a/src/members/probe_message.cpp
+++ b/src/members/probe_message.cpp
@@ -31,7 +31,7 @@
     DataCentre,
     Serving,
     StoreReachable,
-    updateFields
+    UpdateFields
 };
 
 json::value encode(const place_word &word)
@@ -90,7 +90,7 @@
 member_update updateIn(const json::value &value)
 {
     const json::array &a = value.as_array();
-    if (a.size() < updateFields)
+    if (a.size() < UpdateFields)
         throw std::out_of_range("an update");
     member_update update;
     member_state &m = update.state;
--- a/src/rows/table_changes_codec.cpp
+++ b/src/rows/table_changes_codec.cpp
@@ -12,12 +12,12 @@
 namespace {
 
 /// Fields of a row, which is an array.
-enum row_field : std::size_t { Key, Value, Version, IsReadable, rowFields };
+enum row_field : std::size_t { Key, Value, Version, IsReadable, RowFields };
 
 stored_row rowIn(const json::value &value, const std::string &table)
 {
     const json::array &a = value.as_array();
-    if (a.size() < rowFields)
+    if (a.size() < RowFields)
         throw std::out_of_range("a row");
     stored_row row;
     row.name = {table, "", std::string(a[Key].as_string())};
--- a/src/rows/table_digest_json.cpp
+++ b/src/rows/table_digest_json.cpp
@@ -6,6 +6,13 @@
 
 namespace azurehill {
 
+namespace {
+
+/// A copy of this age is too old for any use.
+constexpr duration mostAge = std::chrono::hours(24);
+
+} // namespace
+
 boost::json::value toJson(const table_digest &digest)
 {
     // Rounded up: a copy must never seem younger than it is.
@@ -18,10 +25,9 @@
     digest.version = value.at(0).to_number<store_version>();
     digest.hash = value.at(1).to_number<std::uint64_t>();
     const auto ms = value.at(2).to_number<std::int64_t>();
-    constexpr std::int64_t mostMs = 24 * 3600 * 1000;
     if (ms < 0)
         throw std::out_of_range("an age");
-    digest.age = milliseconds(std::min(ms, mostMs));
+    digest.age = milliseconds(std::min(ms, toMilliseconds(mostAge)));
     return digest;
 }
 
--- a/test/io/member_list_test.cpp
+++ b/test/io/member_list_test.cpp
@@ -81,6 +81,14 @@
             CHECK_FALSE(list.apply({state("a", 1, 501), member_health::Dead}, {}));
             CHECK(list.alive().front()->incarnation == 2);
         }
+        SUBCASE("one that is long gone is forgotten")
+        {
+            list.apply({state("a", 1, 4), member_health::Dead}, at(0));
+            list.expire(at(599'000));
+            CHECK(list.known() == 1);
+            list.expire(at(601'000));
+            CHECK(list.known() == 0);
+        }
         SUBCASE("changes are told once")
         {
             CHECK(list.takeChanges().size() == 1);
@@ -96,7 +104,7 @@
     {
         // A row outlives a host that lost its power.
         member_list list;
-        list.onListed(state("a", 3, 1));
+        list.onListed(state("a", 3, 1), at(0));
         CHECK(list.alive().empty());
         CHECK(list.silent().size() == 1);
 
@@ -180,9 +188,9 @@
     {
         // The others hold its earlier run for the later one, and all that the new one says for old.
         membership_protocol daemon(state("self", 1000), 1);
-        daemon.onListed(state("self", 5000));
+        daemon.onListed(state("self", 5000), at(0));
         CHECK(daemon.self().incarnation == 5001);
-        daemon.onListed(state("self", 5000));
+        daemon.onListed(state("self", 5000), at(0));
         CHECK(daemon.self().incarnation == 5001);
     }
 
--- a/test/io/membership_replay.cpp
+++ b/test/io/membership_replay.cpp
@@ -48,7 +48,7 @@
         m_daemons.emplace_back(stateOf(i), std::uint64_t(i) + 1);
     for (int i = 0; i < size; ++i) {
         for (int other = 0; other < size; ++other)
-            m_daemons[std::size_t(i)].onListed(stateOf(other));
+            m_daemons[std::size_t(i)].onListed(stateOf(other), m_now);
         const auto phase = std::uniform_int_distribution<int>(0, 199)(m_random);
         push(m_now + milliseconds(phase), {i, -1, {}, false});
     }
--- a/test/io/membership_replay_test.cpp
+++ b/test/io/membership_replay_test.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-TEST_SUITE("membership replay")
+TEST_SUITE("replay of membership")
 {
     TEST_CASE("a calm time has no deaths, at a cost that does not grow with the number of daemons")
     {
--- /dev/null
+++ b/test/io/replica_follower_test.cpp
@@ -0,0 +1,130 @@
+#include "entry/replica_follower.h"
+#include "loopback.h"
+#include "model_store.h"
+
+#include <doctest/doctest.h>
+
+namespace azurehill::test {
+
+namespace {
+
+std::string entryText(int slots, const std::string &state = "ready")
+{
+    return R"({"service":"model","address":"10.0.0.7:80","zone":"z","slots":)"
+        + std::to_string(slots) + R"(,"state":")" + state + R"(","seq_no":1,"born":5})";
+}
+
+/// \brief A daemon with its own view of the store, which answers others.
+struct following_daemon
+{
+    following_daemon(asio::io_context &context, row_store &rows, const std::string &name)
+        : inner(rows), follower(context.get_executor(), inner,
+                                std::make_shared<peer_transport>(context.get_executor(),
+                                                                 endpoint{"127.0.0.1", 1}),
+                                {name}, {}, [this](std::vector<replica_entry>) { ++told; }),
+          server(context.get_executor(), {},
+                 [this](const http_request &request, response_writer &writer) {
+                     return answer(request, writer);
+                 })
+    {
+        address = {"127.0.0.1", server.listen({"127.0.0.1", 0})};
+    }
+
+    awaitable<void> answer(const http_request &request, response_writer &writer)
+    {
+        ++asked;
+        http_response response = follower.answerChanges(request);
+        co_await writer.write(std::move(response));
+    }
+
+    digest_news news() const { return {address, *follower.digest(), runtime_clock::now()}; }
+
+    model_store inner;
+    replica_follower follower;
+    http_server server;
+    endpoint address;
+    int told = 0;
+    int asked = 0;
+};
+
+void put(row_store &rows, const std::string &id, const std::string &value)
+{
+    store_transaction t;
+    t.writes.push_back({{"servers", "", id}, value});
+    REQUIRE(rows.apply(t));
+}
+
+awaitable<void> untilTold(const following_daemon &daemon, int times)
+{
+    while (daemon.told < times)
+        co_await yieldOnce();
+}
+
+} // namespace
+
+TEST_SUITE("replica follower")
+{
+    TEST_CASE("a daemon that does not reach the store takes the entries from one that does")
+    {
+        // A host that the store turns away would send work to a replica that leaves.
+        const paused_clock pause;
+        row_store rows;
+        asio::io_context context;
+        following_daemon reader(context, rows, "reader");
+        following_daemon other(context, rows, "other");
+        put(rows, "i-1", entryText(4));
+        put(rows, "i-2", entryText(4));
+        auto body = [&]() -> awaitable<void> {
+            spawn(context.get_executor(), "follow", reader.follower.follow());
+            co_await untilTold(reader, 1);
+            other.follower.onDigest(reader.news());
+            co_await untilTold(other, 1);
+        };
+        runIn(context, body());
+        CHECK(other.follower.replicas().size() == 2);
+        CHECK(reader.asked == 1);
+
+        SUBCASE("and asks nothing while the copies are the same")
+        {
+            other.follower.onDigest(reader.news());
+            auto wait = [&]() -> awaitable<void> { co_await yieldOnce(); };
+            runIn(context, wait());
+            CHECK(reader.asked == 1);
+            CHECK(other.told == 1);
+        }
+    }
+
+    TEST_CASE("a daemon whose peer hands nothing out reads the table itself")
+    {
+        // The peer was killed after it told that it has newer entries.
+        const paused_clock pause;
+        row_store rows;
+        asio::io_context context;
+        following_daemon other(context, rows, "other");
+        put(rows, "i-1", entryText(4, "draining"));
+        auto body = [&]() -> awaitable<void> {
+            const endpoint nobody{"127.0.0.1", 1};
+            other.follower.onDigest({nobody, {99, 1, duration::zero()}, runtime_clock::now()});
+            co_await untilTold(other, 1);
+        };
+        runIn(context, body());
+        REQUIRE(other.follower.replicas().size() == 1);
+        CHECK(other.follower.replicas().begin()->second.draining);
+    }
+
+    TEST_CASE("what is no version is refused, and nothing is handed out before there is a copy")
+    {
+        const paused_clock pause;
+        row_store rows;
+        asio::io_context context;
+        following_daemon daemon(context, rows, "a");
+        http_request request;
+        request.target = "/inner/replicas?after=x";
+        CHECK(replica_follower::isChangesRequest(request));
+        CHECK(daemon.follower.answerChanges(request).status == 400);
+        request.target = "/inner/replicas?after=3";
+        CHECK(daemon.follower.answerChanges(request).status == 503);
+    }
+}
+
+} // namespace azurehill::test
--- a/test/io/replica_news_replay_test.cpp
+++ b/test/io/replica_news_replay_test.cpp
@@ -22,7 +22,7 @@
 
 } // namespace
 
-TEST_SUITE("replicas' entries replay")
+TEST_SUITE("replay of replicas' entries")
 {
     TEST_CASE("a change is with all daemons in time, at reads that don't grow with their number")
     {
--- a/test/logic/place_division_test.cpp
+++ b/test/logic/place_division_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <random>
 #include <utility>
 #include <vector>
 
@@ -159,6 +160,41 @@
         CHECK(agreedPerReplica({0, 0, 1, 10}, others) == doctest::Approx((10 + 100 * 20) / 101.0));
     }
 
+    TEST_CASE(
+        "hundreds of daemons that hear some of each other's words divide the places all the same")
+    {
+        // At 300 daemons a word of each would be older than a burst by the time that it came. Each
+        // hears 36 others by chance; a third of the daemons has three times the callers of the
+        // rest.
+        constexpr std::size_t daemons = 300;
+        constexpr std::size_t heardOfEach = 36;
+        constexpr double places = 2000;
+        std::minstd_rand random(3);
+        std::vector<place_word> words(daemons);
+        for (std::size_t d = 0; d < daemons; ++d)
+            words[d].wanted = d % 3 == 0 ? 15 : 5;
+        double sum = 0;
+        for (std::size_t d = 0; d < daemons; ++d) {
+            std::vector<place_word> others = words;
+            others.erase(others.begin() + std::ptrdiff_t(d));
+            std::shuffle(others.begin(), others.end(), random);
+            others.resize(heardOfEach);
+            const double part = placePart(words[d].wanted, {others, daemons - 1}, places);
+            const double fair = words[d].wanted / 2500;
+            CHECK(part > fair / 2);
+            CHECK(part < fair * 2);
+            sum += part;
+        }
+        CHECK(sum > 0.9);
+        CHECK(sum < 1.1);
+
+        SUBCASE("and evenly where nobody was heard yet")
+        {
+            CHECK(placePart(50, {std::span<const place_word>(), 9}, places)
+                  == doctest::Approx(0.1));
+        }
+    }
+
     TEST_CASE("an agreed bound stays within what a daemon would learn itself")
     {
         for (const auto &[told, bound] : {std::pair{0.1, 3.0}, {12.0, 12.0}, {9999.0, 20.0}}) {
