Write queue: a shared transaction is as urgent as its most urgent write

Cause: writes of turns were all counted as upkeep in the log, since a shared transaction had the default. Change: it takes the first one's urgency; the queue's test checks it. Measured: the label of a log line only; nothing else reads it behind the queue.

--- a/src/rows/write_queue.cpp
+++ b/src/rows/write_queue.cpp
@@ -114,6 +114,8 @@
     // take twice as long, and one condition that fails holds up all.
     const bool isScarce = m_mayMerge && m_credit < double(m_waiting.size());
     write_batch batch;
+    // The first is the most urgent one.
+    batch.transaction.urgency = std::get<write_urgency>(m_waiting.begin()->first);
     for (auto it = m_waiting.begin(); it != m_waiting.end();) {
         const bool isFirst = batch.members.empty();
         if (!isFirst && (!isScarce || batch.members.size() >= mostMembers))
--- a/src/rows/write_queue.h
+++ b/src/rows/write_queue.h
@@ -13,6 +13,7 @@
 /// \brief Writes that go to the store in one transaction.
 struct write_batch
 {
+    /// As urgent as the most urgent of them.
     store_transaction transaction;
     /// The writes in it, by their numbers.
     std::vector<std::uint64_t> members;
--- a/test/logic/write_queue_test.cpp
+++ b/test/logic/write_queue_test.cpp
@@ -227,6 +227,7 @@
         {
             const auto batch = queue.take(at(700));
             REQUIRE(batch);
+            CHECK(batch->transaction.urgency == write_urgency::End);
             CHECK(batch->members == std::vector<std::uint64_t>{3, 2, 1});
             CHECK(batch->transaction.conditions.size() == 3);
             CHECK(batch->deadline == at(5000));
