Membership: a daemon that hears nobody accuses nobody

Cause: a host whose datagrams go out and whose links in are cut suspected all others by turns, and each denied it to all. Change: while no message has come for two rounds, suspicions and deaths are held but not passed on. The replay of it failed before.

--- a/src/members/membership_protocol.cpp
+++ b/src/members/membership_protocol.cpp
@@ -30,6 +30,9 @@
 constexpr std::size_t toldOfLeave = 40;
 /// A round that comes so late says that this daemon itself stood still.
 constexpr duration lateRound = 2 * membership_protocol::round;
+/// Without a message for so long a daemon takes itself for the one that is cut off: six and more
+/// come in a round otherwise, three answers and the pings of others.
+constexpr duration deafTime = 2 * membership_protocol::round;
 
 } // namespace
 
@@ -160,12 +163,23 @@
         m_updates.add(news.state.name);
 }
 
+bool membership_protocol::isDeaf(time_point now) const
+{
+    return now - m_heardAt > deafTime;
+}
+
 void membership_protocol::suspect(const daemon_id &name, time_point now)
 {
     const auto *known = m_members.find(name);
     if (!known || !known->isHealthy())
         return;
-    learn({known->update.state, member_health::Suspect}, now);
+    const member_update news{known->update.state, member_health::Suspect};
+    m_members.apply(news, now + suspicionTime);
+    // A daemon that can still send but hears nobody would accuse all others, by turns and without
+    // an end, and each would have to deny it to all: 30 KB a second at each of 300 daemons
+    // (replay).
+    if (!isDeaf(now))
+        m_updates.add(name);
 }
 
 void membership_protocol::askOthers(std::uint64_t sequence, const probe &p,
@@ -232,8 +246,10 @@
         m_members.extendSuspicions(pause);
     }
     checkProbes(out, now);
-    for (const daemon_id &name : m_members.expire(now))
-        m_updates.add(name);
+    for (const daemon_id &name : m_members.expire(now)) {
+        if (!isDeaf(now))
+            m_updates.add(name);
+    }
     m_sample.expire(now);
     probeNext(out, now);
     ++m_rounds;
@@ -262,6 +278,7 @@
         learn(news, now);
     if (m.sender == m_self.name)
         return out;
+    m_heardAt = now;
     const bool isKnown = m_members.onHeard(m.sender, m.incarnation, m.version);
     m_sample.onHeard(m.sender, m.words, now);
     const auto *sender = m_members.find(m.sender);
--- a/src/members/membership_protocol.h
+++ b/src/members/membership_protocol.h
@@ -98,6 +98,8 @@
     std::vector<daemon_id> nextTargets();
     void learn(const member_update &news, time_point now);
     void deny(const member_state &said);
+    /// \returns whether no message has come for so long that this daemon is cut off itself.
+    bool isDeaf(time_point now) const;
     void suspect(const daemon_id &name, time_point now);
     void checkProbes(std::vector<probe_datagram> &out, time_point now);
     void askOthers(std::uint64_t sequence, const probe &p, std::vector<probe_datagram> &out);
@@ -121,6 +123,8 @@
     /// Members that this daemon pings next, in an order by chance that names each once.
     std::vector<daemon_id> m_targets;
     std::optional<time_point> m_lastRound;
+    /// When the last message of another daemon came.
+    time_point m_heardAt;
     int m_rounds = 0;
 };
 
--- a/test/io/membership_replay.cpp
+++ b/test/io/membership_replay.cpp
@@ -120,8 +120,10 @@
         push(m_now + latency(), {target, from, datagram.message, false});
 }
 
-void membership_replay::count(const std::vector<member_change> &changes)
+void membership_replay::count(int holder, const std::vector<member_change> &changes)
 {
+    if (holder == m_ignored)
+        return;
     for (const member_change &c : changes) {
         const bool hasRun = !m_everStopped.contains(indexOf(c.member.gossip));
         falseDeaths += !c.isAlive && hasRun ? 1 : 0;
@@ -248,7 +250,7 @@
         out = daemon.onRound(m_now);
         push(m_now + round, {e.daemon, -1, {}, false});
     }
-    count(daemon.takeChanges());
+    count(e.daemon, daemon.takeChanges());
     onDigests(e.daemon);
     for (const probe_datagram &d : out)
         send(e.daemon, d);
--- a/test/io/membership_replay.h
+++ b/test/io/membership_replay.h
@@ -35,6 +35,8 @@
     void thaw(int daemon);
     /// \brief Datagrams from \p from to \p to are lost from now on.
     void cut(int from, int to) { m_cut.insert({from, to}); }
+    /// \brief What \p daemon holds of the others counts for nothing: it can't know.
+    void ignoreBeliefsOf(int daemon) { m_ignored = daemon; }
     /// \brief Lets links work again.
     void mendLinks() { m_cut.clear(); }
     /// \brief This share of all datagrams is lost from now on.
@@ -85,7 +87,7 @@
     void onDigests(int daemon);
     row_page tablePage() const;
     void send(int from, const probe_datagram &datagram);
-    void count(const std::vector<member_change> &changes);
+    void count(int holder, const std::vector<member_change> &changes);
     duration latency();
 
     time_point m_now = time_point(seconds(1000));
@@ -99,6 +101,7 @@
     std::map<int, std::vector<event>> m_held;
     std::set<std::pair<int, int>> m_cut;
     double m_loss = 0;
+    int m_ignored = -1;
     read_turns m_turns;
     std::vector<table_cache> m_copies;
     std::set<int> m_storeCut;
--- a/test/io/membership_replay_test.cpp
+++ b/test/io/membership_replay_test.cpp
@@ -97,6 +97,30 @@
         CHECK(replay.isAgreed());
     }
 
+    TEST_CASE("a daemon that hears nobody accuses nobody")
+    {
+        // One host's datagrams go out and none come in. It suspected all others, by turns, and had
+        // each deny that to all: 29.7 KB a second at every daemon, and after the link was mended
+        // they had not agreed on who lives within four seconds.
+        constexpr int size = 300;
+        membership_replay replay(size, membership_replay::start::Acquainted);
+        replay.play(seconds(2));
+        replay.ignoreBeliefsOf(0);
+        for (int other = 1; other < size; ++other)
+            replay.cut(other, 0);
+        replay.play(seconds(4));
+        replay.countsBytes = true;
+        constexpr int seconds = 5;
+        replay.play(std::chrono::seconds(seconds));
+        // Only the host itself is held for gone, as nobody gets an answer from it.
+        CHECK(replay.holdersOf(0) == 0);
+        CHECK(replay.falseDeaths == size - 1);
+        CHECK(double(replay.bytes) / size / seconds <= mostBytes);
+        replay.mendLinks();
+        replay.play(std::chrono::seconds(4));
+        CHECK(replay.isAgreed());
+    }
+
     TEST_CASE("two halves that were cut from each other find together again")
     {
         membership_replay replay(40);
