--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -32,6 +32,9 @@
     StoreLost,
     StoreRegained,
     TrafficCounted,
+    QuotaHeld,
+    QuotaTaken,
+    QuotaLost,
     NotUnregistered,
     RowUnreadable,
     RowsDropped,
@@ -53,7 +56,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 38> names = {"started",
+    static constexpr std::array<std::string_view, 41> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -75,6 +78,9 @@
                                                                "store_lost",
                                                                "store_regained",
                                                                "traffic_counted",
+                                                               "quota_held",
+                                                               "quota_taken",
+                                                               "quota_lost",
                                                                "not_unregistered",
                                                                "row_unreadable",
                                                                "rows_dropped",
@@ -107,6 +113,7 @@
     case log_event::MemberGone:
     case log_event::GossipUnreadable:
     case log_event::StoreLost:
+    case log_event::QuotaLost:
     case log_event::NotUnregistered:
     case log_event::TurnNotLoaded:
     case log_event::HoldNotSettled:
--- a/src/entry/client_request.h
+++ b/src/entry/client_request.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/accounts.h"
 #include "core/core.h"
 #include "http/http_message.h"
 #include "replicas/replica_board.h"
@@ -27,6 +28,8 @@
     std::string hostname;
     /// How long the client waits from now on.
     std::optional<duration> patience;
+    /// Whose request it is, as far as it says.
+    credential key;
     /// Names the object that the request is about, or empty.
     std::string affinityKey;
     program_id program;
@@ -48,6 +51,10 @@
     duration timeLeft = duration::zero();
     /// Urgency for the replica, 0 first.
     int urgency = 5;
+    /// Whether accounts are in force: the client's key then stays here.
+    bool hidesKey = false;
+    /// The account that the request belongs to, or empty.
+    account_id account;
 };
 
 /// \brief What a replica's response head says.
@@ -72,12 +79,16 @@
 /// \brief An answer of the daemon's own in place of a replica's.
 enum class own_answer {
     NoRoute,
+    /// The request's key is missing or unknown.
+    NoAccess,
     NoSuchTurn,
     BudgetSpent,
     Malformed,
     TooLarge,
     /// Not run, and never will be.
     Refused,
+    /// As Refused, since the account asks for more than its quota.
+    OverQuota,
     /// May have run.
     Broken,
     /// May have run; the time is over.
@@ -87,9 +98,9 @@
 template <>
 struct enum_names<own_answer>
 {
-    static constexpr std::array<std::string_view, 8> names
-        = {"no_route",  "no_such_turn", "budget_spent", "malformed",
-           "too_large", "refused",      "broken",       "timed_out"};
+    static constexpr std::array<std::string_view, 10> names
+        = {"no_route",  "no_access", "no_such_turn", "budget_spent", "malformed",
+           "too_large", "refused",   "over_quota",   "broken",       "timed_out"};
 };
 
 } // namespace azurehill
--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -22,7 +22,7 @@
 gate_ticket ticketOf(const entry_call &call, const program_times &times)
 {
     gate_ticket ticket;
-    ticket.rank = call.route->priority;
+    ticket.rank = call.rank.order;
     ticket.continues = !call.request.previousTurn.empty();
     ticket.slack = call.request.programFinish.value_or(duration::max());
     if (ticket.slack > duration::zero())
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "entry/client_request.h"
+#include "entry/request_rank.h"
 #include "http/http_client.h"
+#include "quota/credit_ledger.h"
 #include "routes/routes.h"
 #include "runtime/timer.h"
 
@@ -26,6 +28,11 @@
     /// Holds the route that \c route points into.
     route_book_ptr routes;
     const route_rule *route = nullptr;
+    /// Path that the request asks for.
+    std::string path;
+    /// The account of the request's key, part of \c routes, or null.
+    const account_rule *account = nullptr;
+    request_rank rank;
     std::string service;
     time_point arrivedAt;
     /// When the route's timeout or the client's patience ends.
@@ -50,7 +57,11 @@
     timer *gateAlarm = nullptr;
     /// Some replica may have worked on the request.
     bool mayHaveRun = false;
+    /// The credit of its account that the request uses, if its account has a quota.
+    std::optional<credit_id> credit;
 
+    /// \returns the name of the request's account, or an empty one.
+    account_id accountName() const { return account ? account->name : account_id(); }
     bool clientLeft() const { return cut == cut_reason::ClientLeft; }
     /// \brief Ends the send under way.
     void cutOff(cut_reason reason)
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -315,6 +315,7 @@
         co_await sleepFor(failedPause);
         hasRead = co_await readMembers();
     }
+    m_isIncarnationFinal = true;
     bool isRegistered = co_await registerSelf();
     while (!isRegistered) {
         co_await sleepFor(failedPause);
@@ -388,6 +389,25 @@
     m_events.onPeers(std::move(reaching), count);
 }
 
+void entry_control::publishMembers()
+{
+    if (!m_isIncarnationFinal || !m_events.onMembers)
+        return;
+    std::vector<member_state> all{m_membership.self()};
+    for (const member_state *m : m_membership.members().alive())
+        all.push_back(*m);
+    const auto isSame = [](const member_state &a, const member_state &b) {
+        return a.name == b.name && compareAge(a, b) == 0;
+    };
+    if (std::equal(all.begin(), all.end(), m_publishedMembers.begin(), m_publishedMembers.end(),
+                   isSame))
+        return;
+    m_publishedMembers = all;
+    member_state self = std::move(all.front());
+    all.erase(all.begin());
+    m_events.onMembers(std::move(self), std::move(all));
+}
+
 void entry_control::publishPlaceWords() const
 {
     m_events.onPlaceWords(m_membership.wordsHeard());
@@ -411,6 +431,7 @@
             }
         }
         publishPeers();
+        publishMembers();
         publishPlaceWords();
         co_await sleepFor(membership_protocol::round);
     }
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -23,6 +23,8 @@
     std::function<void(std::vector<replica_entry>)> onReplicas;
     /// The addresses of the peers that reach the store, and the number of daemons that live.
     std::function<void(std::vector<endpoint>, int)> onPeers;
+    /// This daemon's word of itself and the others that live.
+    std::function<void(member_state, std::vector<member_state>)> onMembers;
     /// What some of the other daemons that live told lately of their places at the engines.
     std::function<void(std::vector<place_words>)> onPlaceWords;
 };
@@ -73,6 +75,7 @@
     void adoptConfiguration(const stored_row &row, std::string_view source);
     void adoptMember(const stored_row &row);
     void publishPeers();
+    void publishMembers();
     void publishPlaceWords() const;
     /// \returns the time until this daemon reads the members' rows again.
     duration membersReadPause();
@@ -98,6 +101,9 @@
     unreadable_rows m_unreadable;
     std::vector<endpoint> m_peersReachingStore;
     int m_aliveCount = 0;
+    std::vector<member_state> m_publishedMembers;
+    /// The store's rows were read, so that no earlier run of this daemon has a larger incarnation.
+    bool m_isIncarnationFinal = false;
     bool m_isLeaving = false;
 };
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -17,6 +17,9 @@
 const prometheus::Histogram::BucketBoundaries bounds
     = {0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2, 4, 8};
 
+/// Seconds; few, since there are hundreds of accounts.
+const prometheus::Histogram::BucketBoundaries accountBounds = {0.05, 0.25, 1, 4};
+
 /// Causes beyond these many are counted as "other": some carry the text of a library's error.
 constexpr std::size_t maxCauses = 64;
 
@@ -37,6 +40,10 @@
                     .Name("azurehill_sends_total")
                     .Help("Sends to replicas by how they ended.")
                     .Register(registry)),
+          accounts(prometheus::BuildHistogram()
+                       .Name("azurehill_account_request_seconds")
+                       .Help("Time that requests of a client account took, by who answered.")
+                       .Register(registry)),
           gauges(prometheus::BuildGauge()
                      .Name("azurehill_state")
                      .Help("What the daemon believes at present.")
@@ -59,10 +66,12 @@
     prometheus::Family<prometheus::Histogram> &phases;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &sends;
+    prometheus::Family<prometheus::Histogram> &accounts;
     prometheus::Family<prometheus::Gauge> &gauges;
     std::mutex mutex;
     std::set<std::string> routes;
     std::set<std::string> causes;
+    std::set<std::string> accountNames;
 };
 
 entry_metrics::entry_metrics() : m_state(std::make_unique<state>()) { }
@@ -83,6 +92,15 @@
     m_state->answers.Add({{"answer", std::string(answer)}, {"cause", name}}).Increment();
 }
 
+void entry_metrics::onAccount(const std::string &name, bool isOwnAnswer, duration time)
+{
+    const std::lock_guard lock(m_state->mutex);
+    const std::string account = state::bounded(m_state->accountNames, name, maxAccounts);
+    m_state->accounts
+        .Add({{"account", account}, {"answer", isOwnAnswer ? "own" : "replica"}}, accountBounds)
+        .Observe(std::chrono::duration<double>(time).count());
+}
+
 void entry_metrics::onSend(std::string_view end)
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -38,6 +38,8 @@
     /// Most routes that are told apart; later ones are counted as "other", so that a configuration
     /// of very many routes can't take the daemon's memory.
     static constexpr std::size_t maxRoutes = 64;
+    /// The same for client accounts.
+    static constexpr std::size_t maxAccounts = 512;
 
     entry_metrics();
     ~entry_metrics();
@@ -47,6 +49,9 @@
     /// \brief A request got an answer of class \p answer, such as "replica" or "refused", for
     /// \p cause.
     void onAnswer(std::string_view answer, std::string_view cause);
+    /// \brief A request of the account \p name ended after \p time.
+    /// \param isOwnAnswer whether this daemon answered it in a replica's place.
+    void onAccount(const std::string &name, bool isOwnAnswer, duration time);
     /// \brief A send to a replica ended as \p end.
     void onSend(std::string_view end);
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -3,6 +3,8 @@
 #include "core/log_event.h"
 #include "platform/ingress.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace azurehill {
@@ -17,6 +19,14 @@
 /// Share of a process's memory that its turns may take. The rest is for connections and answers.
 constexpr int cacheShare = 8;
 
+/// Share of its time that a request may wait for a credit.
+constexpr double creditPatience = 0.25;
+/// Clients come back after this long when no daemon lends: a new one takes about as long to begin.
+constexpr duration lenderComeBack = milliseconds(700);
+/// Causes of refusals for a quota's sake.
+constexpr std::string_view quotaUsedUp = "the account's quota is used up";
+constexpr std::string_view lenderSilent = "no daemon lends the account's credits";
+
 http_limits limitsOf(const host_settings &settings, const client_limits &c)
 {
     // Body time: a slow line of 1 Mbit/s carries the largest body of the default in half a minute.
@@ -31,6 +41,15 @@
     return limits;
 }
 
+/// \returns the id under which the daemons keep a program that clients of \p account call
+/// \p named. Another account's program of the same name is another program.
+program_id programIn(const account_id &account, const program_id &named)
+{
+    if (account.empty() || named.empty())
+        return named;
+    return {fmt::format("{}/{}", account.value, named.value)};
+}
+
 ledger_settings ledgerSettings(const host_settings &s)
 {
     return {s.rowBytes, s.storeSpansParts, static_cast<std::size_t>(s.memoryBytes / cacheShare)};
@@ -46,6 +65,7 @@
           std::make_shared<peer_transport>(m_executor, settings.storeAddress, settings.mechanisms)),
       m_store(m_transport), m_pacedStore(m_executor, m_store, settings.mechanisms),
       m_ledger(m_pacedStore, ledgerSettings(settings)),
+      m_credits(m_executor, m_pacedStore, settings.quota),
       m_board(settings.dataCentre, stableHash(settings.name.value), settings.mechanisms),
       m_sender(m_executor, m_board, metrics), m_places(m_executor, settings.mechanisms, metrics),
       m_answers(metrics), m_relay(m_sender, m_board, m_places, m_answers, metrics),
@@ -62,7 +82,8 @@
     spawn(m_executor, "watchOutages", m_store.watchOutages());
     spawn(m_executor, "sweep", sweep());
     spawn(m_executor, "removeOldRows", removeOldRows());
-    return m_server.listen(m_settings.clients);
+    const bool canLend = m_credits.start(m_settings.credits) != 0;
+    return canLend ? m_server.listen(m_settings.clients) : std::uint16_t(0);
 }
 
 void entry_service::announceClose()
@@ -73,6 +94,8 @@
 void entry_service::setRoutes(route_book_ptr routes)
 {
     m_routes = std::move(routes);
+    m_sender.setRoutes(m_routes);
+    m_credits.setRoutes(m_routes);
     m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
     for (const service_rule &service : m_routes->services()) {
         if (!service.engine)
@@ -96,6 +119,11 @@
     m_transport->setPeers(std::move(reachingStore));
 }
 
+void entry_service::setMembers(member_state self, std::vector<member_state> others)
+{
+    m_credits.setMembers(std::move(self), std::move(others));
+}
+
 awaitable<void> entry_service::removeOldRows()
 {
     while (true) {
@@ -153,8 +181,12 @@
     if (decoded)
         call->request = std::move(*decoded);
     call->routes = m_routes;
+    call->path = request.path();
+    access allowed;
     if (decoded && m_routes)
-        call->route = m_routes->find(call->request.hostname, request.path());
+        call->route = m_routes->find(call->request.hostname, call->path);
+    if (call->route)
+        allowed = judgeAccess(m_routes->accounts(), call->route->isPublic, call->request.key);
     if (!decoded) {
         detail = std::move(decoded.error());
     } else if (!m_routes) {
@@ -163,9 +195,15 @@
     } else if (!call->route || call->route->services.empty()) {
         call->route = nullptr;
         fault = own_answer::NoRoute;
+    } else if (allowed.verdict != access_verdict::Allowed) {
+        fault = own_answer::NoAccess;
+        detail = toName(allowed.verdict);
     } else if (call->request.id.empty()) {
         detail = "the request has no id";
     } else {
+        call->account = allowed.account;
+        call->rank = rankOf(call->account, *call->route);
+        call->request.program = programIn(call->accountName(), call->request.program);
         co_return true;
     }
     co_await m_answers.write(call, fault, std::move(detail), writer);
@@ -186,25 +224,63 @@
         call->cut = cut_reason::ClientLeft;
         call->cutOff(cut_reason::ClientLeft);
     });
+    const bool hasCredit = co_await takeCredit(call, writer);
+    if (hasCredit) {
+        co_await serveRouted(call, request, writer);
+        m_places.leave(*call);
+        if (call->credit && !call->mayHaveRun)
+            m_credits.giveBack(call->accountName(), *call->credit);
+    }
+    noteAnswered(*call);
+}
+
+awaitable<void> entry_service::serveRouted(entry_call_ptr call, const http_request &request,
+                                           response_writer &writer)
+{
     if (call->route->keepsHistory)
         co_await m_turns.serve(call, request, writer);
     else if (call->route->kind == route_kind::Stream)
         co_await serveStream(call, request, writer);
     else
         co_await servePlain(call, request, writer);
-    m_places.leave(*call);
-    noteAnswered(*call);
+}
+
+awaitable<bool> entry_service::takeCredit(entry_call_ptr call, response_writer &writer)
+{
+    if (!call->account || !call->account->quota)
+        co_return true;
+    const bool isBegin = call->route->keepsHistory && call->request.previousTurn.empty();
+    const credit_use use = isBegin ? credit_use::Begin : credit_use::GoOn;
+    account_id account = call->accountName();
+    const time_point began = runtime_clock::now();
+    const auto share = std::chrono::duration_cast<duration>(creditPatience * (call->deadline - began));
+    const borrow_result result = co_await m_credits.borrow(std::move(account), use, began + share);
+    if (const auto *id = std::get_if<credit_id>(&result)) {
+        call->credit = *id;
+        co_return true;
+    }
+    if (call->clientLeft())
+        co_return false;
+    const auto *usedUp = std::get_if<quota_used_up>(&result);
+    std::string detail(usedUp ? quotaUsedUp : lenderSilent);
+    const own_answer answer = usedUp ? own_answer::OverQuota : own_answer::Refused;
+    co_await m_answers.write(call, answer, std::move(detail), writer,
+                             usedUp ? usedUp->retryAfter : lenderComeBack);
+    co_return false;
 }
 
 void entry_service::noteAnswered(const entry_call &call)
 {
     const duration whole = runtime_clock::now() - call.arrivedAt;
     m_metrics.onPhase(call.route->name, request_phase::Whole, whole);
+    if (call.account)
+        m_metrics.onAccount(call.account->name.value, call.isOwnAnswer, whole);
     if (!call.isOwnAnswer)
         m_metrics.onAnswer("replica", call.clientLeft() ? "client_left" : "");
     logDecision(log_event::Answered,
                 {{"request", call.request.id},
                  {"program", call.request.program.value},
+                 {"account", call.accountName().value},
                  {"route", call.route->name},
                  {"config", std::int64_t(call.routes->version())},
                  {"sends", std::int64_t(call.sends)},
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -2,6 +2,7 @@
 
 #include "entry/host_settings.h"
 #include "entry/turn_exchange.h"
+#include "lending/lending.h"
 #include "members/members.h"
 #include "platform/platform_store.h"
 #include "store/paced_store.h"
@@ -29,16 +30,26 @@
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \param alive daemons that live, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
+    /// \brief Takes in this daemon's word of itself and the others that live.
+    void setMembers(member_state self, std::vector<member_state> others);
     /// \brief Takes in what some of the other daemons told lately of their places at the engines.
     void setOtherPlaceWords(const std::vector<place_words> &heard);
     /// \brief Calls \p tell now and then with what this daemon tells of its places.
     void onPlaceWords(std::function<void(place_words)> tell) { m_tellPlaceWords = std::move(tell); }
 
+    /// \brief Gives up what only a daemon that goes on may hold, by \p latest at the latest.
+    awaitable<void> release(time_point latest) { return m_credits.release(latest); }
+
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
     /// \brief Decodes \p request and finds its route, or answers it.
     awaitable<bool> findRoute(entry_call_ptr call, const http_request &request,
                               response_writer &writer);
+    /// \brief Borrows the credit that \p call needs, or answers it.
+    awaitable<bool> takeCredit(entry_call_ptr call, response_writer &writer);
+    /// \brief Has \p call, which has what it needs, answered by its route's kind.
+    awaitable<void> serveRouted(entry_call_ptr call, const http_request &request,
+                                response_writer &writer);
     awaitable<void> servePlain(entry_call_ptr call, const http_request &request,
                                response_writer &writer);
     awaitable<void> serveStream(entry_call_ptr call, const http_request &request,
@@ -59,6 +70,7 @@
     platform_store m_store;
     paced_store m_pacedStore;
     turn_ledger m_ledger;
+    credit_exchange m_credits;
     replica_board m_board;
     upstream_sender m_sender;
     engine_places m_places;
--- a/src/entry/host_settings.h
+++ b/src/entry/host_settings.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "core/mechanism.h"
 #include "http/http_message.h"
+#include "quota/quota_bound.h"
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,8 @@
     endpoint peers;
     /// Where datagrams of other daemons arrive.
     endpoint gossip;
+    /// Where datagrams on credits arrive.
+    endpoint credits;
     /// The peers' addresses of a few hosts, which may be stale.
     std::vector<endpoint> seeds;
 
@@ -51,6 +54,8 @@
     duration configApply = seconds(2);
     /// Time within which a leaving replica must get no more work.
     duration replicaDrain = seconds(2);
+    /// What quotas of accounts are judged by.
+    quota_bound quota;
     /// Time between SIGTERM and SIGKILL.
     duration grace = seconds(8);
     /// Longest time that a client keeps the answer of a look-up.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -38,6 +38,7 @@
     control.leave();
     asio::post(trafficContext, [&service] { service.announceClose(); });
     const auto latest = std::chrono::duration_cast<duration>(s.grace * graceShare);
+    spawn(trafficContext.get_executor(), "release", service.release(began + latest));
     co_await control.unregister(began + latest);
     const duration stale = std::min<duration>(staleLookups, latest);
     int quietSteps = 0;
@@ -177,6 +178,11 @@
         asio::post(trafficContext,
                    [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
     };
+    events.onMembers = [&](member_state self, std::vector<member_state> others) {
+        asio::post(trafficContext, [&service, s = std::move(self), o = std::move(others)] {
+            service.setMembers(s, o);
+        });
+    };
     events.onPlaceWords = [&](std::vector<place_words> others) {
         asio::post(trafficContext,
                    [&service, o = std::move(others)] { service.setOtherPlaceWords(o); });
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -5,6 +5,16 @@
 
 namespace azurehill {
 
+namespace {
+
+/// \returns whether \p answer says when to come back.
+bool saysRetry(own_answer answer)
+{
+    return answer == own_answer::Refused || answer == own_answer::OverQuota;
+}
+
+} // namespace
+
 awaitable<void> own_answers::write(entry_call_ptr call, own_answer answer, std::string detail,
                                    response_writer &writer, duration retryAfter)
 {
@@ -14,10 +24,11 @@
                  {"previous", call->request.previousTurn.value},
                  {"answer", std::string(toName(answer))},
                  {"detail", detail},
+                 {"account", call->accountName().value},
                  {"route", call->route ? call->route->name : std::string()},
                  {"sends", std::int64_t(call->sends)},
                  {"retry_after_ms",
-                  answer == own_answer::Refused ? toMilliseconds(retryAfter) : std::int64_t(0)},
+                  saysRetry(answer) ? toMilliseconds(retryAfter) : std::int64_t(0)},
                  {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
     // What follows a colon are figures, which would make a series each.
     m_metrics.onAnswer(toName(answer), std::string_view(detail).substr(0, detail.find(':')));
--- a/src/entry/own_answers.h
+++ b/src/entry/own_answers.h
@@ -23,7 +23,7 @@
 
     /// \brief Ends \p call with \p answer.
     /// \param detail the cause, for the log; what follows a colon are figures.
-    /// \param retryAfter when coming back makes sense; only for Refused.
+    /// \param retryAfter when coming back makes sense; only for Refused and OverQuota.
     awaitable<void> write(entry_call_ptr call, own_answer answer, std::string detail,
                           response_writer &writer, duration retryAfter = busyComeBack);
 
--- /dev/null
+++ b/src/entry/request_rank.cpp
@@ -0,0 +1,28 @@
+#include "entry/request_rank.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// Lowest urgency that a replica knows.
+constexpr int lowestUrgency = 9;
+/// Routes' priorities that are told apart within one priority of accounts, for replicas and here.
+constexpr int routeUrgencies = 3;
+constexpr int routeRanks = 1000;
+
+} // namespace
+
+request_rank rankOf(const account_rule *account, const route_rule &route)
+{
+    const int routePriority = std::max(0, route.priority);
+    if (!account)
+        return {routePriority, std::min(routePriority, lowestUrgency)};
+    const int accountPriority = std::clamp(account->priority, 0, routeRanks);
+    return {accountPriority * routeRanks + std::min(routePriority, routeRanks - 1),
+            std::min(accountPriority * routeUrgencies + std::min(routePriority, routeUrgencies - 1),
+                     lowestUrgency)};
+}
+
+} // namespace azurehill
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -107,6 +107,7 @@
     const std::int64_t used = end.events * tokensPerEvent(*call);
     done->id = work->claim.id;
     done->program = work->claim.program;
+    done->account = call->accountName();
     done->previous = work->previous;
     done->input = request.body;
     done->output = std::move(end.output);
@@ -119,7 +120,9 @@
     const client_request &r = work->call->request;
     if (r.previousTurn.empty())
         co_return true;
-    auto loaded = co_await m_ledger.load(r.program, r.previousTurn, work->storeDeadline);
+    account_id asker = work->call->accountName();
+    auto loaded = co_await m_ledger.load(std::move(asker), r.program, r.previousTurn,
+                                         work->storeDeadline);
     if (!loaded) {
         std::string detail(toName(loaded.error()));
         co_await m_answers.write(work->call, answerFor(loaded.error()), std::move(detail), writer,
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -80,6 +80,18 @@
     return now - heard > std::max<duration>(silenceTime, 2 * call.route->eventGap);
 }
 
+bool upstream_sender::isStillAllowed(const entry_call &call) const
+{
+    if (!m_routes || m_routes == call.routes)
+        return true;
+    const route_rule *const route = m_routes->find(call.request.hostname, call.path);
+    if (!route)
+        return false;
+    const access now = judgeAccess(m_routes->accounts(), route->isPublic, call.request.key);
+    const account_id holder = now.account ? now.account->name : account_id();
+    return now.verdict == access_verdict::Allowed && holder == call.accountName();
+}
+
 void upstream_sender::dropConnections(const replica_entry &ended)
 {
     m_pool.drop(ended.address);
@@ -135,7 +147,8 @@
     if (call->route->kind == route_kind::Idempotent)
         call->attemptDeadline = now + attemptTime(*call, m_board, now);
     const forward_fields fields{where.replica.incarnation.id, call->deadline - now,
-                                std::clamp(call->route->priority, 0, 9)};
+                                call->rank.urgency, !call->routes->accounts().empty(),
+                                call->accountName()};
     http_request out = encodeForward(original, fields, std::move(body));
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
@@ -221,6 +234,10 @@
     send_failure last{send_end::Unreachable, "no replica may take requests"};
     int refusals = 0;
     while (runtime_clock::now() < call->deadline && !call->clientLeft()) {
+        if (!isStillAllowed(*call)) {
+            last = {send_end::NotRun, "the key or the route was taken away"};
+            break;
+        }
         if (call->sends >= call->route->maxAttempts || refusals > maxRefusals)
             break;
         const auto where = m_board.choose(wanted, runtime_clock::now());
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -46,6 +46,10 @@
     /// \brief The answer of \p reply is over. Its connection is kept if it can be.
     void finish(entry_call &call, open_reply &reply, send_end end);
 
+    /// \brief Takes in the configuration in force, by which requests are judged once more before
+    /// they go out.
+    void setRoutes(route_book_ptr routes) { m_routes = std::move(routes); }
+
     /// \brief Closes the kept connections to a replica whose process is over. One that crashed may
     /// not have closed them, and a request that may run once only would be lost on them.
     void dropConnections(const replica_entry &ended);
@@ -60,12 +64,16 @@
                                                                const placement_request &wanted,
                                                                const http_request &original,
                                                                std::string body);
+    /// \returns whether the configuration in force still allows \p call, which may have waited
+    /// since it was judged.
+    bool isStillAllowed(const entry_call &call) const;
     bool isSilent(const entry_call &call, time_point now) const;
 
     asio::any_io_executor m_executor;
     replica_board &m_board;
     entry_metrics &m_metrics;
     connection_pool m_pool;
+    route_book_ptr m_routes;
     std::set<entry_call_ptr> m_underWay;
 };
 
--- /dev/null
+++ b/src/lending/credit_lender.cpp
@@ -0,0 +1,228 @@
+#include "lending/credit_lender.h"
+
+#include "core/log_event.h"
+#include "runtime/runtime.h"
+#include "turns/store_calls.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// Rows that are held are written anew this often: an outage of the store then finds the most of
+/// their validity left.
+constexpr duration renewPause = milliseconds(2500);
+constexpr duration lookPause = milliseconds(250);
+/// Pause between two tries of one row.
+constexpr duration tryPause = milliseconds(40);
+constexpr duration writeTime = milliseconds(700);
+/// Answers that show another state of the row than expected, after which a write is left.
+constexpr int mostTries = 4;
+
+} // namespace
+
+credit_lender::credit_lender(asio::any_io_executor executor, store &rows, const lender_view &view,
+                             const quota_bound &bound)
+    : m_executor(std::move(executor)), m_store(rows), m_view(view), m_bound(bound)
+{ }
+
+void credit_lender::setRoutes(route_book_ptr routes)
+{
+    m_routes = std::move(routes);
+    m_used.fill(false);
+    for (const auto &[name, rule] : m_routes->accounts().rules()) {
+        if (rule.quota)
+            m_used.at(shardOf(name)) = true;
+    }
+}
+
+bool credit_lender::isUsed(std::size_t shard) const
+{
+    return m_used.at(shard);
+}
+
+credit_lender::shard_state &credit_lender::stateOf(std::size_t shard)
+{
+    const auto found = m_shards.find(shard);
+    if (found != m_shards.end())
+        return found->second;
+    const member_state &self = m_view.self();
+    return m_shards
+        .emplace(shard, shard_state(quota_book(self.name, self.incarnation, m_bound)))
+        .first->second;
+}
+
+std::optional<quota_message> credit_lender::answer(const credit_request &request)
+{
+    const std::uint64_t number = request.id.number;
+    const account_rule *const rule
+        = m_routes ? m_routes->accounts().find(request.account) : nullptr;
+    // The asker may know a newer configuration than this daemon.
+    if (!rule || m_isReleased)
+        return std::nullopt;
+    if (!rule->quota)
+        return credit_lent{number};
+    const std::size_t shard = shardOf(request.account);
+    shard_state &state = stateOf(shard);
+    const time_point now = runtime_clock::now();
+    if (!state.book.mayLend(now)) {
+        const bool isOthers = !state.holder.empty() && m_view.find(state.holder)
+            && state.holder != m_view.self().name;
+        if (isOthers)
+            return not_holder{number, state.holder};
+        if (m_view.preferred(shard) == m_view.self().name)
+            secure(shard);
+        else
+            return not_holder{number, {}};
+        return std::nullopt;
+    }
+    const int most = mostCredits(*rule->quota, m_bound);
+    const lend_result result = state.book.lend(request.account, request.id, request.use, most, now);
+    switch (result.verdict) {
+    case lend_verdict::Lent:
+        return credit_lent{number};
+    case lend_verdict::OverQuota:
+        return credit_denied{number, result.retryAfter};
+    case lend_verdict::LevelTooLow:
+        break;
+    }
+    secure(shard);
+    return std::nullopt;
+}
+
+void credit_lender::onReturn(const credit_return &message)
+{
+    const auto found = m_shards.find(shardOf(message.account));
+    if (found != m_shards.end())
+        found->second.book.giveBack(message.account, message.id);
+}
+
+awaitable<void> credit_lender::maintain()
+{
+    while (true) {
+        co_await sleepFor(lookPause);
+        const time_point now = runtime_clock::now();
+        for (std::size_t shard = 0; shard < quotaShards && m_routes && !m_view.self().name.empty();
+             ++shard) {
+            if (!isUsed(shard))
+                continue;
+            const shard_state &state = stateOf(shard);
+            const bool isDue = now >= state.writtenAt + renewPause;
+            const bool isWanted = m_view.preferred(shard) == m_view.self().name;
+            // Where another one holds the row, its word is enough while it lives.
+            const bool isFree = state.holder.empty() || !m_view.find(state.holder);
+            if (state.book.isHeld() ? isDue : isWanted && isFree)
+                secure(shard);
+        }
+    }
+}
+
+void credit_lender::secure(std::size_t shard)
+{
+    shard_state &state = stateOf(shard);
+    const time_point now = runtime_clock::now();
+    const bool isKnown = m_routes && !m_view.self().name.empty();
+    if (!isKnown || state.isWriting || now < state.triedAt + tryPause || m_isReleased)
+        return;
+    state.isWriting = true;
+    state.triedAt = now;
+    spawn(m_executor, "writeQuotaRow", write(shard));
+}
+
+awaitable<void> credit_lender::write(std::size_t shard)
+{
+    shard_state &state = stateOf(shard);
+    const row_name name = quotaRowName(shard);
+    bool again = true;
+    for (int i = 0; again && i < mostTries && !m_isReleased; ++i) {
+        const time_point sentAt = runtime_clock::now();
+        const bool wasHeld = state.book.isHeld();
+        const quota_row row = state.book.prepare(m_routes->accounts(), sentAt);
+        store_transaction t;
+        t.urgency = write_urgency::Begin;
+        t.conditions.push_back({name, state.version});
+        t.writes.push_back({name, encodeQuotaRow(row)});
+        const auto version = co_await m_store.transact(std::move(t), sentAt + writeTime);
+        if (!version) {
+            again = onFailed(shard, state, version.error());
+            continue;
+        }
+        state.version = *version;
+        state.holder = m_view.self().name;
+        state.writtenAt = sentAt;
+        state.book.onWritten(row, sentAt);
+        again = false;
+        if (!wasHeld)
+            logDecision(log_event::QuotaHeld,
+                        {{"shard", std::int64_t(shard)}, {"row_version", std::int64_t(*version)}});
+    }
+    state.isWriting = false;
+}
+
+bool credit_lender::onFailed(std::size_t shard, shard_state &state, const store_error &error)
+{
+    if (error.kind != store_error_kind::Conflict)
+        return false;
+    const stored_row *const found = findRow(error.current, quotaRowName(shard));
+    if (found)
+        return onRow(shard, state, *found);
+    state.version = 0;
+    state.book.takeOver(std::nullopt, holder_state::Ended, runtime_clock::now());
+    return true;
+}
+
+bool credit_lender::onRow(std::size_t shard, shard_state &state, const stored_row &found)
+{
+    const auto row = decodeQuotaRow(found.value);
+    if (!row) {
+        m_unreadable.tell(log_event::RowUnreadable, found, "not a row of quotas");
+        return false;
+    }
+    const member_state &self = m_view.self();
+    const time_point now = runtime_clock::now();
+    if (row->holder == self.name && row->incarnation == state.book.incarnation() && !row->isReleased) {
+        // An earlier write whose answer was lost.
+        state.version = found.version;
+        return true;
+    }
+    const holder_state fate = m_view.stateOf(*row);
+    const bool isLeft
+        = fate == holder_state::Ended || (fate == holder_state::Silent && m_view.isSettled(now));
+    if (!isLeft) {
+        if (state.book.isHeld())
+            logDecision(log_event::QuotaLost,
+                        {{"shard", std::int64_t(shard)}, {"holder", row->holder.value}});
+        state.book.onLost();
+        state.version = found.version;
+        state.holder = row->holder;
+        return false;
+    }
+    logDecision(log_event::QuotaTaken,
+                {{"shard", std::int64_t(shard)},
+                 {"holder", row->holder.value},
+                 {"state", std::string(toName(fate))},
+                 {"row_version", std::int64_t(found.version)}});
+    state.book.takeOver(*row, fate, now);
+    state.version = found.version;
+    return true;
+}
+
+awaitable<void> credit_lender::release(time_point latest)
+{
+    m_isReleased = true;
+    for (auto &[shard, state] : m_shards) {
+        if (!state.book.isHeld())
+            continue;
+        const row_name name = quotaRowName(shard);
+        store_transaction t;
+        t.urgency = write_urgency::Begin;
+        t.conditions.push_back({name, state.version});
+        t.writes.push_back({name, encodeQuotaRow(state.book.release(runtime_clock::now()))});
+        const time_point until = std::min(runtime_clock::now() + writeTime, latest);
+        // If it fails, the next holder finds this daemon gone and waits for what it may have lent.
+        static_cast<void>(co_await m_store.transact(std::move(t), until));
+    }
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/lending/credit_lender.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "lending/lender_view.h"
+#include "routes/routes.h"
+#include "rows/unreadable_rows.h"
+#include "store/store.h"
+
+#include <array>
+#include <optional>
+
+namespace azurehill {
+
+/// \brief Holds rows of quotas in the store and lends the credits that they allow. Used on the
+/// traffic thread.
+class credit_lender
+{
+public:
+    /// \param rows the store; it outlives this object.
+    credit_lender(asio::any_io_executor executor, store &rows, const lender_view &view,
+                  const quota_bound &bound);
+
+    /// \brief Takes in the configuration in force.
+    void setRoutes(route_book_ptr routes);
+    /// \returns the answer to \p request; nothing while it can't be told, and the asker has to ask
+    /// again.
+    std::optional<quota_message> answer(const credit_request &request);
+    void onReturn(const credit_return &message);
+    /// \brief Takes the rows that this daemon should hold, and renews those that it holds. Runs
+    /// until the program ends.
+    awaitable<void> maintain();
+    /// \brief Gives up all rows, by \p latest at the latest.
+    awaitable<void> release(time_point latest);
+
+private:
+    struct shard_state
+    {
+        explicit shard_state(quota_book b) : book(std::move(b)) { }
+        quota_book book;
+        /// Version of the row as this daemon knows it.
+        store_version version = 0;
+        /// Another daemon that holds the row, or an empty id.
+        daemon_id holder;
+        bool isWriting = false;
+        time_point writtenAt;
+        time_point triedAt;
+    };
+
+    shard_state &stateOf(std::size_t shard);
+    /// \returns whether the configuration limits an account of \p shard.
+    bool isUsed(std::size_t shard) const;
+    /// \brief Has the row of \p shard written, unless that is under way or was tried just now.
+    void secure(std::size_t shard);
+    awaitable<void> write(std::size_t shard);
+    /// \brief Takes in \p error of a write. \returns whether to write again at once.
+    bool onFailed(std::size_t shard, shard_state &state, const store_error &error);
+    /// \brief Takes in the row as the store has it. \returns whether to write again at once.
+    bool onRow(std::size_t shard, shard_state &state, const stored_row &found);
+
+    asio::any_io_executor m_executor;
+    store &m_store;
+    const lender_view &m_view;
+    quota_bound m_bound;
+    route_book_ptr m_routes;
+    /// Shards with accounts that have a quota.
+    std::array<bool, quotaShards> m_used{};
+    std::map<std::size_t, shard_state> m_shards;
+    unreadable_rows m_unreadable;
+    bool m_isReleased = false;
+};
+
+} // namespace azurehill
--- /dev/null
+++ b/src/lending/lender_view.cpp
@@ -0,0 +1,61 @@
+#include "lending/lender_view.h"
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// A daemon that has run for less knows too few others to call one silent.
+constexpr duration settleTime = seconds(3);
+
+} // namespace
+
+void lender_view::set(member_state self, std::vector<member_state> others)
+{
+    if (!m_firstSetAt)
+        m_firstSetAt = runtime_clock::now();
+    m_self = std::move(self);
+    m_others = std::move(others);
+    m_candidates.clear();
+    const auto consider = [this](const member_state &m) {
+        if (m.serving && m.storeReachable)
+            m_candidates.push_back(m.name);
+    };
+    consider(m_self);
+    std::for_each(m_others.begin(), m_others.end(), consider);
+}
+
+const member_state *lender_view::find(const daemon_id &name) const
+{
+    if (name == m_self.name)
+        return &m_self;
+    const auto found = std::find_if(m_others.begin(), m_others.end(),
+                                    [&](const member_state &m) { return m.name == name; });
+    return found == m_others.end() ? nullptr : &*found;
+}
+
+daemon_id lender_view::preferred(std::size_t shard) const
+{
+    return preferredHolder(shard, m_candidates);
+}
+
+holder_state lender_view::stateOf(const quota_row &row) const
+{
+    const member_state *const holder = find(row.holder);
+    if (row.isReleased || (holder && holder->incarnation > row.incarnation))
+        return holder_state::Ended;
+    return holder ? holder_state::Lives : holder_state::Silent;
+}
+
+bool lender_view::isSettled(time_point now) const
+{
+    return m_firstSetAt && now >= *m_firstSetAt + settleTime;
+}
+
+endpoint lendingAddress(const member_state &member)
+{
+    return {member.gossip.host, static_cast<std::uint16_t>(member.gossip.port + 1)};
+}
+
+} // namespace azurehill
--- a/src/members/gossip_socket.h
+++ b/src/members/gossip_socket.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "members/datagram_socket.h"
 #include "members/probe_message.h"
-#include "runtime/runtime.h"
 
 #include <functional>
 
@@ -15,18 +15,14 @@
 
     /// \param onMessage called with each message that can be read.
     gossip_socket(const asio::any_io_executor &executor, receiver onMessage);
-    ~gossip_socket();
-    gossip_socket(const gossip_socket &) = delete;
-    gossip_socket &operator=(const gossip_socket &) = delete;
 
     /// \brief Binds \p address and begins to receive. \returns the port, or 0.
-    std::uint16_t listen(const endpoint &address);
+    std::uint16_t listen(const endpoint &address) { return m_socket.listen(address); }
     /// \brief Sends without waiting; what can't go out at once is dropped, as any datagram may be.
-    void send(const endpoint &peer, const std::string &message);
+    void send(const endpoint &peer, const std::string &message) { m_socket.send(peer, message); }
 
 private:
-    struct state;
-    std::shared_ptr<state> m_state;
+    datagram_socket m_socket;
 };
 
 } // namespace azurehill
--- /dev/null
+++ b/src/quota/credit_ledger.cpp
@@ -0,0 +1,138 @@
+#include "quota/credit_ledger.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehill {
+
+namespace {
+
+/// Part of the credits that programs that begin may use; the rest is for those under way.
+constexpr double beginShare = 0.9;
+/// What is taken for a program's requests before any is known, and how many programs that weighs.
+constexpr double assumedRequests = 6;
+constexpr double assumedPrograms = 1;
+/// After this long what was learned weighs a third.
+constexpr duration memory = seconds(20);
+/// Part of the bound that is the least level, so that a few requests need no write.
+constexpr double leastLevelShare = 0.25;
+/// Room that a level leaves above what is lent.
+constexpr double levelRoom = 1.5;
+/// Factor by which a level that was too low grows.
+constexpr int levelGrowth = 2;
+
+} // namespace
+
+void credit_ledger::expire(time_point now)
+{
+    while (!m_grants.empty() && m_grants.front().at + m_span < now) {
+        // Counted this late, since programs make most of their requests after they began: in a
+        // rush of new ones all would seem to make a single request.
+        learn(m_grants.front());
+        m_ids.erase(m_grants.front().id);
+        m_grants.pop_front();
+    }
+    std::erase_if(m_foreign, [now](const foreign_credits &f) { return f.until < now; });
+}
+
+const std::vector<foreign_credits> &credit_ledger::foreign(time_point now)
+{
+    expire(now);
+    return m_foreign;
+}
+
+int credit_ledger::lent(time_point now)
+{
+    expire(now);
+    return static_cast<int>(m_grants.size());
+}
+
+int credit_ledger::capacity(int most, time_point now)
+{
+    int rest = most;
+    for (const foreign_credits &share : foreign(now))
+        rest -= std::min(rest, share.credits);
+    return rest;
+}
+
+std::size_t credit_ledger::begins() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_grants.begin(), m_grants.end(),
+                      [](const grant &g) { return g.use == credit_use::Begin; }));
+}
+
+double credit_ledger::requestsPerProgram() const
+{
+    return std::max(1.0, (m_requests + assumedRequests) / (m_programs + assumedPrograms));
+}
+
+void credit_ledger::learn(const grant &g)
+{
+    const double age = std::chrono::duration<double>(g.at - m_learnedAt).count()
+        / std::chrono::duration<double>(memory).count();
+    const double kept = std::exp(-std::max(0.0, age));
+    m_learnedAt = g.at;
+    m_requests = m_requests * kept + 1;
+    m_programs = m_programs * kept + (g.use == credit_use::Begin ? 1 : 0);
+}
+
+duration credit_ledger::timeUntilFree(std::size_t room, std::optional<credit_use> use,
+                                      time_point now) const
+{
+    std::size_t seen = 0;
+    for (const grant &g : m_grants) {
+        if (use && g.use != *use)
+            continue;
+        if (++seen == room)
+            return std::max<duration>(g.at + m_span - now, loanTime);
+    }
+    return m_span;
+}
+
+lend_result credit_ledger::lend(const credit_id &id, credit_use use, int most, time_point now)
+{
+    expire(now);
+    if (m_ids.contains(id))
+        return {};
+    const int all = capacity(most, now);
+    const int used = static_cast<int>(m_grants.size());
+    const bool isBegin = use == credit_use::Begin;
+    const int limit = isBegin ? static_cast<int>(std::ceil(beginShare * all)) : all;
+    if (used >= limit)
+        return {lend_verdict::OverQuota,
+                timeUntilFree(static_cast<std::size_t>(used - limit + 1), std::nullopt, now)};
+    if (isBegin && used > 0) {
+        const auto programs = static_cast<std::size_t>(double(all) / requestsPerProgram());
+        const std::size_t begun = begins();
+        if (begun >= std::max<std::size_t>(1, programs))
+            return {lend_verdict::OverQuota,
+                    timeUntilFree(begun - std::max<std::size_t>(1, programs) + 1, use, now)};
+    }
+    if (used >= m_level)
+        return {lend_verdict::LevelTooLow, duration::zero()};
+    m_grants.push_back({id, use, now});
+    m_ids.insert(id);
+    return {};
+}
+
+void credit_ledger::giveBack(const credit_id &id)
+{
+    if (m_ids.erase(id) == 0)
+        return;
+    std::erase_if(m_grants, [&](const grant &g) { return g.id == id; });
+}
+
+int credit_ledger::wantedLevel(int most, bool isShort, time_point now)
+{
+    const int used = lent(now);
+    const int all = capacity(most, now);
+    const int least = static_cast<int>(std::ceil(leastLevelShare * most));
+    int wanted = std::max(least, static_cast<int>(std::ceil(levelRoom * used)) + 1);
+    if (isShort)
+        wanted = std::max(wanted, levelGrowth * m_level);
+    // Below what is lent the store would not know of all of it.
+    return std::max(std::min(wanted, all), used);
+}
+
+} // namespace azurehill
--- a/src/routes/route_book.cpp
+++ b/src/routes/route_book.cpp
@@ -18,8 +18,10 @@
 } // namespace
 
 route_book::route_book(std::uint64_t version, std::vector<route_rule> routes,
-                       std::vector<service_rule> services, client_limits limits)
-    : m_version(version), m_routes(std::move(routes)), m_limits(limits)
+                       std::vector<service_rule> services, client_limits limits,
+                       account_book accounts)
+    : m_version(version), m_routes(std::move(routes)), m_limits(limits),
+      m_accounts(std::move(accounts))
 {
     for (service_rule &s : services) {
         std::string name = s.name;
--- a/src/routes/route_book.h
+++ b/src/routes/route_book.h
@@ -3,6 +3,7 @@
 /// \file
 /// \brief The operator's configuration of routes and services, and the choice of a route.
 
+#include "accounts/accounts.h"
 #include "core/core.h"
 
 #include <cstdint>
@@ -54,6 +55,8 @@
     /// How long a turn and its chain are kept.
     duration retention = seconds(0);
     bool sessionAffinity = false;
+    /// Requests need no key.
+    bool isPublic = false;
 };
 
 /// \brief What the configuration says of a service's model engines.
@@ -87,11 +90,13 @@
 {
 public:
     route_book(std::uint64_t version, std::vector<route_rule> routes,
-               std::vector<service_rule> services, client_limits limits);
+               std::vector<service_rule> services, client_limits limits,
+               account_book accounts = {});
 
     std::uint64_t version() const { return m_version; }
     const client_limits &limits() const { return m_limits; }
     const std::vector<route_rule> &routes() const { return m_routes; }
+    const account_book &accounts() const { return m_accounts; }
 
     /// \returns the route of \p hostname with the longest prefix of \p path, or nothing.
     const route_rule *find(std::string_view hostname, std::string_view path) const;
@@ -104,6 +109,7 @@
     std::vector<route_rule> m_routes;
     std::map<std::string, service_rule, std::less<>> m_services;
     client_limits m_limits;
+    account_book m_accounts;
     /// Indices of the routes of a host by prefix. Prefixes end in a slash, so that a path is looked
     /// up with one search for each of its slashes, however many routes there are.
     std::map<std::string, std::map<std::string, std::size_t, std::less<>>, std::less<>> m_byHost;
--- a/src/turns/turn.cpp
+++ b/src/turns/turn.cpp
@@ -17,6 +17,11 @@
         next = std::move(std::const_pointer_cast<turn>(next)->previous);
 }
 
+bool mayContinue(const turn &t, const account_id &account)
+{
+    return !t.account || *t.account == account;
+}
+
 std::vector<turn_ptr> chainOf(const turn_ptr &last)
 {
     std::vector<turn_ptr> chain;
@@ -53,6 +58,8 @@
     head["replica"] = t.replica.id.value;
     head["replica_born"] = t.replica.bornUnixMs;
     head["tokens"] = t.tokens;
+    if (t.account)
+        head["account"] = t.account->value;
     if (t.used)
         head["used"] = *t.used;
     head["input"] = t.input.size();
@@ -84,6 +91,15 @@
     return tokens;
 }
 
+/// \returns the account that \p head names, if it names one.
+std::optional<account_id> decodeOwner(const json::object &head)
+{
+    const json::value *name = head.if_contains("account");
+    if (!name)
+        return std::nullopt;
+    return account_id{std::string(name->as_string())};
+}
+
 } // namespace
 
 std::optional<decoded_turn> decodeTurn(std::string_view row)
@@ -107,6 +123,7 @@
         result.value.replica = decodeReplica(head);
         result.value.tokens = head.at("tokens").to_number<std::int64_t>();
         result.value.used = decodeUsed(head);
+        result.value.account = decodeOwner(head);
         result.value.input = bytes.substr(0, inputSize);
         result.value.output = bytes.substr(inputSize);
         result.previous = {text("previous")};
--- a/src/turns/turn.h
+++ b/src/turns/turn.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "accounts/account_rule.h"
 #include "core/core.h"
 #include "replicas/replica_incarnation.h"
 
@@ -36,6 +37,9 @@
     /// Tokens of the answer, which its program's budget is charged; nothing if the row does not
     /// say.
     std::optional<std::int64_t> used;
+    /// The client account whose turn it is, empty for nobody's; nothing if the row does not say.
+    /// Such a row was written before turns had accounts, and any account may continue from it.
+    std::optional<account_id> account = account_id();
 
     turn() = default;
     ~turn();
@@ -45,6 +49,9 @@
     turn &operator=(turn &&) = default;
 };
 
+/// \returns whether requests of \p account may continue from \p t.
+bool mayContinue(const turn &t, const account_id &account);
+
 /// \returns the prompt of a turn that follows \p last: inputs and outputs of the whole chain,
 /// oldest first, and then \p input.
 std::string buildPrompt(const turn_ptr &last, std::string_view input);
--- a/src/turns/turn_ledger_reads.cpp
+++ b/src/turns/turn_ledger_reads.cpp
@@ -141,9 +141,10 @@
 }
 
 awaitable<tl::expected<turn_ptr, turn_refusal>>
-turn_ledger::load(program_id program, turn_id previous, time_point deadline)
+turn_ledger::load(account_id asker, program_id program, turn_id previous, time_point deadline)
 {
-    if (turn_ptr known = m_cache.find(previous))
+    const turn_ptr known = m_cache.find(previous);
+    if (known && mayContinue(*known, asker))
         co_return known;
     if (!m_store.isReachable()) {
         tellNotLoaded(program, previous, load_step::Unreachable, "");
@@ -158,7 +159,10 @@
         auto found = co_await readProgram(program, previous, until);
         if (found && !found->found)
             found = co_await readByIndex(previous, until);
-        if (found && found->found)
+        // Another account's turn takes the same calls as one that is not there, so that the time of
+        // the answer does not tell them apart.
+        const bool isForeign = found && found->found && !mayContinue(*found->found, asker);
+        if (found && found->found && !isForeign)
             co_return found->found;
         failed = load_step::Read;
         if (!found) {
@@ -166,10 +170,14 @@
         } else {
             // A read may lag behind; only a condition says for certain that there is no such turn.
             const auto place = co_await locate(previous, until);
-            if (place && !*place)
+            if (place && (!*place || isForeign))
                 co_return tl::unexpected(turn_refusal::NoSuchTurn);
-            if (place)
-                co_return co_await awaitTurn(**place, previous, deadline);
+            if (place) {
+                auto late = co_await awaitTurn(**place, previous, deadline);
+                if (late && !mayContinue(**late, asker))
+                    co_return tl::unexpected(turn_refusal::NoSuchTurn);
+                co_return late;
+            }
             failed = load_step::Confirm;
             detail = place.error().detail;
         }
--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -7,6 +7,7 @@
 #include "platform/replica_codec.h"
 #include "platform/settings_file.h"
 #include "platform/store_codec.h"
+#include "quota/quota.h"
 #include "turns/token_account.h"
 
 #include <doctest/doctest.h>
@@ -271,6 +272,22 @@
         });
     }
 
+    TEST_CASE("rows and messages of quotas")
+    {
+        fuzz("quota_row", [](const std::string &text) {
+            const auto row = decodeQuotaRow(text);
+            for (const auto &[account, level] : row ? row->levels : decltype(row->levels)()) {
+                RC_ASSERT(level.credits >= 0);
+                for (const quota_level::foreign_share &share : level.foreign)
+                    RC_ASSERT(share.credits >= 0 && share.left >= duration::zero());
+            }
+        });
+        fuzz("quota_message", [](const std::string &text) {
+            if (const auto message = decodeQuotaMessage(text))
+                RC_ASSERT(decodeQuotaMessage(encodeQuotaMessage(*message)).has_value());
+        });
+    }
+
     TEST_CASE("clients' headers")
     {
         fuzz("request", [](const std::string &text) {
@@ -284,9 +301,11 @@
             RC_ASSERT(!decoded->patience || *decoded->patience >= duration::zero());
             RC_ASSERT(!decoded->tokenBudget || *decoded->tokenBudget >= 0);
             RC_ASSERT(!decoded->tokens || decoded->tokens->mostOutput >= 0);
-            const forward_fields fields{{"i-1"}, seconds(1), 5};
+            const forward_fields fields{{"i-1"}, seconds(1), 5, true, {"a"}};
             const http_request out = encodeForward(request, fields, "body");
             RC_ASSERT(out.headers.get("X-Azurehill-Expect-Instance") == "i-1");
+            RC_ASSERT(out.headers.get("X-Azurehill-Tenant") == "a");
+            RC_ASSERT_FALSE(out.headers.has("Authorization"));
         });
     }
 
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -145,6 +145,7 @@
         settings.storeAddress = {"127.0.0.1", store.listen()};
         settings.storeSpansParts = true;
         settings.clients = {"127.0.0.1", port};
+        settings.credits = {"127.0.0.1", 0};
         begin(makeRoutes());
     }
 
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+const account_id nobody;
+
 void runPaused(asio::io_context &context, awaitable<void> body)
 {
     const paused_clock pause;
@@ -103,7 +105,7 @@
                 const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
                 co_await w.runUsual(first.ledger, "t2", a);
                 const turn_id wanted{"t2"};
-                const auto found = co_await second.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE(found);
                 CHECK(buildPrompt(*found, "new") == "in-t1;out-t1\nin-t2;out-t2\nnew");
             };
@@ -116,7 +118,7 @@
                 const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
                 const program_id other{"p2"};
                 const turn_id t1{"t1"};
-                const auto found = co_await second.ledger.load(other, t1, later(seconds(1)));
+                const auto found = co_await second.ledger.load(nobody, other, t1, later(seconds(1)));
                 REQUIRE(found);
                 const turn_claim two = claimFor("t2", other, 1000, 50);
                 const turn_ptr b = co_await runTurn(second.ledger, two, *found, 10);
@@ -135,7 +137,7 @@
                     = co_await first.ledger.commit(t, 1, seconds(60), later(seconds(3)));
                 REQUIRE(done);
                 const turn_id wanted{"big"};
-                const auto found = co_await second.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE(found);
                 CHECK((*found)->input.size() == 200'000);
             };
@@ -154,7 +156,7 @@
         SUBCASE("the store confirms that there is no such turn")
         {
             auto story = [&]() -> awaitable<void> {
-                const auto found = co_await host.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::NoSuchTurn);
             };
@@ -171,7 +173,7 @@
                 t.writes.push_back({turn_rows::firstPiece(program, {"t1"}), "\xff\xfe"});
                 static_cast<void>(rows.apply(t));
                 const turn_id spoiled{"t1"};
-                const auto b = co_await host.ledger.load(program, spoiled, later(seconds(1)));
+                const auto b = co_await host.ledger.load(nobody, program, spoiled, later(seconds(1)));
                 REQUIRE_FALSE(b);
                 CHECK(b.error() == turn_refusal::TurnUnreadable);
             };
@@ -184,7 +186,7 @@
             // had not seen the turn before and took "could not read" for "is not there".
             host.access.nextFault = [] { return store_fault::Refused; };
             auto story = [&]() -> awaitable<void> {
-                const auto found = co_await host.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::StoreUnavailable);
             };
@@ -214,7 +216,7 @@
                 spawn(context.get_executor(), "catchUp", catchUp());
                 const turn_id wanted{"t1"};
                 const auto found
-                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
                 CHECK(found);
             };
             runPaused(context, story());
@@ -227,7 +229,7 @@
                 const turn_id wanted{"t1"};
                 const time_point began = runtime_clock::now();
                 const auto found
-                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
                 REQUIRE_FALSE(found);
                 CHECK(toName(found.error()) == "reads_lag");
                 CHECK(runtime_clock::now() - began >= milliseconds(1000));
@@ -247,7 +249,7 @@
                 const turn_id wanted{"t1"};
                 const time_point began = runtime_clock::now();
                 const auto found
-                    = co_await second.ledger.load(program, wanted, later(milliseconds(1500)));
+                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
                 REQUIRE_FALSE(found);
                 CHECK(toName(found.error()) == "turn_unreadable");
                 CHECK(runtime_clock::now() - began < milliseconds(400));
@@ -268,7 +270,7 @@
                 CHECK(rows.size() == 1);
                 ledger_host fresh(rows);
                 const turn_id wanted{"t1"};
-                const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::NoSuchTurn);
             };
@@ -425,7 +427,7 @@
                 co_await second.ledger.removeOldRows();
                 ledger_host fresh(rows);
                 const turn_id wanted{"t1"};
-                const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 CHECK(found);
                 runtime_clock::advance(seconds(20));
                 co_await first.ledger.removeOldRows();
@@ -466,7 +468,7 @@
                 co_await first.ledger.removeOldRows();
                 ledger_host fresh(rows);
                 const turn_id wanted{"t2"};
-                const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 CHECK(found);
             };
             runPaused(context, story());
@@ -483,7 +485,7 @@
         const auto loadAfresh = [&](const char *id) -> awaitable<std::string> {
             ledger_host fresh(rows);
             const turn_id wanted{id};
-            const auto found = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+            const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
             co_return found ? buildPrompt(*found, "") : std::string(toName(found.error()));
         };
 
@@ -509,7 +511,7 @@
                 co_await w.runUsual(first.ledger, "t1", nullptr);
                 runtime_clock::advance(seconds(50));
                 const turn_id t1{"t1"};
-                const auto a = co_await second.ledger.load(program, t1, later(seconds(1)));
+                const auto a = co_await second.ledger.load(nobody, program, t1, later(seconds(1)));
                 REQUIRE(a);
                 runtime_clock::advance(seconds(25));
                 co_await first.ledger.removeOldRows();
@@ -642,7 +644,7 @@
                     if (last) {
                         const turn_id wanted = last->id;
                         const auto found
-                            = co_await host.ledger.load(program, wanted, later(seconds(2)));
+                            = co_await host.ledger.load(nobody, program, wanted, later(seconds(2)));
                         RC_ASSERT(found || found.error() == turn_refusal::StoreUnavailable);
                     }
                     const turn_claim claim = claimFor(id, program, budget, most);
@@ -671,7 +673,7 @@
                 auto look = [&]() -> awaitable<void> {
                     const turn_id wanted = last->id;
                     const auto result
-                        = co_await fresh.ledger.load(program, wanted, later(seconds(1)));
+                        = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                     RC_ASSERT(bool(result));
                     found = *result;
                 };
--- /dev/null
+++ b/test/logic/account_test.cpp
@@ -0,0 +1,111 @@
+#include "accounts/accounts.h"
+
+#include <doctest/doctest.h>
+
+#include <fmt/format.h>
+
+namespace azurehill {
+
+namespace {
+
+account_rule rule(const std::string &name, const std::vector<std::string> &keys)
+{
+    account_rule r;
+    r.name = {name};
+    for (const std::string &key : keys)
+        r.keys.push_back(digestOf(key));
+    return r;
+}
+
+} // namespace
+
+TEST_CASE("a key is read from the header that carries it")
+{
+    CHECK(bearerKey("Bearer k1") == "k1");
+    CHECK(bearerKey("Bearer   k1") == "k1");
+
+    SUBCASE("schemes have any case")
+    {
+        CHECK(bearerKey("bearer k1") == "k1");
+        CHECK(bearerKey("BEARER k1") == "k1");
+    }
+    SUBCASE("another scheme carries no key")
+    {
+        CHECK_FALSE(bearerKey("Basic azE="));
+        CHECK_FALSE(bearerKey("Bearerk1"));
+    }
+    SUBCASE("an empty key is none")
+    {
+        CHECK_FALSE(bearerKey(""));
+        CHECK_FALSE(bearerKey("Bearer"));
+        CHECK_FALSE(bearerKey("Bearer "));
+    }
+}
+
+TEST_CASE("a request is judged by the accounts in force")
+{
+    const auto book = account_book::make({rule("a", {"k1", "k2"}), rule("b", {"k3"})});
+    REQUIRE(book);
+    const credential known = digestOf("k2");
+    const credential unknown = digestOf("k9");
+
+    SUBCASE("a known key belongs to its account")
+    {
+        const access got = judgeAccess(*book, false, known);
+        CHECK(got.verdict == access_verdict::Allowed);
+        REQUIRE(got.account);
+        CHECK(got.account->name.value == "a");
+    }
+    SUBCASE("an unknown key is refused, also on a public route")
+    {
+        CHECK(judgeAccess(*book, false, unknown).verdict == access_verdict::UnknownKey);
+        CHECK(judgeAccess(*book, true, unknown).verdict == access_verdict::UnknownKey);
+    }
+    SUBCASE("only a public route takes requests without a key")
+    {
+        CHECK(judgeAccess(*book, false, no_credential()).verdict == access_verdict::NoKey);
+        CHECK(judgeAccess(*book, true, no_credential()).verdict == access_verdict::Allowed);
+        CHECK(judgeAccess(*book, true, no_credential()).account == nullptr);
+        CHECK(judgeAccess(*book, true, bad_credential()).verdict == access_verdict::NoKey);
+    }
+    SUBCASE("on a public route a known key still tells the account")
+    {
+        CHECK(judgeAccess(*book, true, known).account->name.value == "a");
+    }
+    SUBCASE("without accounts nobody needs a key")
+    {
+        CHECK(judgeAccess({}, false, unknown).verdict == access_verdict::Allowed);
+        CHECK(judgeAccess({}, false, no_credential()).verdict == access_verdict::Allowed);
+    }
+}
+
+TEST_CASE("accounts that can't be in force together are refused whole")
+{
+    CHECK_FALSE(account_book::make({rule("a", {"k"}), rule("b", {"k"})}));
+    CHECK_FALSE(account_book::make({rule("a", {"k"}), rule("a", {"l"})}));
+    CHECK_FALSE(account_book::make({rule("", {"k"})}));
+    CHECK_FALSE(account_book::make({rule("a\r\nX-Other: b", {"k"})}));
+    CHECK_FALSE(account_book::make({rule(std::string(1000, 'a'), {"k"})}));
+
+    SUBCASE("one account may name a key twice, and have none")
+    {
+        CHECK(account_book::make({rule("a", {"k", "k"}), rule("b", {})}));
+    }
+    SUBCASE("a key may be another account's in the next version")
+    {
+        const auto next = account_book::make({rule("a", {}), rule("b", {"k"})});
+        REQUIRE(next);
+        CHECK(next->holder(digestOf("k"))->name.value == "b");
+    }
+    SUBCASE("an account holds very many keys")
+    {
+        std::vector<std::string> keys;
+        for (int i = 0; i < 10'000; ++i)
+            keys.push_back(fmt::format("key-{}", i));
+        const auto book = account_book::make({rule("a", keys)});
+        REQUIRE(book);
+        CHECK(book->holder(digestOf("key-9999"))->name.value == "a");
+    }
+}
+
+} // namespace azurehill
