Replicas that fail requests are left out, and daemons tell each other

A 500 counted as an answer: it cleared the row of failures, and its time made the engine look quick and idle, so four engines drew 2,192 requests; 171 in 1,000 programs failed.

Change: a 5xx of a replica's own is an end of its own (failed) and no sample of how long answers take. Two in a row, here or at several daemons, leave the replica out; daemons tell each other with their pings what fails and what answers again, and all together try one about twice a second, whatever their number. Where more than a third of a service's replicas fails, the requests are to blame and none is left out. The log has the status of each send.

A stream that a replica answered with 500 is not sent again: it has run, and may run once only.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -117,6 +117,11 @@
     m_membership.setWords(std::move(words));
 }
 
+void entry_control::setReplicaWords(replica_words words)
+{
+    m_membership.setReplicaWords(std::move(words));
+}
+
 entry_gauges entry_control::gauges() const
 {
     entry_gauges g;
@@ -411,6 +416,9 @@
 void entry_control::publishPlaceWords() const
 {
     m_events.onPlaceWords(m_membership.wordsHeard());
+    std::vector<replica_words> heard = m_membership.replicaWordsHeard();
+    if (!heard.empty() && m_events.onReplicaWords)
+        m_events.onReplicaWords(std::move(heard));
 }
 
 awaitable<void> entry_control::gossip()
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -27,6 +27,8 @@
     std::function<void(member_state, std::vector<member_state>)> onMembers;
     /// What some of the other daemons that live told lately of their places at the engines.
     std::function<void(std::vector<place_words>)> onPlaceWords;
+    /// What some of the other daemons told lately of replicas; called where any did.
+    std::function<void(std::vector<replica_words>)> onReplicaWords;
 };
 
 /// \brief Where the control side of a daemon listens.
@@ -53,6 +55,8 @@
     awaitable<void> unregister(time_point latest);
     /// \brief Takes in what this daemon tells the others of its places at the engines.
     void setPlaceWords(place_words words);
+    /// \brief Takes in what this daemon tells the others of replicas.
+    void setReplicaWords(replica_words words);
     /// \brief Takes over the bounds and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
     /// \returns what the daemon believes, for the metrics.
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -150,12 +150,19 @@
     m_places.hear(heard, static_cast<std::size_t>(m_daemons - 1));
 }
 
+void entry_service::setOtherReplicaWords(const std::vector<replica_words> &heard)
+{
+    m_board.hear(heard, runtime_clock::now());
+}
+
 void entry_service::tellPlaceWords(time_point now)
 {
     if (!m_tellPlaceWords || now < m_wordsToldAt + wordPause)
         return;
     m_wordsToldAt = now;
     m_tellPlaceWords(m_places.tell());
+    if (m_tellReplicaWords)
+        m_tellReplicaWords(m_board.tell(now));
 }
 
 std::string entry_service::pickService(const route_rule &route)
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -34,6 +34,13 @@
     void setMembers(member_state self, std::vector<member_state> others);
     /// \brief Takes in what some of the other daemons told lately of their places at the engines.
     void setOtherPlaceWords(const std::vector<place_words> &heard);
+    /// \brief Takes in what some of the other daemons told lately of replicas.
+    void setOtherReplicaWords(const std::vector<replica_words> &heard);
+    /// \brief Calls \p tell now and then with what this daemon tells of replicas.
+    void onReplicaWords(std::function<void(replica_words)> tell)
+    {
+        m_tellReplicaWords = std::move(tell);
+    }
     /// \brief Calls \p tell now and then with what this daemon tells of its places.
     void onPlaceWords(std::function<void(place_words)> tell) { m_tellPlaceWords = std::move(tell); }
 
@@ -81,6 +88,7 @@
     route_book_ptr m_routes;
     int m_daemons = 1;
     std::function<void(place_words)> m_tellPlaceWords;
+    std::function<void(replica_words)> m_tellReplicaWords;
     time_point m_wordsToldAt;
 };
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -187,10 +187,18 @@
         asio::post(trafficContext,
                    [&service, o = std::move(others)] { service.setOtherPlaceWords(o); });
     };
+    events.onReplicaWords = [&](std::vector<replica_words> others) {
+        asio::post(trafficContext,
+                   [&service, o = std::move(others)] { service.setOtherReplicaWords(o); });
+    };
     entry_control control(controlContext, s, std::move(events));
     service.onPlaceWords([&](place_words wanted) {
         asio::post(controlContext, [&control, w = std::move(wanted)] { control.setPlaceWords(w); });
     });
+    service.onReplicaWords([&](replica_words seen) {
+        asio::post(controlContext,
+                   [&control, w = std::move(seen)] { control.setReplicaWords(w); });
+    });
     http_server metricsServer(controlContext.get_executor(), {},
                               [&](const http_request &request, response_writer &writer) {
                                   return answerMetrics(metrics, control, request, writer);
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -27,6 +27,9 @@
 constexpr duration leastAttemptTime = milliseconds(250);
 constexpr int attemptsInTime = 3;
 
+/// Least status of a failure of the replica's own.
+constexpr int leastFailure = 500;
+
 duration attemptTime(const entry_call &call, const replica_board &board, time_point now)
 {
     const duration share = (call.deadline - now) / attemptsInTime;
@@ -179,7 +182,9 @@
     call->lastByteAt = runtime_clock::now();
     const reply_kind kind = judgeReply(*head, call->request.id);
     if (kind == reply_kind::Answer) {
-        m_board.onFirstByte(where, wanted, call->lastByteAt - call->sentAt, call->lastByteAt);
+        // The time of a failure says nothing of how long answers take.
+        if (head->status < leastFailure)
+            m_board.onFirstByte(where, wanted, call->lastByteAt - call->sentAt, call->lastByteAt);
         call->mayHaveRun = true;
         reply.head = std::move(*head);
         co_return reply;
@@ -205,13 +210,17 @@
 void upstream_sender::finish(entry_call &call, open_reply &reply, send_end end)
 {
     const time_point now = runtime_clock::now();
+    if (end == send_end::Answered && reply.head.status >= leastFailure)
+        end = send_end::Failed;
     m_board.onDone(reply.where, end, now);
     call.connection = nullptr;
     call.attemptDeadline.reset();
     std::erase_if(m_underWay, [&](const entry_call_ptr &c) { return c.get() == &call; });
     // A connection to a process that is over is dead, and the next request on it would be cut off.
     const bool isOver = m_board.isReplaced(reply.where.replica.incarnation);
-    const bool keep = !isOver && (end == send_end::Answered || end == send_end::NotRun);
+    const bool isEnded
+        = end == send_end::Answered || end == send_end::Failed || end == send_end::NotRun;
+    const bool keep = !isOver && isEnded;
     if (keep)
         m_pool.give(reply.where.replica.address, std::move(*reply.connection), now);
     else
@@ -223,6 +232,9 @@
                 {{"request", call.request.id},
                  {"replica", reply.where.replica.incarnation.id.value},
                  {"end", std::string(toName(end))},
+                 {"status", std::int64_t(end == send_end::Answered || end == send_end::Failed
+                                             ? reply.head.status
+                                             : 0)},
                  {"cut", std::string(toName(call.cut))},
                  {"ms", toMilliseconds(now - call.sentAt)}});
 }
--- a/src/members/membership_protocol.cpp
+++ b/src/members/membership_protocol.cpp
@@ -89,6 +89,7 @@
     m.incarnation = m_self.incarnation;
     m.version = m_self.version;
     m.words = m_words;
+    m.replicaWords = m_replicaWords;
     return m;
 }
 
@@ -280,7 +281,7 @@
         return out;
     m_heardAt = now;
     const bool isKnown = m_members.onHeard(m.sender, m.incarnation, m.version);
-    m_sample.onHeard(m.sender, m.words, now);
+    m_sample.onHeard(m.sender, m.words, m.replicaWords, now);
     const auto *sender = m_members.find(m.sender);
     const bool isDoubted = isKnown && !sender->isHealthy();
     if (m.kind == probe_kind::IndirectPing && m.target) {
--- a/src/members/probe_message.cpp
+++ b/src/members/probe_message.cpp
@@ -87,6 +87,16 @@
     return words;
 }
 
+replica_words replicaWordsIn(const json::object &o)
+{
+    if (o.size() > mostReplicaWords)
+        throw std::out_of_range("words on replicas");
+    replica_words words;
+    for (const auto &[id, value] : o)
+        words.emplace(upstream_id{std::string(id)}, enumIn<replica_word>(value));
+    return words;
+}
+
 member_update updateIn(const json::value &value)
 {
     const json::array &a = value.as_array();
@@ -120,6 +130,8 @@
         m.target = addressIn(*target);
     if (const json::value *words = o.if_contains("w"))
         m.words = wordsIn(words->as_object());
+    if (const json::value *words = o.if_contains("f"))
+        m.replicaWords = replicaWordsIn(words->as_object());
     if (const json::value *replicas = o.if_contains("r"))
         m.replicas = digestIn(*replicas);
     if (const json::value *updates = o.if_contains("u")) {
@@ -149,6 +161,12 @@
             words[service] = encode(word);
         o["w"] = std::move(words);
     }
+    if (!message.replicaWords.empty()) {
+        json::object words;
+        for (const auto &[id, word] : message.replicaWords)
+            words[id.value] = int(word);
+        o["f"] = std::move(words);
+    }
     if (message.replicas)
         o["r"] = toJson(*message.replicas);
     if (!message.updates.empty()) {
--- a/src/members/word_sample.cpp
+++ b/src/members/word_sample.cpp
@@ -10,9 +10,10 @@
 
 } // namespace
 
-void word_sample::onHeard(const daemon_id &member, place_words words, time_point now)
+void word_sample::onHeard(const daemon_id &member, place_words words, replica_words replicas,
+                          time_point now)
 {
-    m_heard[member] = {std::move(words), now};
+    m_heard[member] = {std::move(words), std::move(replicas), now};
 }
 
 void word_sample::expire(time_point now)
@@ -29,4 +30,14 @@
     return all;
 }
 
+std::vector<replica_words> word_sample::heardOfReplicas() const
+{
+    std::vector<replica_words> all;
+    for (const auto &[member, heard] : m_heard) {
+        if (!heard.replicas.empty())
+            all.push_back(heard.replicas);
+    }
+    return all;
+}
+
 } // namespace azurehill
--- a/src/members/word_sample.h
+++ b/src/members/word_sample.h
@@ -2,13 +2,14 @@
 
 #include "core/core.h"
 #include "replicas/place_division.h"
+#include "replicas/replica_words.h"
 
 #include <map>
 #include <vector>
 
 namespace azurehill {
 
-/// \brief The words on places that came lately, one of each daemon that was heard.
+/// \brief The words on places and replicas that came lately, one of each daemon that was heard.
 ///
 /// Each daemon talks to some others by chance in each round, so what it hears in a second is a
 /// sample of all, as fresh as a second, at a cost that does not grow with their number. Where there
@@ -16,17 +17,21 @@
 class word_sample
 {
 public:
-    /// \brief \p member told \p words.
-    void onHeard(const daemon_id &member, place_words words, time_point now);
+    /// \brief \p member told \p words of places and \p replicas.
+    void onHeard(const daemon_id &member, place_words words, replica_words replicas,
+                 time_point now);
     /// \brief Forgets words that are too old.
     void expire(time_point now);
     /// \returns what each daemon that was heard lately told last.
     std::vector<place_words> heard() const;
+    /// \returns what those daemons told of replicas, where they told anything.
+    std::vector<replica_words> heardOfReplicas() const;
 
 private:
     struct heard_words
     {
         place_words words;
+        replica_words replicas;
         time_point at;
     };
 
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -36,6 +36,12 @@
 constexpr std::size_t maxSharedParts = 4096;
 /// Answers after which the times of a service are known.
 constexpr int enoughSamples = 20;
+/// All daemons together try a replica that fails requests this often; each try costs a request.
+constexpr duration jointTrialPause = milliseconds(500);
+/// What was seen of a replica is told for this long.
+constexpr duration tellTime = seconds(2);
+/// Where a larger part of a service's replicas fails requests, the requests are to blame.
+constexpr int mostFailingPart = 3;
 /// Most that a replica counts as slower than its peers.
 constexpr double maxSlowness = 8;
 
@@ -109,7 +115,25 @@
 
 bool replica_board::mayTake(const replica_state &r, time_point now) const
 {
-    return !r.leaving && !r.entry.draining && r.trust.mayTake(now);
+    if (r.leaving || r.entry.draining)
+        return false;
+    const auto service = m_services.find(r.entry.service);
+    const bool isSpared
+        = r.trust.isFailing() && service != m_services.end() && service->second.failsEverywhere;
+    return isSpared || r.trust.mayTake(now);
+}
+
+void replica_board::countFailing(const std::string &service)
+{
+    const auto group = m_byService.find(service);
+    if (group == m_byService.end())
+        return;
+    const auto failing
+        = std::count_if(group->second.begin(), group->second.end(), [this](const upstream_id &id) {
+              return m_replicas.at(id).trust.isFailing();
+          });
+    m_services[service].failsEverywhere
+        = failing * mostFailingPart > static_cast<std::ptrdiff_t>(group->second.size());
 }
 
 int replica_board::open(std::string_view service, time_point now) const
@@ -233,7 +257,7 @@
         if (!request.affinityKey.empty() && r.outstanding < r.entry.slots)
             c *= 1 - 0.5 * double(stableHash(request.affinityKey + id.value) % 1000) / 1000;
         const placement p{r.entry, r.outstanding, cached, c, 0};
-        if (!r.trust.mayTake(now)) {
+        if (!mayTake(r, now)) {
             if (!bestDoubted || c < bestDoubted->cost)
                 bestDoubted = p;
             continue;
@@ -300,7 +324,10 @@
     r.outstanding = std::max(0, r.outstanding - 1);
     service_state &service = m_services[r.entry.service];
     service.outstanding = std::max(0, service.outstanding - 1);
+    const bool wasFailing = r.trust.isFailing();
     noteEnd(r, end, now);
+    if (r.trust.isFailing() != wasFailing)
+        countFailing(r.entry.service);
     if (r.trust.isDoubted() == wasDoubted)
         return;
     logDecision(wasDoubted ? log_event::ReplicaTrusted : log_event::ReplicaDoubted,
@@ -310,6 +337,55 @@
                  {"outstanding", std::int64_t(r.outstanding)}});
 }
 
+duration replica_board::trialPause()
+{
+    // From 0 on, so that some daemon tries soon however many there are.
+    std::uniform_real_distribution<double> chance(0, 2);
+    return std::chrono::duration_cast<duration>(jointTrialPause * (m_daemons * chance(m_random)));
+}
+
+replica_words replica_board::tell(time_point now) const
+{
+    replica_words words;
+    for (const auto &[id, r] : m_replicas) {
+        if (words.size() >= mostReplicaWords)
+            break;
+        const auto failedAt = r.trust.failedAt();
+        const auto recoveredAt = r.trust.recoveredAt();
+        if (failedAt && now - *failedAt < tellTime)
+            words.emplace(id, replica_word::Fails);
+        else if (recoveredAt && now - *recoveredAt < tellTime)
+            words.emplace(id, replica_word::Answers);
+    }
+    return words;
+}
+
+void replica_board::hear(const std::vector<replica_words> &heard, time_point now)
+{
+    std::map<upstream_id, int> failing;
+    std::set<upstream_id> answering;
+    for (const replica_words &words : heard) {
+        for (const auto &[id, word] : words) {
+            if (word == replica_word::Fails)
+                ++failing[id];
+            else
+                answering.insert(id);
+        }
+    }
+    for (const auto &[id, others] : failing) {
+        const auto found = m_replicas.find(id);
+        if (found != m_replicas.end() && !answering.contains(id))
+            found->second.trust.onOthersFail(others, now, trialPause());
+    }
+    for (const upstream_id &id : answering) {
+        const auto found = m_replicas.find(id);
+        if (found != m_replicas.end() && !failing.contains(id))
+            found->second.trust.onOthersAnswer(now);
+    }
+    for (const auto &[service, group] : m_byService)
+        countFailing(service);
+}
+
 void replica_board::noteEnd(replica_state &r, send_end end, time_point now)
 {
     switch (end) {
@@ -317,6 +393,9 @@
     case send_end::NotRun:
         r.trust.onAnswer(now);
         break;
+    case send_end::Failed:
+        r.trust.onFailed(now, trialPause());
+        break;
     case send_end::Broken:
         r.trust.onBroken(now);
         break;
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -4,6 +4,7 @@
 #include "replicas/prefix_cache.h"
 #include "replicas/replica_entry.h"
 #include "replicas/replica_trust.h"
+#include "replicas/replica_words.h"
 #include "replicas/wait_estimate.h"
 
 #include <map>
@@ -37,13 +38,22 @@
 };
 
 /// \brief How a request ended at a replica.
-enum class send_end { Answered, NotRun, Broken, Silent, Unreachable, Cancelled };
+enum class send_end {
+    Answered,
+    /// The replica answered with a failure of its own.
+    Failed,
+    NotRun,
+    Broken,
+    Silent,
+    Unreachable,
+    Cancelled
+};
 
 template <>
 struct enum_names<send_end>
 {
-    static constexpr std::array<std::string_view, 6> names
-        = {"answered", "not_run", "broken", "silent", "unreachable", "cancelled"};
+    static constexpr std::array<std::string_view, 7> names
+        = {"answered", "failed", "not_run", "broken", "silent", "unreachable", "cancelled"};
 };
 
 /// \brief Where a request goes, and why.
@@ -93,6 +103,11 @@
     /// \brief The request of \p p is over.
     void onDone(const placement &p, send_end end, time_point now);
 
+    /// \returns what this daemon has seen lately of replicas that fail requests, or failed them.
+    replica_words tell(time_point now) const;
+    /// \brief Takes in what others told of replicas.
+    void hear(const std::vector<replica_words> &heard, time_point now);
+
     /// \returns when the replica was last heard of on any connection.
     time_point lastHeard(const replica_incarnation &who) const;
     /// \returns the time that answers of \p service typically take to begin, with their spread.
@@ -131,6 +146,8 @@
         /// This daemon's requests under way at its replicas, and the number of these.
         int outstanding = 0;
         int replicas = 0;
+        /// Whether so many of its replicas fail requests that the requests are to blame.
+        bool failsEverywhere = false;
         /// Tokens that a replica's cache holds.
         std::int64_t cacheTokens = 0;
     };
@@ -139,9 +156,13 @@
     const replica_state *find(const replica_incarnation &who) const;
     replica_state *find(const replica_incarnation &who);
     bool mayTake(const replica_state &r, time_point now) const;
+    /// \brief Finds out anew whether \p service fails requests at too many replicas.
+    void countFailing(const std::string &service);
     /// \returns the requests under way at a replica on average, if all daemons have as many.
     double runningPerReplica(const service_state &service) const;
-    static void noteEnd(replica_state &r, send_end end, time_point now);
+    void noteEnd(replica_state &r, send_end end, time_point now);
+    /// \returns the time until this daemon tries a replica again that fails requests.
+    duration trialPause();
     std::int64_t ownCapacity(const service_state &service) const;
     std::int64_t cachedTokens(const replica_state &r, const placement_request &request,
                               const service_state &service, time_point now) const;
--- a/src/replicas/replica_trust.h
+++ b/src/replicas/replica_trust.h
@@ -2,6 +2,8 @@
 
 #include "core/core.h"
 
+#include <optional>
+
 namespace azurehill {
 
 /// \brief What requests have shown of a replica, and whether it should get more of them.
@@ -13,6 +15,14 @@
 public:
     /// \brief The replica answered, well or with a refusal.
     void onAnswer(time_point now);
+    /// \brief The replica answered a request with a failure of its own. Answers that come at once
+    /// make it look quick and idle, so that it would draw more and more requests.
+    /// \param trialPause time until it may be tried again, if it is left out now.
+    void onFailed(time_point now, duration trialPause);
+    /// \brief Other daemons told that it fails requests, \p others of them.
+    void onOthersFail(int others, time_point now, duration trialPause);
+    /// \brief Another daemon told that it answers again.
+    void onOthersAnswer(time_point now);
     /// \brief A request broke off or got no answer.
     void onBroken(time_point now);
     /// \brief No connection could be made, or the replica went silent: it is probably gone.
@@ -24,14 +34,26 @@
     bool mayTake(time_point now) const;
     /// \returns whether the replica has been left out and has not answered since.
     bool isDoubted() const { return m_ejections > 0; }
+    /// \returns whether the replica was left out since it fails requests, and has not answered
+    /// since.
+    bool isFailing() const { return m_isFailing; }
+    /// \returns when a request last failed there, if none was answered since.
+    std::optional<time_point> failedAt() const;
+    /// \returns when the replica last answered again after it had been left out for failures.
+    std::optional<time_point> recoveredAt() const { return m_recoveredAt; }
     /// \returns when the replica was last heard of.
     time_point lastHeard() const { return m_lastHeard; }
 
 private:
     void eject(time_point now);
+    void leaveOut(time_point now, duration trialPause);
 
     int m_brokenInRow = 0;
     int m_ejections = 0;
+    int m_failedInRow = 0;
+    bool m_isFailing = false;
+    time_point m_failedAt;
+    std::optional<time_point> m_recoveredAt;
     time_point m_outUntil;
     time_point m_trialAt;
     time_point m_lastHeard;
--- a/test/io/member_list_test.cpp
+++ b/test/io/member_list_test.cpp
@@ -212,9 +212,9 @@
     TEST_CASE("words on places are kept for as long as they are fresh, one of each daemon")
     {
         word_sample sample;
-        sample.onHeard({"a"}, {{"model", {1, 1, 0, 0}}}, at(0));
-        sample.onHeard({"a"}, {{"model", {2, 2, 0, 0}}}, at(100));
-        sample.onHeard({"b"}, {{"model", {3, 3, 0, 0}}}, at(900));
+        sample.onHeard({"a"}, {{"model", {1, 1, 0, 0}}}, {}, at(0));
+        sample.onHeard({"a"}, {{"model", {2, 2, 0, 0}}}, {}, at(100));
+        sample.onHeard({"b"}, {{"model", {3, 3, 0, 0}}}, {{{"i"}, replica_word::Fails}}, at(900));
         CHECK(sample.heard().size() == 2);
         CHECK(sample.heard().front().at("model").wanted == 2);
         sample.expire(at(1400));
