--- a/src/accounts/api_key.cpp
+++ b/src/accounts/api_key.cpp
@@ -21,8 +21,9 @@
         return std::nullopt;
     // Names of schemes have any case.
     const bool isBearer = std::equal(
-        scheme.begin(), scheme.end(), authorization.begin(),
-        [](char wanted, char said) { return wanted == std::tolower(static_cast<unsigned char>(said)); });
+        scheme.begin(), scheme.end(), authorization.begin(), [](char wanted, char said) {
+            return wanted == std::tolower(static_cast<unsigned char>(said));
+        });
     if (!isBearer)
         return std::nullopt;
     const std::size_t start = authorization.find_first_not_of(' ', scheme.size());
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -260,7 +260,8 @@
     const credit_use use = isBegin ? credit_use::Begin : credit_use::GoOn;
     account_id account = call->accountName();
     const time_point began = runtime_clock::now();
-    const auto share = std::chrono::duration_cast<duration>(creditPatience * (call->deadline - began));
+    const auto share
+        = std::chrono::duration_cast<duration>(creditPatience * (call->deadline - began));
     const borrow_result result = co_await m_credits.borrow(std::move(account), use, began + share);
     if (const auto *id = std::get_if<credit_id>(&result)) {
         call->credit = *id;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -196,8 +196,7 @@
         asio::post(controlContext, [&control, w = std::move(wanted)] { control.setPlaceWords(w); });
     });
     service.onReplicaWords([&](replica_words seen) {
-        asio::post(controlContext,
-                   [&control, w = std::move(seen)] { control.setReplicaWords(w); });
+        asio::post(controlContext, [&control, w = std::move(seen)] { control.setReplicaWords(w); });
     });
     http_server metricsServer(controlContext.get_executor(), {},
                               [&](const http_request &request, response_writer &writer) {
--- a/src/entry/own_answers.cpp
+++ b/src/entry/own_answers.cpp
@@ -18,18 +18,18 @@
 awaitable<void> own_answers::write(entry_call_ptr call, own_answer answer, std::string detail,
                                    response_writer &writer, duration retryAfter)
 {
-    logDecision(log_event::OwnAnswer,
-                {{"request", call->request.id},
-                 {"program", call->request.program.value},
-                 {"previous", call->request.previousTurn.value},
-                 {"answer", std::string(toName(answer))},
-                 {"detail", detail},
-                 {"account", call->accountName().value},
-                 {"route", call->route ? call->route->name : std::string()},
-                 {"sends", std::int64_t(call->sends)},
-                 {"retry_after_ms",
-                  saysRetry(answer) ? toMilliseconds(retryAfter) : std::int64_t(0)},
-                 {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
+    logDecision(
+        log_event::OwnAnswer,
+        {{"request", call->request.id},
+         {"program", call->request.program.value},
+         {"previous", call->request.previousTurn.value},
+         {"answer", std::string(toName(answer))},
+         {"detail", detail},
+         {"account", call->accountName().value},
+         {"route", call->route ? call->route->name : std::string()},
+         {"sends", std::int64_t(call->sends)},
+         {"retry_after_ms", saysRetry(answer) ? toMilliseconds(retryAfter) : std::int64_t(0)},
+         {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
     // What follows a colon are figures, which would make a series each.
     m_metrics.onAnswer(toName(answer), std::string_view(detail).substr(0, detail.find(':')));
     http_response response = encodeOwnAnswer(answer, detail, retryAfter);
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -121,8 +121,8 @@
     if (r.previousTurn.empty())
         co_return true;
     account_id asker = work->call->accountName();
-    auto loaded = co_await m_ledger.load(std::move(asker), r.program, r.previousTurn,
-                                         work->storeDeadline);
+    auto loaded
+        = co_await m_ledger.load(std::move(asker), r.program, r.previousTurn, work->storeDeadline);
     if (!loaded) {
         std::string detail(toName(loaded.error()));
         co_await m_answers.write(work->call, answerFor(loaded.error()), std::move(detail), writer,
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -228,15 +228,16 @@
     if (end == send_end::Unreachable || end == send_end::Silent)
         m_pool.drop(reply.where.replica.address);
     m_metrics.onSend(toName(end));
-    logDecision(log_event::SendEnded,
-                {{"request", call.request.id},
-                 {"replica", reply.where.replica.incarnation.id.value},
-                 {"end", std::string(toName(end))},
-                 {"status", std::int64_t(end == send_end::Answered || end == send_end::Failed
-                                             ? reply.head.status
-                                             : 0)},
-                 {"cut", std::string(toName(call.cut))},
-                 {"ms", toMilliseconds(now - call.sentAt)}});
+    logDecision(
+        log_event::SendEnded,
+        {{"request", call.request.id},
+         {"replica", reply.where.replica.incarnation.id.value},
+         {"end", std::string(toName(end))},
+         {"status",
+          std::int64_t(end == send_end::Answered || end == send_end::Failed ? reply.head.status
+                                                                            : 0)},
+         {"cut", std::string(toName(call.cut))},
+         {"ms", toMilliseconds(now - call.sentAt)}});
 }
 
 awaitable<tl::expected<open_reply, send_failure>>
--- a/src/lending/credit_exchange.cpp
+++ b/src/lending/credit_exchange.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-credit_exchange::credit_exchange(asio::any_io_executor executor, store &rows,
+credit_exchange::credit_exchange(const asio::any_io_executor &executor, store &rows,
                                  const quota_bound &bound)
     : m_executor(executor), m_lender(executor, rows, m_view, bound),
       m_socket(executor, "credits",
@@ -124,8 +124,7 @@
     pending->account = account;
     m_pending[number] = pending;
     // A credit that comes later than this must not be used.
-    const time_point until
-        = std::min(deadline, runtime_clock::now() + credit_ledger::loanTime);
+    const time_point until = std::min(deadline, runtime_clock::now() + credit_ledger::loanTime);
     while (!pending->result && runtime_clock::now() < until) {
         pending->alarm.expires_at(std::min(until, runtime_clock::now() + askPause));
         ask(request);
--- a/src/lending/credit_exchange.h
+++ b/src/lending/credit_exchange.h
@@ -28,7 +28,7 @@
 {
 public:
     /// \param rows the store; it outlives this object.
-    credit_exchange(asio::any_io_executor executor, store &rows, const quota_bound &bound);
+    credit_exchange(const asio::any_io_executor &executor, store &rows, const quota_bound &bound);
 
     /// \brief Binds \p address for other daemons' datagrams. \returns the port, or 0.
     std::uint16_t start(const endpoint &address);
--- a/src/lending/credit_lender.cpp
+++ b/src/lending/credit_lender.cpp
@@ -52,8 +52,7 @@
     if (found != m_shards.end())
         return found->second;
     const member_state &self = m_view.self();
-    return m_shards
-        .emplace(shard, shard_state(quota_book(self.name, self.incarnation, m_bound)))
+    return m_shards.emplace(shard, shard_state(quota_book(self.name, self.incarnation, m_bound)))
         .first->second;
 }
 
@@ -206,7 +205,8 @@
     }
     const member_state &self = m_view.self();
     const time_point now = runtime_clock::now();
-    if (row->holder == self.name && row->incarnation == state.book.incarnation() && !row->isReleased) {
+    if (row->holder == self.name && row->incarnation == state.book.incarnation()
+        && !row->isReleased) {
         // An earlier write whose answer was lost.
         state.version = found.version;
         return true;
--- a/src/quota/credit_ledger.cpp
+++ b/src/quota/credit_ledger.cpp
@@ -55,11 +55,11 @@
     return rest;
 }
 
-std::size_t credit_ledger::begins() const
+int credit_ledger::begins() const
 {
-    return static_cast<std::size_t>(
-        std::count_if(m_grants.begin(), m_grants.end(),
-                      [](const grant &g) { return g.use == credit_use::Begin; }));
+    return static_cast<int>(std::count_if(m_grants.begin(), m_grants.end(), [](const grant &g) {
+        return g.use == credit_use::Begin;
+    }));
 }
 
 double credit_ledger::requestsPerProgram() const
@@ -77,39 +77,44 @@
     m_programs = m_programs * kept + (g.use == credit_use::Begin ? 1 : 0);
 }
 
-duration credit_ledger::timeUntilFree(std::size_t room, std::optional<credit_use> use,
+duration credit_ledger::timeUntilFree(int count, std::optional<credit_use> use,
                                       time_point now) const
 {
-    std::size_t seen = 0;
+    int seen = 0;
     for (const grant &g : m_grants) {
         if (use && g.use != *use)
             continue;
-        if (++seen == room)
+        if (++seen == count)
             return std::max<duration>(g.at + m_span - now, loanTime);
     }
     return m_span;
 }
 
-lend_result credit_ledger::lend(const credit_id &id, credit_use use, int most, time_point now)
+std::optional<duration> credit_ledger::waitForRoom(credit_use use, int most, time_point now)
 {
-    expire(now);
-    if (m_ids.contains(id))
-        return {};
     const int all = capacity(most, now);
     const int used = static_cast<int>(m_grants.size());
     const bool isBegin = use == credit_use::Begin;
     const int limit = isBegin ? static_cast<int>(std::ceil(beginShare * all)) : all;
     if (used >= limit)
-        return {lend_verdict::OverQuota,
-                timeUntilFree(static_cast<std::size_t>(used - limit + 1), std::nullopt, now)};
-    if (isBegin && used > 0) {
-        const auto programs = static_cast<std::size_t>(double(all) / requestsPerProgram());
-        const std::size_t begun = begins();
-        if (begun >= std::max<std::size_t>(1, programs))
-            return {lend_verdict::OverQuota,
-                    timeUntilFree(begun - std::max<std::size_t>(1, programs) + 1, use, now)};
-    }
-    if (used >= m_level)
+        return timeUntilFree(used - limit + 1, std::nullopt, now);
+    if (!isBegin || used == 0)
+        return std::nullopt;
+    const int programs = std::max(1, static_cast<int>(all / requestsPerProgram()));
+    const int begun = begins();
+    if (begun >= programs)
+        return timeUntilFree(begun - programs + 1, use, now);
+    return std::nullopt;
+}
+
+lend_result credit_ledger::lend(const credit_id &id, credit_use use, int most, time_point now)
+{
+    expire(now);
+    if (m_ids.contains(id))
+        return {};
+    if (const auto wait = waitForRoom(use, most, now))
+        return {lend_verdict::OverQuota, *wait};
+    if (static_cast<int>(m_grants.size()) >= m_level)
         return {lend_verdict::LevelTooLow, duration::zero()};
     m_grants.push_back({id, use, now});
     m_ids.insert(id);
--- a/src/quota/credit_ledger.h
+++ b/src/quota/credit_ledger.h
@@ -105,11 +105,13 @@
     void expire(time_point now);
     /// \returns what this daemon may lend in a window, by the bound and by what others may lend.
     int capacity(int most, time_point now);
-    /// \returns when \p room of the grants that count now are over, from \p now on.
-    duration timeUntilFree(std::size_t room, std::optional<credit_use> use, time_point now) const;
+    /// \returns the time until \p count of the grants for \p use, or of all, count no more.
+    duration timeUntilFree(int count, std::optional<credit_use> use, time_point now) const;
+    /// \returns the time until the quota has room for \p use, or nothing if it has room now.
+    std::optional<duration> waitForRoom(credit_use use, int most, time_point now);
     double requestsPerProgram() const;
     void learn(const grant &g);
-    std::size_t begins() const;
+    int begins() const;
 
     duration m_span;
     int m_level = 0;
--- a/src/quota/quota_message.cpp
+++ b/src/quota/quota_message.cpp
@@ -89,8 +89,8 @@
     switch (static_cast<message_kind>(a.at(0).to_number<int>())) {
     case message_kind::Request: {
         const int use = a.at(5).to_number<int>();
-        return credit_request{idIn(a), {textAt(a, 4)},
-                              use == 0 ? credit_use::Begin : credit_use::GoOn};
+        return credit_request{
+            idIn(a), {textAt(a, 4)}, use == 0 ? credit_use::Begin : credit_use::GoOn};
     }
     case message_kind::Lent:
         return credit_lent{numberAt(a, 1)};
--- a/src/quota/quota_message.h
+++ b/src/quota/quota_message.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "quota/credit_ledger.h"
 #include "accounts/account_rule.h"
+#include "quota/credit_ledger.h"
 
 #include <string>
 #include <string_view>
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -114,8 +114,8 @@
     /// \param asker the account that asks; another's turn is answered like one that is not there.
     /// \param program the program that asks, where the turn is looked for first.
     /// \returns the turn with its chain. NoSuchTurn is certain: the store confirmed it.
-    awaitable<tl::expected<turn_ptr, turn_refusal>>
-    load(account_id asker, program_id program, turn_id previous, time_point deadline);
+    awaitable<tl::expected<turn_ptr, turn_refusal>> load(account_id asker, program_id program,
+                                                         turn_id previous, time_point deadline);
 
     /// \brief Holds the most that a turn can generate. Nothing may run before this is durable.
     /// \returns InDoubt if the hold may still take effect, and so has to be settled.
--- a/test/io/account_access_test.cpp
+++ b/test/io/account_access_test.cpp
@@ -28,7 +28,8 @@
 
 std::string request(const std::string &path, const std::string &id, const std::string &more = "")
 {
-    const std::string head = fmt::format("POST {} HTTP/1.1\r\nX-Azurehill-Request-Id: {}", path, id);
+    const std::string head
+        = fmt::format("POST {} HTTP/1.1\r\nX-Azurehill-Request-Id: {}", path, id);
     return more.empty() ? head : head + "\r\n" + more;
 }
 
--- a/test/io/lending_test.cpp
+++ b/test/io/lending_test.cpp
@@ -1,5 +1,4 @@
 #include "lending/lending.h"
-
 #include "loopback.h"
 #include "model_store.h"
 
@@ -121,16 +120,14 @@
         w.tellAll(1);
         w.pass(seconds(1));
         CHECK(w.allBorrow());
-        const daemon_id wanted
-            = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
+        const daemon_id wanted = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
         CHECK(w.holder() == wanted.value);
     }
 
     TEST_CASE("a row goes to the daemon that should hold it, and nobody waits")
     {
         lending_world w;
-        const daemon_id wanted
-            = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
+        const daemon_id wanted = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
         const std::size_t other = wanted.value == "h0" ? 1 : 0;
         w.host(other).exchange.setMembers(w.host(other).self, {});
         w.pass(seconds(1));
@@ -150,8 +147,7 @@
     TEST_CASE("after a restart of all daemons credits are lent again")
     {
         lending_world w;
-        const daemon_id wanted
-            = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
+        const daemon_id wanted = preferredHolder(shardOf(account), {{"h0"}, {"h1"}, {"h2"}});
         const std::size_t other = wanted.value == "h0" ? 1 : 0;
         w.host(other).exchange.setMembers(w.host(other).self, {});
         w.pass(seconds(1));
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -105,7 +105,8 @@
                 const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
                 co_await w.runUsual(first.ledger, "t2", a);
                 const turn_id wanted{"t2"};
-                const auto found = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE(found);
                 CHECK(buildPrompt(*found, "new") == "in-t1;out-t1\nin-t2;out-t2\nnew");
             };
@@ -118,7 +119,8 @@
                 const turn_ptr a = co_await w.runUsual(first.ledger, "t1", nullptr);
                 const program_id other{"p2"};
                 const turn_id t1{"t1"};
-                const auto found = co_await second.ledger.load(nobody, other, t1, later(seconds(1)));
+                const auto found
+                    = co_await second.ledger.load(nobody, other, t1, later(seconds(1)));
                 REQUIRE(found);
                 const turn_claim two = claimFor("t2", other, 1000, 50);
                 const turn_ptr b = co_await runTurn(second.ledger, two, *found, 10);
@@ -137,7 +139,8 @@
                     = co_await first.ledger.commit(t, 1, seconds(60), later(seconds(3)));
                 REQUIRE(done);
                 const turn_id wanted{"big"};
-                const auto found = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await second.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE(found);
                 CHECK((*found)->input.size() == 200'000);
             };
@@ -156,7 +159,8 @@
         SUBCASE("the store confirms that there is no such turn")
         {
             auto story = [&]() -> awaitable<void> {
-                const auto found = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::NoSuchTurn);
             };
@@ -173,7 +177,8 @@
                 t.writes.push_back({turn_rows::firstPiece(program, {"t1"}), "\xff\xfe"});
                 static_cast<void>(rows.apply(t));
                 const turn_id spoiled{"t1"};
-                const auto b = co_await host.ledger.load(nobody, program, spoiled, later(seconds(1)));
+                const auto b
+                    = co_await host.ledger.load(nobody, program, spoiled, later(seconds(1)));
                 REQUIRE_FALSE(b);
                 CHECK(b.error() == turn_refusal::TurnUnreadable);
             };
@@ -186,7 +191,8 @@
             // had not seen the turn before and took "could not read" for "is not there".
             host.access.nextFault = [] { return store_fault::Refused; };
             auto story = [&]() -> awaitable<void> {
-                const auto found = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await host.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::StoreUnavailable);
             };
@@ -215,8 +221,8 @@
                 co_await w.runUsual(first.ledger, "t1", nullptr);
                 spawn(context.get_executor(), "catchUp", catchUp());
                 const turn_id wanted{"t1"};
-                const auto found
-                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
+                const auto found = co_await second.ledger.load(nobody, program, wanted,
+                                                               later(milliseconds(1500)));
                 CHECK(found);
             };
             runPaused(context, story());
@@ -228,8 +234,8 @@
                 co_await w.runUsual(first.ledger, "t1", nullptr);
                 const turn_id wanted{"t1"};
                 const time_point began = runtime_clock::now();
-                const auto found
-                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
+                const auto found = co_await second.ledger.load(nobody, program, wanted,
+                                                               later(milliseconds(1500)));
                 REQUIRE_FALSE(found);
                 CHECK(toName(found.error()) == "reads_lag");
                 CHECK(runtime_clock::now() - began >= milliseconds(1000));
@@ -248,8 +254,8 @@
                 static_cast<void>(rows.apply(t));
                 const turn_id wanted{"t1"};
                 const time_point began = runtime_clock::now();
-                const auto found
-                    = co_await second.ledger.load(nobody, program, wanted, later(milliseconds(1500)));
+                const auto found = co_await second.ledger.load(nobody, program, wanted,
+                                                               later(milliseconds(1500)));
                 REQUIRE_FALSE(found);
                 CHECK(toName(found.error()) == "turn_unreadable");
                 CHECK(runtime_clock::now() - began < milliseconds(400));
@@ -270,7 +276,8 @@
                 CHECK(rows.size() == 1);
                 ledger_host fresh(rows);
                 const turn_id wanted{"t1"};
-                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 REQUIRE_FALSE(found);
                 CHECK(found.error() == turn_refusal::NoSuchTurn);
             };
@@ -427,7 +434,8 @@
                 co_await second.ledger.removeOldRows();
                 ledger_host fresh(rows);
                 const turn_id wanted{"t1"};
-                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 CHECK(found);
                 runtime_clock::advance(seconds(20));
                 co_await first.ledger.removeOldRows();
@@ -468,7 +476,8 @@
                 co_await first.ledger.removeOldRows();
                 ledger_host fresh(rows);
                 const turn_id wanted{"t2"};
-                const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
+                const auto found
+                    = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
                 CHECK(found);
             };
             runPaused(context, story());
@@ -485,7 +494,8 @@
         const auto loadAfresh = [&](const char *id) -> awaitable<std::string> {
             ledger_host fresh(rows);
             const turn_id wanted{id};
-            const auto found = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
+            const auto found
+                = co_await fresh.ledger.load(nobody, program, wanted, later(seconds(1)));
             co_return found ? buildPrompt(*found, "") : std::string(toName(found.error()));
         };
 
--- a/test/logic/account_test.cpp
+++ b/test/logic/account_test.cpp
@@ -1,7 +1,6 @@
 #include "accounts/accounts.h"
 
 #include <doctest/doctest.h>
-
 #include <fmt/format.h>
 
 namespace azurehill {
@@ -100,6 +99,7 @@
     SUBCASE("an account holds very many keys")
     {
         std::vector<std::string> keys;
+        keys.reserve(10'000);
         for (int i = 0; i < 10'000; ++i)
             keys.push_back(fmt::format("key-{}", i));
         const auto book = account_book::make({rule("a", keys)});
--- a/test/logic/failing_replicas_replay_test.cpp
+++ b/test/logic/failing_replicas_replay_test.cpp
@@ -23,6 +23,7 @@
         : m_failing(failing), m_failureIsAnswer(failureIsAnswer)
     {
         std::vector<replica_entry> entries;
+        entries.reserve(std::size_t(replicas));
         for (int i = 0; i < replicas; ++i)
             entries.push_back({{{id(i)}, 1}, "model", {"10.0.0.1", 80}, {"dc"}, 16, false, 1});
         for (int i = 0; i < daemons; ++i) {
--- a/test/logic/quota_book_test.cpp
+++ b/test/logic/quota_book_test.cpp
@@ -135,10 +135,7 @@
     };
 
     static daemon_id name(std::size_t i) { return {"d" + std::to_string(i)}; }
-    quota_book bookOf(std::size_t i) const
-    {
-        return {name(i), m_daemons[i].incarnation, m_bound};
-    }
+    quota_book bookOf(std::size_t i) const { return {name(i), m_daemons[i].incarnation, m_bound}; }
     holder_state stateOf(const quota_row &row) const
     {
         for (std::size_t i = 0; i < m_daemons.size(); ++i) {
@@ -221,8 +218,7 @@
         int lent = 0;
         second.onWritten(second.prepare(accounts, now), now);
         for (std::uint64_t i = 0; i < 2000; ++i) {
-            const lend_result r
-                = second.lend(account, {{"d2"}, 1, i}, credit_use::GoOn, most, now);
+            const lend_result r = second.lend(account, {{"d2"}, 1, i}, credit_use::GoOn, most, now);
             if (r.verdict == lend_verdict::LevelTooLow)
                 second.onWritten(second.prepare(accounts, now), now);
             lent += r.verdict == lend_verdict::Lent ? 1 : 0;
@@ -268,8 +264,8 @@
         "levels":{"a":{"credits":-1,"foreign":[]}}})"));
 
     const credit_id id{{"d1"}, 7, 42};
-    const auto ask = decodeQuotaMessage(
-        encodeQuotaMessage(credit_request{id, account, credit_use::Begin}));
+    const auto ask
+        = decodeQuotaMessage(encodeQuotaMessage(credit_request{id, account, credit_use::Begin}));
     REQUIRE(ask);
     CHECK(std::get<credit_request>(*ask).id == id);
     CHECK(std::get<credit_request>(*ask).use == credit_use::Begin);
