Budgets of programs whose callers keep their history

Cause: entry_service took the turn's way by "keeps history" alone.

Change: one way for all streams, turn_exchange; who keeps the history is a variant with a visitor. Where the caller keeps it, the account is read, the most of the turn is held before it runs, and what went out is settled beside the end. Rows go when the program can no longer come back. A turn counts as a later one by its account.

The tests came with the code and were not run on the code before.

--- a/src/entry/client_request.h
+++ b/src/entry/client_request.h
@@ -33,6 +33,8 @@
     /// Names the object that the request is about, or empty.
     std::string affinityKey;
     program_id program;
+    /// The line of turns within the program that the request belongs to, or empty.
+    std::string session;
     /// Time until the program should be finished.
     std::optional<duration> programFinish;
     /// Tokens that all turns of the program may generate.
--- a/src/entry/engine_places.cpp
+++ b/src/entry/engine_places.cpp
@@ -23,7 +23,7 @@
 {
     gate_ticket ticket;
     ticket.rank = call.rank.order;
-    ticket.continues = !call.request.previousTurn.empty();
+    ticket.continues = call.isLaterTurn;
     ticket.slack = call.request.programFinish.value_or(duration::max());
     if (ticket.slack > duration::zero())
         return ticket;
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -50,6 +50,8 @@
     bool begun = false;
     /// The answer was the daemon's own.
     bool isOwnAnswer = false;
+    /// Its program went on from earlier turns, so far as is known here.
+    bool isLaterTurn = false;
     int sends = 0;
     /// Whether the request holds a place at the engines of its service.
     bool isInsideGate = false;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -244,10 +244,8 @@
 awaitable<void> entry_service::serveRouted(entry_call_ptr call, const http_request &request,
                                            response_writer &writer)
 {
-    if (call->route->keepsHistory)
+    if (call->route->keepsHistory || call->route->kind == route_kind::Stream)
         co_await m_turns.serve(call, request, writer);
-    else if (call->route->kind == route_kind::Stream)
-        co_await serveStream(call, request, writer);
     else
         co_await servePlain(call, request, writer);
 }
@@ -339,31 +337,4 @@
     }
 }
 
-awaitable<void> entry_service::serveStream(entry_call_ptr call, const http_request &request,
-                                           response_writer &writer)
-{
-    const bool hasPlace = co_await m_places.enter(call, m_ledger.timesOf(call->request.program));
-    if (!hasPlace) {
-        std::string detail(enginesBusy);
-        if (!call->clientLeft())
-            co_await m_answers.write(call, own_answer::Refused, std::move(detail), writer);
-        co_return;
-    }
-    placement_request wanted = placementOf(*call);
-    std::string body = request.body;
-    auto reply = co_await m_sender.open(call, wanted, request, std::move(body));
-    if (!reply) {
-        send_failure failure = std::move(reply.error());
-        co_await m_answers.giveUp(call, std::move(failure), writer);
-        co_return;
-    }
-    if (reply->head.status != 200) {
-        co_await m_relay.relayFailure(call, std::move(*reply), writer);
-        co_return;
-    }
-    const stream_end end = co_await m_relay.relayStream(call, *reply, writer);
-    if (end.isWhole)
-        co_await writer.end();
-}
-
 } // namespace azurehill
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -59,8 +59,6 @@
                                 response_writer &writer);
     awaitable<void> servePlain(entry_call_ptr call, const http_request &request,
                                response_writer &writer);
-    awaitable<void> serveStream(entry_call_ptr call, const http_request &request,
-                                response_writer &writer);
     awaitable<void> sweep();
     awaitable<void> removeOldRows();
     void tellPlaceWords(time_point now);
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -51,10 +51,18 @@
     return own_answer::Refused;
 }
 
+/// \returns the turn that \p history shows before this one, or null.
+turn_ptr previousIn(const turn_history &history)
+{
+    const auto *kept = std::get_if<kept_history>(&history);
+    return kept ? kept->previous : nullptr;
+}
+
 /// \returns what the turn asks of its program's budget. A request that names no program belongs to
 /// the program of the turn before it, or begins one of its own.
-turn_claim claimOf(const client_request &r, const turn_ptr &previous)
+turn_claim claimOf(const client_request &r, const turn_history &history)
 {
+    const turn_ptr previous = previousIn(history);
     program_id program = r.program;
     if (program.empty())
         program = previous ? previous->program : program_id{r.id};
@@ -83,38 +91,84 @@
 {
     auto work = std::make_shared<turn_work>();
     work->call = call;
+    if (!call->route->keepsHistory)
+        work->history = callers_history();
     work->storeDeadline = std::min(call->deadline, runtime_clock::now() + storePatience);
-    const bool loaded = co_await loadPrevious(work, writer);
+    const bool loaded = co_await loadHistory(work, writer);
     if (!loaded)
         co_return;
-    work->claim = claimOf(call->request, work->previous);
+    work->claim = claimOf(call->request, work->history);
     const bool held = co_await holdTokens(work, writer);
     if (!held)
         co_return;
+    call->isLaterTurn = !call->request.previousTurn.empty()
+        || m_ledger.accountView(work->claim.program).committed > work->claim.most;
     const bool placed = co_await takePlace(work, writer);
     if (!placed)
         co_return;
     auto reply = co_await send(work, request, writer);
     if (!reply)
         co_return;
-    auto done = std::make_shared<turn>();
-    done->replica = reply->where.replica.incarnation;
     stream_end end = co_await m_relay.relayStream(call, *reply, writer);
-    if (!end.isWhole) {
+    if (end.isWhole)
+        co_await finish(work, request, reply->where, std::move(end), writer);
+    else
         chargeBroken(*work, end);
+}
+
+awaitable<void> turn_exchange::finish(turn_work_ptr work, const http_request &request,
+                                      const placement &where, stream_end end,
+                                      response_writer &writer)
+{
+    const entry_call_ptr call = work->call;
+    const std::int64_t used = end.events * tokensPerEvent(*call);
+    if (std::holds_alternative<callers_history>(work->history)) {
+        settle(*work, used);
+        co_await writer.end();
         co_return;
     }
-    const std::int64_t used = end.events * tokensPerEvent(*call);
+    auto done = std::make_shared<turn>();
+    done->replica = where.replica.incarnation;
     done->id = work->claim.id;
     done->program = work->claim.program;
     done->account = call->accountName();
-    done->previous = work->previous;
+    done->previous = previousIn(work->history);
     done->input = request.body;
     done->output = std::move(end.output);
     done->tokens = (call->request.tokens ? call->request.tokens->prompt : 0) + used;
     co_await makeDurable(work, done, used, end.events, writer);
 }
 
+struct turn_exchange::history_loader
+{
+    turn_exchange &exchange;
+    turn_work_ptr work;
+    response_writer &writer;
+
+    awaitable<bool> operator()(const kept_history &) const
+    {
+        return exchange.loadPrevious(work, writer);
+    }
+    awaitable<bool> operator()(const callers_history &) const { return exchange.loadAccount(work); }
+};
+
+awaitable<bool> turn_exchange::loadHistory(turn_work_ptr work, response_writer &writer)
+{
+    awaitable<bool> loading = std::visit(history_loader{*this, work, writer}, work->history);
+    co_return co_await std::move(loading);
+}
+
+awaitable<bool> turn_exchange::loadAccount(turn_work_ptr work)
+{
+    const client_request &r = work->call->request;
+    if (!r.tokenBudget || r.program.empty())
+        co_return true;
+    program_id program = r.program;
+    // A hold that begins from an old account fails at first, and with it all that shares its call.
+    co_await m_ledger.refresh(std::move(program), work->storeDeadline);
+    co_return true;
+}
+
 awaitable<bool> turn_exchange::loadPrevious(turn_work_ptr work, response_writer &writer)
 {
     const client_request &r = work->call->request;
@@ -129,7 +183,7 @@
                                  storeComeBack);
         co_return false;
     }
-    work->previous = std::move(*loaded);
+    work->history = kept_history{std::move(*loaded)};
     co_return true;
 }
 
@@ -175,11 +229,12 @@
 turn_exchange::send(turn_work_ptr work, const http_request &request, response_writer &writer)
 {
     placement_request wanted = placementOf(*work->call);
-    if (work->previous) {
-        wanted.lastReplica = work->previous->replica;
-        wanted.lastTokens = work->previous->tokens;
+    const turn_ptr previous = previousIn(work->history);
+    if (previous) {
+        wanted.lastReplica = previous->replica;
+        wanted.lastTokens = previous->tokens;
     }
-    std::string prompt = buildPrompt(work->previous, request.body);
+    std::string prompt = buildPrompt(previous, request.body);
     auto reply = co_await m_sender.open(work->call, wanted, request, std::move(prompt));
     if (reply && reply->head.status == 200)
         co_return std::move(*reply);
@@ -228,7 +283,8 @@
 void turn_exchange::settle(const turn_work &work, std::int64_t used)
 {
     if (work.call->request.tokenBudget)
-        spawn(m_executor, "settle", m_ledger.settleBroken(work.claim, used));
+        spawn(m_executor, "settle",
+              m_ledger.settleHold(work.claim, used, work.call->route->retention));
 }
 
 void turn_exchange::logHeld(const turn_work &work) const
--- a/src/entry/turn_exchange.h
+++ b/src/entry/turn_exchange.h
@@ -1,14 +1,16 @@
 #pragma once
 
 #include "entry/answer_relay.h"
+#include "entry/turn_history.h"
 
 namespace azurehill {
 
-/// \brief Serves the turns of programs whose history the daemons keep. Used on the traffic thread.
+/// \brief Serves the turns of programs, and streams of none. Used on the traffic thread.
 ///
-/// A turn goes through five steps: the turn before it is loaded, the most that it can generate is
-/// held in its program's account, it gets a place at the engines, its answer is relayed, and the
-/// turn is made durable before the client learns of the end.
+/// A turn goes through five steps: what its program did before is loaded, the most that it can
+/// generate is held in its program's account, it gets a place at the engines, its answer is
+/// relayed, and it is ended. A turn whose history the daemons keep is made durable before the client
+/// learns of its end; one whose caller keeps it is charged beside.
 class turn_exchange
 {
 public:
@@ -24,19 +26,25 @@
     struct turn_work
     {
         entry_call_ptr call;
-        /// The turn that this one continues from, or null.
-        turn_ptr previous;
+        turn_history history;
         turn_claim claim;
         /// When the store must have answered for the turn to begin.
         time_point storeDeadline;
     };
     using turn_work_ptr = std::shared_ptr<turn_work>;
+    struct history_loader;
 
+    /// \brief Learns what the program did before, or answers the turn.
+    awaitable<bool> loadHistory(turn_work_ptr work, response_writer &writer);
     awaitable<bool> loadPrevious(turn_work_ptr work, response_writer &writer);
+    awaitable<bool> loadAccount(turn_work_ptr work);
     awaitable<bool> holdTokens(turn_work_ptr work, response_writer &writer);
     awaitable<bool> takePlace(turn_work_ptr work, response_writer &writer);
     awaitable<std::optional<open_reply>> send(turn_work_ptr work, const http_request &request,
                                               response_writer &writer);
+    /// \brief Ends a turn that was relayed up to its end.
+    awaitable<void> finish(turn_work_ptr work, const http_request &request, const placement &where,
+                           stream_end end, response_writer &writer);
     /// \brief Charges a turn that broke off with what may have reached the client.
     void chargeBroken(const turn_work &work, const stream_end &end);
     awaitable<void> makeDurable(turn_work_ptr work, turn_ptr done, std::int64_t used,
--- a/src/routes/route_book.h
+++ b/src/routes/route_book.h
@@ -55,6 +55,8 @@
     /// How long a turn and its chain are kept.
     duration retention = seconds(0);
     bool sessionAffinity = false;
+    /// A stream that broke off may go on at a replica after its last whole event.
+    bool isResumable = false;
     /// Requests need no key.
     bool isPublic = false;
 };
--- a/src/turns/row_janitor.cpp
+++ b/src/turns/row_janitor.cpp
@@ -4,11 +4,16 @@
 
 void row_janitor::onAdded(const program_id &program, const turn_id &id, store_version version,
                           time_point until)
+{
+    onChanged(program, version, until);
+    m_programs[program].turns.push_back(id);
+}
+
+void row_janitor::onChanged(const program_id &program, store_version version, time_point until)
 {
     entry &e = m_programs[program];
     e.version = std::max(e.version, version);
     e.until = std::max(e.until, until);
-    e.turns.push_back(id);
 }
 
 std::vector<row_janitor::due_program> row_janitor::takeDue(time_point now, std::size_t most)
--- a/src/turns/row_janitor.h
+++ b/src/turns/row_janitor.h
@@ -20,6 +20,8 @@
     /// \param version of the rows that were written with that turn.
     void onAdded(const program_id &program, const turn_id &id, store_version version,
                  time_point until);
+    /// \brief The account of \p program changed and no turn was added.
+    void onChanged(const program_id &program, store_version version, time_point until);
 
     /// \brief Programs whose rows may go, and the turns that this daemon added to them.
     struct due_program
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -285,7 +285,15 @@
     co_return false;
 }
 
-awaitable<void> turn_ledger::settleBroken(turn_claim claim, std::int64_t used)
+awaitable<bool> turn_ledger::refresh(program_id program, time_point deadline)
+{
+    if (!m_store.isReachable())
+        co_return false;
+    account_ptr state = accountOf(program);
+    co_return co_await refreshAccount(std::move(state), std::move(program), callDeadline(deadline));
+}
+
+awaitable<void> turn_ledger::settleHold(turn_claim claim, std::int64_t used, duration retention)
 {
     account_ptr state = accountOf(claim.program);
     account_step step;
@@ -293,8 +301,14 @@
     step.claim = claim;
     step.used = used;
     step.always = used == 0;
+    store_version version = 0;
+    step.writtenAs = &version;
     const auto done
         = co_await apply(std::move(state), std::move(step), runtime_clock::now() + settleTime);
+    if (done && retention > duration::zero()) {
+        m_janitor.onChanged(claim.program, version,
+                            runtime_clock::now() + retention + removalMargin);
+    }
     if (!done) {
         logDecision(log_event::HoldNotSettled,
                     {{"request", claim.id.value},
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -117,6 +117,11 @@
     awaitable<tl::expected<turn_ptr, turn_refusal>> load(account_id asker, program_id program,
                                                          turn_id previous, time_point deadline);
 
+    /// \brief Reads the account of \p program, so that what other daemons changed is known here.
+    /// \param deadline when the store must have answered.
+    /// \returns whether it was read. If not, a hold begins from what was known before.
+    awaitable<bool> refresh(program_id program, time_point deadline);
+
     /// \brief Holds the most that a turn can generate. Nothing may run before this is durable.
     /// \returns InDoubt if the hold may still take effect, and so has to be settled.
     awaitable<tl::expected<void, turn_refusal>> reserve(turn_claim claim, time_point deadline);
@@ -126,9 +131,11 @@
     awaitable<tl::expected<void, turn_refusal>> commit(turn_ptr answered, std::int64_t used,
                                                        duration retention, time_point deadline);
 
-    /// \brief Settles a turn that did not end whole.
+    /// \brief Settles a turn that no commit adds: it broke off, or its caller keeps the history.
     /// \param used tokens that may have reached the client; 0 if it did not run.
-    awaitable<void> settleBroken(turn_claim claim, std::int64_t used);
+    /// \param retention how long the program may come back, and its account has to be known.
+    awaitable<void> settleHold(turn_claim claim, std::int64_t used,
+                               duration retention = duration::zero());
 
     /// \returns how \p program stands, as far as its account is known here.
     program_times timesOf(const program_id &program) const;
--- /dev/null
+++ b/test/io/callers_history_test.cpp
@@ -0,0 +1,171 @@
+#include <doctest/doctest.h>
+
+// doctest's macros are used by the world.
+#include "entry_world.h"
+#include "model_store.h"
+
+#include <rapidcheck.h>
+
+namespace azurehill::test {
+
+namespace {
+
+int statusOf(const std::string &answer)
+{
+    return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0;
+}
+
+/// \brief A daemon's ledger on a store that others share.
+struct ledger_host
+{
+    explicit ledger_host(row_store &rows) : access(rows), ledger(access, {}) { }
+
+    model_store access;
+    turn_ledger ledger;
+};
+
+/// \brief One turn of a program whose caller keeps its history.
+struct planned_turn
+{
+    std::string id;
+    std::int64_t used = 0;
+    /// The daemon dies before it settles the turn.
+    bool daemonDies = false;
+};
+
+constexpr std::int64_t mostOfTurn = 50;
+constexpr std::int64_t budgetOfProgram = 300;
+
+/// \brief Holds, answers and settles \p turn at \p host; what is handed out goes to \p handed.
+awaitable<void> runTurn(ledger_host &host, planned_turn turn, std::int64_t &handed, int &underWay)
+{
+    const program_id program{"p"};
+    const turn_claim claim{{turn.id}, program, budgetOfProgram, mostOfTurn, seconds(5), true};
+    co_await host.ledger.refresh(program, runtime_clock::now() + seconds(1));
+    const auto held = co_await host.ledger.reserve(claim, runtime_clock::now() + seconds(1));
+    if (held)
+        handed += turn.used;
+    const bool mayBeHeld = held || held.error() == turn_refusal::InDoubt;
+    if (mayBeHeld && !turn.daemonDies)
+        co_await host.ledger.settleHold(claim, held ? turn.used : 0, seconds(60));
+    --underWay;
+}
+
+} // namespace
+
+TEST_SUITE("turns whose callers keep the history")
+{
+    // Guards against programs that spend many times their budget where no history is kept.
+    TEST_CASE("a budget holds")
+    {
+        entry_world w;
+        w.model.script = {scripted_replica::stream(5)};
+        CHECK(statusOf(w.chat("t1", "one;", 45)) == 200);
+
+        SUBCASE("at the daemon that spent it")
+        {
+            CHECK(statusOf(w.chat("t2", "one;two;", 45)) == 402);
+            CHECK(w.model.arrived.size() == 1);
+        }
+        SUBCASE("at a daemon that knows nothing")
+        {
+            w.restart();
+            CHECK(statusOf(w.chat("t2", "one;two;", 45)) == 402);
+            CHECK(w.model.arrived.size() == 1);
+        }
+        SUBCASE("and what a turn did not use is given back")
+        {
+            w.model.script = {scripted_replica::stream(5)};
+            CHECK(statusOf(w.chat("t2", "one;two;", 60)) == 200);
+        }
+    }
+
+    // Guards against tokens of a broken answer that are not charged.
+    TEST_CASE("a turn that broke off is charged what was handed out")
+    {
+        entry_world w;
+        std::string broken = scripted_replica::stream(5);
+        broken.resize(broken.size() - 5);
+        w.model.script = {broken + "<close>", "", "", ""};
+        CHECK_FALSE(w.chat("t1", "one;", 45).ends_with("0\r\n\r\n"));
+        CHECK(statusOf(w.chat("t2", "one;two;", 45)) == 402);
+    }
+
+    // Guards against a budget that shrinks by turns that never ran.
+    TEST_CASE("a turn that no replica ran costs nothing")
+    {
+        entry_world w;
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "X-Azurehill-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+        for (int i = 0; i < 3; ++i) {
+            w.model.script = {refusal};
+            CHECK(statusOf(w.chat("t" + std::to_string(i), "one;", 45)) == 503);
+        }
+        w.model.script = {scripted_replica::stream(1)};
+        CHECK(statusOf(w.chat("t9", "one;", 45)) == 200);
+    }
+
+    // Guards against turns that run unheld while the store is away.
+    TEST_CASE("no turn runs that the store did not hold")
+    {
+        entry_world w;
+        w.store.nextTrouble = [](std::string_view) { return store_trouble::Unavailable; };
+        CHECK(statusOf(w.chat("t1", "one;")) == 503);
+        CHECK(w.model.arrived.empty());
+    }
+
+    // Guards against a prompt that the daemon adds to or takes from.
+    TEST_CASE("the replica reads what the caller sent")
+    {
+        entry_world w;
+        w.model.script = {scripted_replica::stream(1), scripted_replica::stream(1)};
+        CHECK(statusOf(w.chat("t1", "one;")) == 200);
+        CHECK(statusOf(w.chat("t2", "one;e1;two;")) == 200);
+        REQUIRE(w.model.arrived.size() == 2);
+        CHECK(w.model.arrived[1].ends_with("\r\n\r\none;e1;two;"));
+    }
+
+    // Guards against budgets that are passed by parallel turns, lost answers and deaths.
+    TEST_CASE("whatever the store does and whichever daemon dies, a budget holds")
+    {
+        CHECK(rc::check("handed tokens stay within the budget", [] {
+            row_store rows;
+            asio::io_context context;
+            std::deque<ledger_host> hosts;
+            for (int i = 0; i < 4; ++i)
+                hosts.emplace_back(rows);
+            const auto faults = *rc::gen::container<std::vector<int>>(60, rc::gen::inRange(0, 14));
+            const auto dies = *rc::gen::container<std::vector<int>>(30, rc::gen::inRange(0, 6));
+            std::size_t nextFault = 0;
+            for (ledger_host &h : hosts) {
+                h.access.nextFault = [&] {
+                    const int n = faults[nextFault++ % faults.size()];
+                    return n < 6 ? static_cast<store_fault>(n) : store_fault::None;
+                };
+            }
+            std::int64_t handed = 0;
+            int underWay = 0;
+            const auto story = [&]() -> awaitable<void> {
+                const asio::any_io_executor executor = co_await asio::this_coro::executor;
+                for (int i = 0; i < 24; ++i) {
+                    const std::size_t place = std::size_t(faults[std::size_t(i)]) % hosts.size();
+                    const bool daemonDies = dies[std::size_t(i)] == 0;
+                    planned_turn turn{"t" + std::to_string(i), 20 + 2 * faults[std::size_t(i) + 24],
+                                      daemonDies};
+                    ++underWay;
+                    spawn(executor, "turn", runTurn(hosts[place], turn, handed, underWay));
+                    // Up to three at a time.
+                    while (underWay > dies[std::size_t(i)] % 3)
+                        co_await sleepFor(milliseconds(5));
+                    for (ledger_host &h : hosts)
+                        h.access.settleLate();
+                }
+            };
+            const paused_clock pause;
+            runInSteps(context, story(), milliseconds(40));
+            RC_ASSERT(handed <= budgetOfProgram);
+        }));
+    }
+}
+
+} // namespace azurehill::test
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -164,6 +164,10 @@
         routes.push_back(rule("/turn/", route_kind::Stream, "model"));
         routes.back().keepsHistory = true;
         routes.back().retention = seconds(60);
+        routes.push_back(rule("/chat/", route_kind::Stream, "model"));
+        routes.back().retention = seconds(60);
+        routes.back().isResumable = true;
+        routes.back().maxAttempts = 1;
         service_rule engine;
         engine.name = "model";
         engine.engine = engine_rule{8, 100'000, 2};
@@ -211,6 +215,20 @@
         return ask(head, input);
     }
 
+    /// \brief Asks for a turn of the program "p" whose caller keeps its history.
+    /// \param more further headers, each after a line end.
+    std::string chat(const std::string &id, const std::string &prompt, int budget = 1000,
+                     const std::string &more = "")
+    {
+        const std::string head
+            = fmt::format("POST /chat/1 HTTP/1.1\r\nX-Azurehill-Request-Id: {}\r\n"
+                          "X-Azurehill-Program-Id: p\r\nX-Azurehill-Session-Id: s\r\n"
+                          "X-Azurehill-Token-Budget: {}\r\n"
+                          "X-Azurehill-Token-Usage: 100,40{}",
+                          id, budget, more);
+        return ask(head, prompt);
+    }
+
     asio::io_context context;
     row_store rows;
     store_standin store;
--- a/test/io/store_outage_test.cpp
+++ b/test/io/store_outage_test.cpp
@@ -94,7 +94,7 @@
             // after 11.8 s: the settling of an earlier turn had the program's account all the time.
             outage_world w;
             w.goAway();
-            spawn(w.context.get_executor(), "settle", w.ledger.settleBroken(claimFor("t1"), 0));
+            spawn(w.context.get_executor(), "settle", w.ledger.settleHold(claimFor("t1"), 0));
             duration waited{};
             auto story = [&]() -> awaitable<void> {
                 const time_point began = runtime_clock::now();
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -616,7 +616,7 @@
                 const turn_claim one = claimFor("t1", program, 100, 60);
                 const auto held = co_await host.ledger.reserve(one, later(milliseconds(340)));
                 CHECK_FALSE(held);
-                co_await host.ledger.settleBroken(one, 0);
+                co_await host.ledger.settleHold(one, 0);
                 host.access.settleLate();
                 ledger_host other(rows);
                 const auto b = co_await reserveFor(other.ledger, "t2", 100, 60);
