Sessions of callers' histories have a home among the replicas

Cause: no daemon knows where a session's turn before went; turns come to any of 62 daemons, and each read the whole prompt anew wherever chance sent it.

Change: all daemons look for a session at the replica with the highest hash of both (session_homes); leaving it is priced with what the next turn would read once more.

--- a/src/core/mechanism.h
+++ b/src/core/mechanism.h
@@ -31,14 +31,17 @@
     PeerCalls,
     /// Daemons read the replicas' entries by turns, and take changes from each other.
     TableTurns,
+    /// The turns of a session whose caller keeps its history go to the replica that hashing names.
+    SessionHomes,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<std::string_view, 10> names = {
-        "engine_gate",  "fill_slots",    "crowded_reads",      "shared_parts", "learned_slowness",
-        "paced_writes", "merged_writes", "limit_is_no_outage", "peer_calls",   "table_turns"};
+    static constexpr std::array<std::string_view, 11> names
+        = {"engine_gate",        "fill_slots",   "crowded_reads", "shared_parts",
+           "learned_slowness",   "paced_writes", "merged_writes", "limit_is_no_outage",
+           "peer_calls",         "table_turns",  "session_homes"};
 };
 
 /// \brief Which mechanisms are on; all of them unless told otherwise.
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -230,6 +230,8 @@
 {
     placement_request wanted = placementOf(*work->call);
     const turn_ptr previous = previousIn(work->history);
+    if (std::holds_alternative<callers_history>(work->history))
+        wanted.session = work->call->request.session;
     if (previous) {
         wanted.lastReplica = previous->replica;
         wanted.lastTokens = previous->tokens;
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -45,6 +45,14 @@
 /// Most that a replica counts as slower than its peers.
 constexpr double maxSlowness = 8;
 
+/// \returns the tokens of the prompt of \p request that the turns before it have sent: all but its
+/// last part.
+std::int64_t ownTokensBefore(const placement_request &request)
+{
+    const std::int64_t last = request.parts.empty() ? 0 : request.parts.back().tokens;
+    return std::max<std::int64_t>(0, request.promptTokens - last);
+}
+
 } // namespace
 
 replica_board::replica_board(data_centre_id here, std::uint64_t seed,
@@ -198,6 +206,27 @@
     return std::max(cached, shared);
 }
 
+const replica_board::replica_state *
+replica_board::homeOf(const std::vector<upstream_id> &group, const placement_request &request,
+                      time_point now) const
+{
+    if (request.session.empty() || !m_mechanisms.has(mechanism::SessionHomes))
+        return nullptr;
+    const replica_state *home = nullptr;
+    std::uint64_t highest = 0;
+    for (const upstream_id &id : group) {
+        const replica_state &r = m_replicas.at(id);
+        if (!mayTake(r, now) || request.tried.contains(r.entry.incarnation))
+            continue;
+        const std::uint64_t hash = stableHash(request.session, stableHash(id.value));
+        if (home && hash < highest)
+            continue;
+        home = &r;
+        highest = hash;
+    }
+    return home;
+}
+
 double replica_board::runningPerReplica(const service_state &service) const
 {
     return double(service.outstanding) * m_daemons / std::max(1, service.replicas);
@@ -244,6 +273,7 @@
     if (group == m_byService.end())
         return std::nullopt;
     const service_state &service = m_services[request.service];
+    const replica_state *const home = homeOf(group->second, request, now);
     std::optional<placement> best;
     std::optional<placement> bestDoubted;
     int candidates = 0;
@@ -251,8 +281,13 @@
         const replica_state &r = m_replicas.at(id);
         if (r.leaving || r.entry.draining || request.tried.contains(r.entry.incarnation))
             continue;
-        const std::int64_t cached = cachedTokens(r, request, service, now);
+        std::int64_t cached = cachedTokens(r, request, service, now);
+        if (&r == home)
+            cached = std::max(cached, ownTokensBefore(request));
         double c = cost(r, request, cached, service);
+        // The session's next turn goes to its home, where it would have to be read once more.
+        if (home && &r != home)
+            c += service.wait.perToken() * double(request.promptTokens - cached);
         // The replica that handled an object lately is the one with the highest hash of both.
         if (!request.affinityKey.empty() && r.outstanding < r.entry.slots)
             c *= 1 - 0.5 * double(stableHash(request.affinityKey + id.value) % 1000) / 1000;
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -29,6 +29,9 @@
     replica_incarnation lastReplica;
     /// Tokens of the prompt up to the turn before.
     std::int64_t lastTokens = 0;
+    /// The line of turns whose caller sends the whole prompt with each of them, or empty. Its turns
+    /// come to any daemon, and none of them knows where the one before went.
+    std::string session;
     /// Tokens of the whole prompt.
     std::int64_t promptTokens = 0;
     /// Replicas that the request was sent to already.
@@ -168,6 +171,9 @@
                               const service_state &service, time_point now) const;
     double cost(const replica_state &r, const placement_request &request, std::int64_t cached,
                 const service_state &service);
+    /// \returns the replica where all daemons look for the session of \p request first, or null.
+    const replica_state *homeOf(const std::vector<upstream_id> &group,
+                                const placement_request &request, time_point now) const;
     void noteParts(service_state &service, const std::vector<prompt_part> &parts, time_point now);
 
     data_centre_id m_here;
--- a/test/logic/placement_replay_test.cpp
+++ b/test/logic/placement_replay_test.cpp
@@ -25,7 +25,10 @@
     static constexpr int daemons = 13;
     static constexpr int engines = 9;
 
-    explicit placement_replay(const mechanism_set &mechanisms)
+    /// \param callersHistory callers send the whole prompt, so that no daemon knows where a
+    /// program's turn before went.
+    explicit placement_replay(const mechanism_set &mechanisms, bool callersHistory = false)
+        : m_callersHistory(callersHistory)
     {
         std::vector<replica_entry> listed;
         for (int i = 0; i < engines; ++i) {
@@ -104,8 +107,12 @@
         p.asked.service = "model";
         p.asked.parts = {{subject, sharedTokens}, {session, inputTokens}};
         p.asked.promptTokens = sharedTokens + p.history + inputTokens;
-        p.asked.lastReplica = p.last;
-        p.asked.lastTokens = p.turns > 0 ? sharedTokens + p.history : 0;
+        if (m_callersHistory) {
+            p.asked.session = session;
+        } else {
+            p.asked.lastReplica = p.last;
+            p.asked.lastTokens = p.turns > 0 ? sharedTokens + p.history : 0;
+        }
         p.where = *boardOf(number).choose(p.asked, at(m_now));
         p.sentAt = m_now;
         boardOf(number).onSent(p.where, p.asked, at(m_now));
@@ -143,6 +150,7 @@
         readPerNew.push_back(fresh == 0 ? 0 : double(read) / double(fresh));
     }
 
+    bool m_callersHistory;
     std::map<upstream_id, engine_model> m_engines;
     std::vector<replica_board> m_boards;
     std::deque<program_state> m_programs;
@@ -187,6 +195,26 @@
         // On a calm day nothing is lost by it.
         CHECK(mean(priced.readPerNew, 1, 6) < 1.02 * mean(plain.readPerNew, 1, 6));
     }
+
+    // Guards against prompts that are read whole at each turn where callers keep the history.
+    TEST_CASE("turns find the replica that read their prompt, though no daemon remembers it")
+    {
+        const auto replay = [](const mechanism_set &mechanisms) {
+            placement_replay world(mechanisms, true);
+            world.play(6, 26);
+            world.play(6, 56);
+            world.play(10, 38);
+            return world;
+        };
+        mechanism_set without;
+        without.switchOff(mechanism::SessionHomes);
+        const placement_replay homes = replay({});
+        const placement_replay chance = replay(without);
+        CHECK(mean(homes.readPerNew, 1, 6) < 1.2);
+        CHECK(mean(chance.readPerNew, 1, 6) > 2);
+        CHECK(mean(homes.readPerNew, 8, 16) < 1.5);
+        CHECK(mean(homes.pace, 8, 16) < 0.9 * mean(chance.pace, 8, 16));
+    }
 }
 
 } // namespace azurehill::test
