A silent replica is asked for a connection before its answers are given up

Change: at that moment the replica is asked for a new connection. If it takes one, its answers are waited for and the connection is kept; if not, the send is given up as before.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -45,6 +45,7 @@
     PlaceNotGranted,
     Sent,
     SendEnded,
+    SilenceChecked,
     TurnDurable,
     TurnNotDurable,
     TurnBrokeOff,
@@ -56,7 +57,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 41> names = {"started",
+    static constexpr std::array<std::string_view, 42> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -91,6 +92,7 @@
                                                                "place_not_granted",
                                                                "sent",
                                                                "send_ended",
+                                                               "silence_checked",
                                                                "turn_durable",
                                                                "turn_not_durable",
                                                                "turn_broke_off",
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -41,6 +41,9 @@
     /// The connection of the send under way, or null.
     http_connection *connection = nullptr;
     replica_incarnation replica;
+    endpoint replicaAddress;
+    /// When the replica last took a connection after it had been silent.
+    time_point replicaAliveAt;
     time_point sentAt;
     time_point lastByteAt;
     /// When the send under way is given up in favour of another replica, if ever.
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -2,6 +2,7 @@
 
 #include "core/log_event.h"
 #include "platform/ingress.h"
+#include "runtime/runtime.h"
 
 #include <algorithm>
 
@@ -18,8 +19,8 @@
 /// Replicas are a few milliseconds away. A lost opening packet is sent again after a second, by
 /// which time another replica has long answered.
 constexpr duration connectTime = milliseconds(300);
-/// A stream whose replica shows no sign of life on any connection for this long is given up, so
-/// that its program can ask again. Between the events of a stream lie tens of milliseconds.
+/// A replica that shows no sign of life on any connection for this long may be dead. It may also
+/// have many requests to work on, or have preempted this one.
 constexpr duration silenceTime = milliseconds(1200);
 /// Replicas that refuse are no attempts, but somewhere the search must end.
 constexpr int maxRefusals = 4;
@@ -78,8 +79,8 @@
 {
     if (call.route->kind != route_kind::Stream)
         return false;
-    const time_point heard
-        = std::max({call.lastByteAt, call.sentAt, m_board.lastHeard(call.replica)});
+    const time_point heard = std::max({call.lastByteAt, call.sentAt, call.replicaAliveAt,
+                                       m_board.lastHeard(call.replica)});
     return now - heard > std::max<duration>(silenceTime, 2 * call.route->eventGap);
 }
 
@@ -111,9 +112,36 @@
             call->cutOff(cut_reason::TimeOver);
         else if (call->attemptDeadline && now >= *call->attemptDeadline)
             call->cutOff(cut_reason::AttemptTimeOver);
+        else if (isSilent(*call, now))
+            checkLife(*call);
+    }
+}
+
+void upstream_sender::checkLife(const entry_call &call)
+{
+    if (m_checked.insert(call.replica).second)
+        spawn(m_executor, "connectToSilent", connectToSilent(call.replica, call.replicaAddress));
+}
+
+awaitable<void> upstream_sender::connectToSilent(replica_incarnation who, endpoint address)
+{
+    http_connection connection(m_executor);
+    const auto connected = co_await connection.connect(address, runtime_clock::now() + connectTime);
+    const time_point now = runtime_clock::now();
+    m_checked.erase(who);
+    logDecision(log_event::SilenceChecked,
+                {{"replica", who.id.value}, {"alive", connected.has_value()}});
+    const std::set<entry_call_ptr> calls = m_underWay;
+    for (const entry_call_ptr &call : calls) {
+        if (call->replica != who || call->cut != cut_reason::None)
+            continue;
+        if (connected)
+            call->replicaAliveAt = now;
         else if (isSilent(*call, now))
             call->cutOff(cut_reason::ReplicaSilent);
     }
+    if (connected)
+        m_pool.give(address, std::move(connection), now);
 }
 
 awaitable<tl::expected<open_reply, send_failure>>
@@ -126,6 +154,7 @@
         m_pool.take(address, runtime_clock::now(), once ? maxIdleForOnce : maxIdle));
     call->connection = connection.get();
     call->replica = where.replica.incarnation;
+    call->replicaAddress = address;
     call->sentAt = runtime_clock::now();
     call->lastByteAt = call->sentAt;
     call->attemptDeadline.reset();
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -68,6 +68,11 @@
     /// since it was judged.
     bool isStillAllowed(const entry_call &call) const;
     bool isSilent(const entry_call &call, time_point now) const;
+    /// \brief Asks whether the silent replica of \p call still takes connections.
+    void checkLife(const entry_call &call);
+    /// \brief Opens a connection to \p address. If there is none to be had, the silent sends to
+    /// \p who are given up; otherwise they are left to the replica, and the connection is kept.
+    awaitable<void> connectToSilent(replica_incarnation who, endpoint address);
 
     asio::any_io_executor m_executor;
     replica_board &m_board;
@@ -75,6 +80,8 @@
     connection_pool m_pool;
     route_book_ptr m_routes;
     std::set<entry_call_ptr> m_underWay;
+    /// Silent replicas that are being asked whether they are alive.
+    std::set<replica_incarnation> m_checked;
 };
 
 } // namespace azurehill
--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -28,7 +28,8 @@
     }
 
     /// What the replica sends for each request, in order; "ID" stands for the request's id. When
-    /// nothing is left, it answers well. An empty text closes the connection.
+    /// nothing is left, it answers well. An empty text closes the connection, "<close>" at the end
+    /// does after what precedes it; at "<pause>" it is silent for a while.
     std::deque<std::string> script;
     /// Connections that were opened to the replica.
     int connections = 0;
@@ -36,6 +37,13 @@
     std::vector<std::string> arrived;
     replica_entry entry;
 
+    static constexpr std::string_view pauseMark = "<pause>";
+    /// How long the replica is silent at "<pause>".
+    static constexpr duration silence = milliseconds(1700);
+
+    /// \brief Takes no more connections, as a replica does whose host has no power.
+    void goDark() { m_acceptor.close(); }
+
     /// \returns a whole good answer with \p body.
     static std::string good(const std::string &body)
     {
@@ -61,7 +69,10 @@
     {
         while (true) {
             auto socket = std::make_shared<asio::ip::tcp::socket>(m_acceptor.get_executor());
-            co_await m_acceptor.async_accept(*socket, use_awaitable);
+            boost::system::error_code code;
+            co_await m_acceptor.async_accept(*socket, asio::redirect_error(use_awaitable, code));
+            if (code)
+                co_return;
             ++connections;
             spawn(m_acceptor.get_executor(), "serve", serve(socket));
         }
@@ -89,14 +100,24 @@
             const bool endsConnection = reply.ends_with("<close>");
             if (endsConnection)
                 reply.resize(reply.size() - 7);
-            boost::system::error_code code;
-            co_await asio::async_write(*socket, asio::buffer(reply),
-                                       asio::redirect_error(use_awaitable, code));
+            const std::size_t pauseAt = std::min(reply.find(pauseMark), reply.size());
+            co_await write(*socket, reply.substr(0, pauseAt));
+            if (pauseAt < reply.size()) {
+                co_await sleepFor(silence);
+                co_await write(*socket, reply.substr(pauseAt + pauseMark.size()));
+            }
             if (endsConnection)
                 co_return;
         }
     }
 
+    static awaitable<void> write(asio::ip::tcp::socket &socket, std::string bytes)
+    {
+        boost::system::error_code code;
+        co_await asio::async_write(socket, asio::buffer(bytes),
+                                   asio::redirect_error(use_awaitable, code));
+    }
+
     static std::string valueOf(const std::string &request, const std::string &field)
     {
         const std::size_t start = request.find(field);
@@ -192,12 +213,16 @@
     std::string ask(const std::string &head, const std::string &body = "")
     {
         std::string answer;
-        const std::string request = fmt::format(
-            "{}\r\nHost: h.example\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}", head,
-            body.size(), body);
-        auto go
-            = [&]() -> awaitable<void> { answer = co_await exchangeRaw(context, port, request); };
-        runIn(context, go());
+        runIn(context, exchange(head, body, answer));
+        return answer;
+    }
+
+    /// \brief As ask, on a paused clock that moves on in steps.
+    std::string askInSteps(const std::string &head, const std::string &body = "")
+    {
+        std::string answer;
+        const paused_clock pause;
+        runInSteps(context, exchange(head, body, answer), milliseconds(20));
         return answer;
     }
 
@@ -250,6 +275,14 @@
     }
 
 private:
+    awaitable<void> exchange(std::string head, std::string body, std::string &answer)
+    {
+        std::string request = fmt::format(
+            "{}\r\nHost: h.example\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{}", head,
+            body.size(), body);
+        answer = co_await exchangeRaw(context, port, std::move(request));
+    }
+
     void begin(const route_book_ptr &routes)
     {
         services.push_back(std::make_unique<entry_service>(context, settings, metrics));
