Streams that may be resumed go on after a break

Cause: nothing knew Last-Event-Id; an answer whose replica broke off ended there, though its route allows another run to go on.

Change: of such streams whole events are relayed; after a break the rest is asked for inside the same answer, at the replica that broke off where the route's attempts are used up and it lives, elsewhere once it is over. Events that come again are left out. A client's own resume passes through.

--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -1,14 +1,30 @@
 #include "entry/answer_relay.h"
 
-#include "http/sse.h"
 #include "platform/ingress.h"
 
+#include <charconv>
 #include <optional>
 
 namespace azurehill {
 
 namespace {
 
+std::optional<std::int64_t> wholeNumber(std::string_view text)
+{
+    std::int64_t value = 0;
+    const char *const end = text.data() + text.size();
+    const auto [rest, error] = std::from_chars(text.data(), end, value);
+    return error == std::errc() && rest == end ? std::optional(value) : std::nullopt;
+}
+
+/// \returns whether \p event comes at or before the event \p last. Ids grow along a stream.
+bool isRepeated(const sse_event &event, std::string_view last)
+{
+    const auto number = wholeNumber(event.id);
+    const auto lastNumber = wholeNumber(last);
+    return number && lastNumber && *number <= *lastNumber;
+}
+
 /// \returns how a send ended whose answer was not relayed whole.
 send_end brokenEnd(const entry_call &call, bool clientOpen)
 {
@@ -87,21 +103,50 @@
     m_places.onPace(call.service, span.count() / double(events - 1), call.lastByteAt);
 }
 
+std::string answer_relay::takePiece(entry_call &call, sse_reader &events, std::string piece,
+                                    stream_end &stream)
+{
+    std::string whole;
+    events.feed(piece);
+    while (auto event = events.nextEvent()) {
+        if (call.route->isResumable && isRepeated(*event, call.lastEventId))
+            continue;
+        if (!event->id.empty())
+            call.lastEventId = event->id;
+        whole += event->raw;
+        if (!event->data)
+            continue;
+        ++stream.events;
+        stream.output += *event->data;
+        stream.output += '\n';
+    }
+    return call.route->isResumable ? whole : piece;
+}
+
 awaitable<stream_end> answer_relay::relayStream(entry_call_ptr call, open_reply &reply,
                                                 response_writer &writer)
 {
     stream_end result;
-    std::optional<time_point> firstAt;
-    sse_reader events;
     header_list headers = replyHeaders(reply.head);
     call->begun = true;
-    bool open = co_await writer.begin(reply.head.status, std::move(headers));
-    while (open) {
-        const auto piece = co_await reply.connection->readSome(call->deadline);
+    call->lastEventId = call->request.lastEventId;
+    result.isOpen = co_await writer.begin(reply.head.status, std::move(headers));
+    co_await relayMore(call, reply, result, writer);
+    co_return result;
+}
+
+awaitable<void> answer_relay::relayMore(entry_call_ptr call, open_reply &reply, stream_end &stream,
+                                        response_writer &writer)
+{
+    std::optional<time_point> firstAt;
+    sse_reader events;
+    const std::int64_t eventsBefore = stream.events;
+    while (stream.isOpen && !events.isTooLong()) {
+        auto piece = co_await reply.connection->readSome(call->deadline);
         if (!piece)
             break;
         if (piece->empty()) {
-            result.isWhole = true;
+            stream.isWhole = true;
             break;
         }
         call->lastByteAt = runtime_clock::now();
@@ -110,19 +155,16 @@
             m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
         }
         m_board.onHeard(reply.where.replica.incarnation, call->lastByteAt);
-        events.feed(*piece);
-        while (auto data = events.next()) {
-            ++result.events;
-            result.output += *data;
-            result.output += '\n';
-        }
-        open = co_await writer.writeChunk(*piece);
+        const std::string bytes = takePiece(*call, events, std::move(*piece), stream);
+        if (!bytes.empty())
+            stream.isOpen = co_await writer.writeChunk(bytes);
     }
+    if (stream.isWhole && call->route->isResumable && !events.unfinished().empty())
+        stream.isOpen = co_await writer.writeChunk(events.unfinished());
     if (firstAt)
-        notePace(*call, result.events, *firstAt);
-    m_sender.finish(*call, reply, result.isWhole ? send_end::Answered : brokenEnd(*call, open));
-    m_places.leave(*call);
-    co_return result;
+        notePace(*call, stream.events - eventsBefore, *firstAt);
+    m_sender.finish(*call, reply,
+                    stream.isWhole ? send_end::Answered : brokenEnd(*call, stream.isOpen));
 }
 
 } // namespace azurehill
--- a/src/entry/client_request.h
+++ b/src/entry/client_request.h
@@ -43,6 +43,8 @@
     std::vector<prompt_part> promptParts;
     /// The turn that this one continues from, or empty.
     turn_id previousTurn;
+    /// The last event that the client has of a stream that it goes on with, or empty.
+    std::string lastEventId;
 };
 
 /// \brief What the daemon adds to a request on its way to a replica.
@@ -57,6 +59,9 @@
     bool hidesKey = false;
     /// The account that the request belongs to, or empty.
     account_id account;
+    /// The last event that the client has, if the stream goes on after it; empty for a new stream,
+    /// or one that the client itself goes on with.
+    std::string lastEventId;
 };
 
 /// \brief What a replica's response head says.
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -55,7 +55,10 @@
     bool isOwnAnswer = false;
     /// Its program went on from earlier turns, so far as is known here.
     bool isLaterTurn = false;
+    /// Sends that count against the attempts of its route.
     int sends = 0;
+    /// The last event that went out to the client, if its stream goes on at a replica; or empty.
+    std::string lastEventId;
     /// Whether the request holds a place at the engines of its service.
     bool isInsideGate = false;
     /// Ends the wait for a place, or null.
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -18,6 +18,9 @@
 constexpr int eventGapsInGap = 8;
 constexpr duration endMargin = milliseconds(300);
 
+/// Sends that may follow the first one of a stream to go on with it.
+constexpr int mostResumes = 3;
+
 /// Clients come back after this long when the store can't be reached. Outages last for seconds and
 /// a program gives up after a few tries: with two seconds between them it outlives one of six.
 constexpr duration storeComeBack = seconds(2);
@@ -71,6 +74,15 @@
     return {{r.id}, program, budget, most, r.programFinish, r.previousTurn.empty()};
 }
 
+/// \returns whether a replica may be asked for the rest of \p stream.
+bool mayResume(const entry_call &call, const stream_end &stream)
+{
+    const bool isCutByClient = call.clientLeft() || !stream.isOpen;
+    const bool isTimeOver
+        = call.cut == cut_reason::TimeOver || runtime_clock::now() >= call.deadline;
+    return call.route->isResumable && !stream.isWhole && !isCutByClient && !isTimeOver;
+}
+
 std::int64_t tokensPerEvent(const entry_call &call)
 {
     const service_rule *service = call.routes->service(call.service);
@@ -109,13 +121,35 @@
     auto reply = co_await send(work, request, writer);
     if (!reply)
         co_return;
-    stream_end end = co_await m_relay.relayStream(call, *reply, writer);
+    stream_end end = co_await relay(work, *reply, request, writer);
+    m_places.leave(*call);
     if (end.isWhole)
         co_await finish(work, request, reply->where, std::move(end), writer);
     else
         chargeBroken(*work, end);
 }
 
+awaitable<stream_end> turn_exchange::relay(turn_work_ptr work, open_reply &reply,
+                                           const http_request &request, response_writer &writer)
+{
+    const entry_call_ptr call = work->call;
+    stream_end stream = co_await m_relay.relayStream(call, reply, writer);
+    for (int i = 0; i < mostResumes && mayResume(*call, stream); ++i) {
+        std::string prompt = buildPrompt(previousIn(work->history), request.body);
+        auto next = co_await m_sender.resume(call, work->wanted, reply.where, request,
+                                             std::move(prompt));
+        if (!next)
+            break;
+        reply = std::move(*next);
+        if (reply.head.status != 200) {
+            m_sender.finish(*call, reply, send_end::Answered);
+            break;
+        }
+        co_await m_relay.relayMore(call, reply, stream, writer);
+    }
+    co_return stream;
+}
+
 awaitable<void> turn_exchange::finish(turn_work_ptr work, const http_request &request,
                                       const placement &where, stream_end end,
                                       response_writer &writer)
@@ -228,7 +262,8 @@
 awaitable<std::optional<open_reply>>
 turn_exchange::send(turn_work_ptr work, const http_request &request, response_writer &writer)
 {
-    placement_request wanted = placementOf(*work->call);
+    placement_request &wanted = work->wanted;
+    wanted = placementOf(*work->call);
     const turn_ptr previous = previousIn(work->history);
     if (std::holds_alternative<callers_history>(work->history))
         wanted.session = work->call->request.session;
--- a/src/entry/turn_exchange.h
+++ b/src/entry/turn_exchange.h
@@ -28,6 +28,8 @@
         entry_call_ptr call;
         turn_history history;
         turn_claim claim;
+        /// What is asked of the replica.
+        placement_request wanted;
         /// When the store must have answered for the turn to begin.
         time_point storeDeadline;
     };
@@ -42,6 +44,11 @@
     awaitable<bool> takePlace(turn_work_ptr work, response_writer &writer);
     awaitable<std::optional<open_reply>> send(turn_work_ptr work, const http_request &request,
                                               response_writer &writer);
+    /// \brief Relays the stream of \p reply, and goes on with it elsewhere if it breaks off and may be
+    /// resumed.
+    /// \param reply becomes the answer of the last send.
+    awaitable<stream_end> relay(turn_work_ptr work, open_reply &reply, const http_request &request,
+                                response_writer &writer);
     /// \brief Ends a turn that was relayed up to its end.
     awaitable<void> finish(turn_work_ptr work, const http_request &request, const placement &where,
                            stream_end end, response_writer &writer);
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -180,7 +180,7 @@
         call->attemptDeadline = now + attemptTime(*call, m_board, now);
     const forward_fields fields{where.replica.incarnation.id, call->deadline - now,
                                 call->rank.urgency, !call->routes->accounts().empty(),
-                                call->accountName()};
+                                call->accountName(), call->lastEventId};
     http_request out = encodeForward(original, fields, std::move(body));
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
@@ -196,6 +196,7 @@
                  {"cached_tokens", where.cachedTokens},
                  {"cost_ms", where.cost},
                  {"new_connection", isNew},
+                 {"after_event", call->lastEventId},
                  {"left_ms", toMilliseconds(fields.timeLeft)}});
     auto head = co_await connection->open(std::move(out), call->deadline);
     if (!head) {
@@ -296,7 +297,8 @@
             continue;
         }
         ++call->sends;
-        const bool mayRepeat = call->route->kind == route_kind::Idempotent;
+        const bool mayRepeat
+            = call->route->kind == route_kind::Idempotent || call->route->isResumable;
         if (call->cut == cut_reason::AttemptTimeOver && mayRepeat)
             call->cut = cut_reason::None;
         if (!mayRepeat || call->cut != cut_reason::None)
@@ -305,4 +307,27 @@
     co_return tl::unexpected(last);
 }
 
+awaitable<tl::expected<open_reply, send_failure>>
+upstream_sender::resume(entry_call_ptr call, placement_request &wanted, placement broken,
+                        const http_request &original, std::string body)
+{
+    call->cut = cut_reason::None;
+    ++call->sends;
+    bool hasEnded = !m_board.isListed(broken.replica.incarnation);
+    if (!hasEnded && call->sends >= call->route->maxAttempts) {
+        // No other replica may be asked as long as this one lives.
+        std::string copy = body;
+        auto again = co_await sendOnce(call, broken, wanted, original, std::move(copy));
+        if (again)
+            co_return again;
+        hasEnded = again.error().end == send_end::Unreachable
+            || !m_board.isListed(broken.replica.incarnation);
+        if (!hasEnded)
+            co_return again;
+    }
+    if (hasEnded)
+        --call->sends;
+    co_return co_await open(call, wanted, original, std::move(body));
+}
+
 } // namespace azurehill
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -89,6 +89,8 @@
     void setCacheTokens(const std::string &service, std::int64_t tokens);
     /// \brief The replica said itself that it is leaving, or another one has its address.
     void setLeaving(const replica_incarnation &who);
+    /// \returns whether \p who is listed, and so has not ended as far as is known here.
+    bool isListed(const replica_incarnation &who) const { return find(who) != nullptr; }
     /// \returns whether another process than \p who is listed under its id.
     bool isReplaced(const replica_incarnation &who) const;
 
