--- a/test/io/entry_world.h
+++ b/test/io/entry_world.h
@@ -31,6 +31,8 @@
     /// nothing is left, it answers well. An empty text closes the connection, "<close>" at the end
     /// does after what precedes it; at "<pause>" it is silent for a while.
     std::deque<std::string> script;
+    /// Called when a scripted reply is about to go out.
+    std::function<void()> onReply;
     /// Connections that were opened to the replica.
     int connections = 0;
     /// Requests that arrived, head and body.
@@ -90,6 +92,8 @@
             if (!script.empty()) {
                 reply = script.front();
                 script.pop_front();
+                if (onReply)
+                    onReply();
             }
             if (reply.empty())
                 co_return;
@@ -188,6 +192,7 @@
         routes.push_back(rule("/chat/", route_kind::Stream, "model"));
         routes.back().retention = seconds(60);
         routes.back().isResumable = true;
+        routes.back().eventGap = milliseconds(300);
         routes.back().maxAttempts = 1;
         service_rule engine;
         engine.name = "model";
