Asks for credits back off

Each request that waits asked anew every 60 ms.

Change: the pause is doubled with each ask of a request, also over its loans.

Kept: a lender that does not answer gets 7 asks at the most where it got 17 (test), 16 or 17 before by arithmetic.

--- a/src/lending/credit_exchange.cpp
+++ b/src/lending/credit_exchange.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-/// An answer that has not come after this long was lost, or its sender writes a row.
+/// An answer that has not come after this long was lost, or its sender writes a row, or has more
+/// to answer than it can: so the pause is doubled with each ask of a request.
 constexpr duration askPause = milliseconds(60);
 /// Holders that a request is sent on to without a pause.
 constexpr int mostRedirects = 2;
@@ -115,7 +116,8 @@
 }
 
 awaitable<std::optional<borrow_result>>
-credit_exchange::borrowOnce(account_id account, credit_use use, time_point deadline)
+credit_exchange::borrowOnce(account_id account, credit_use use, duration &pause,
+                            time_point deadline)
 {
     const member_state &self = m_view.self();
     const std::uint64_t number = ++m_lastNumber;
@@ -126,7 +128,8 @@
     // A credit that comes later than this must not be used.
     const time_point until = std::min(deadline, runtime_clock::now() + credit_ledger::loanTime);
     while (!pending->result && runtime_clock::now() < until) {
-        pending->alarm.expires_at(std::min(until, runtime_clock::now() + askPause));
+        pending->alarm.expires_at(std::min(until, runtime_clock::now() + pause));
+        pause *= 2;
         ask(request);
         if (pending->result)
             break;
@@ -146,9 +149,10 @@
                                                  time_point deadline)
 {
     const time_point until = std::min(deadline, runtime_clock::now() + mostWait);
+    duration pause = askPause;
     while (runtime_clock::now() < until) {
         account_id copy = account;
-        auto result = co_await borrowOnce(std::move(copy), use, until);
+        auto result = co_await borrowOnce(std::move(copy), use, pause, until);
         if (result)
             co_return *result;
         // What was said of the holder led nowhere.
--- a/src/lending/credit_exchange.h
+++ b/src/lending/credit_exchange.h
@@ -66,8 +66,9 @@
     void ask(const credit_request &request);
     /// \returns the daemon to ask for credits of \p shard.
     daemon_id lenderOf(std::size_t shard) const;
+    /// \param pause until the request is asked again; grows with each ask.
     awaitable<std::optional<borrow_result>> borrowOnce(account_id account, credit_use use,
-                                                       time_point deadline);
+                                                       duration &pause, time_point deadline);
 
     asio::any_io_executor m_executor;
     lender_view m_view;
--- a/test/io/lending_test.cpp
+++ b/test/io/lending_test.cpp
@@ -179,6 +179,33 @@
         }
     }
 
+    // Guards against a lender that is kept from answering by the same requests asked again.
+    TEST_CASE("a lender that does not answer is asked less and less often")
+    {
+        lending_world w;
+        asio::ip::udp::socket silent(w.context, {asio::ip::address_v4::loopback(), 0});
+        silent.non_blocking(true);
+        member_state lender;
+        for (int i = 0; lender.name != preferredHolder(shardOf(account), {{"h0"}, lender.name}); ++i)
+            lender.name = {"s" + std::to_string(i)};
+        lender.serving = true;
+        lender.storeReachable = true;
+        lender.gossip
+            = {"127.0.0.1", static_cast<std::uint16_t>(silent.local_endpoint().port() - 1)};
+        w.host(0).exchange.setMembers(w.host(0).self, {lender});
+        CHECK_FALSE(w.borrows(0));
+        int asked = 0;
+        std::string text(4096, '\0');
+        boost::system::error_code code;
+        while (silent.receive(asio::buffer(text), 0, code) > 0 && !code) {
+            const auto message = decodeQuotaMessage(std::string_view(text.c_str()));
+            asked += message && std::holds_alternative<credit_request>(*message) ? 1 : 0;
+            text.assign(text.size(), '\0');
+        }
+        CHECK(asked >= 2);
+        CHECK(asked <= 7);
+    }
+
     TEST_CASE("when the holder is gone another daemon lends")
     {
         lending_world w;
