Replicas' entries: reads of what changed, whole tables by turns

Cause: a read of all entries had one second for all of its pages. With 10,000 entries it takes 20 pages, which no small host gets in a second; nothing was kept, the copy grew too old, so each host read for itself, and 984 hosts read without an end: the median of 111 hosts got no further than 672 entries in 8.4 s.

Change: each page has the time that one had. A daemon with a copy asks the store's feed what changed since, without waiting; one read in 32 is of all rows. One without a copy takes it whole from a peer, which hands it out four times a second at most, unless it is its turn to read: sixteen daemons at the first look, twice as many at each further one. The follower begins once the store has named the daemons. The cache changes in place, its hash with it, and only rows that changed are decoded. Rows that are gone are remembered up to the number of rows.

Tests: rows read for 40 changes of 1,000 entries; reads of 3, 64 and 256 daemons that start together; the property of the cache has feeds among its steps.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -97,7 +97,6 @@
     spawn(executor, "followConfiguration", followConfiguration());
     spawn(executor, "pollConfiguration", pollConfiguration());
     m_replicas.setDrain(m_settings.replicaDrain);
-    spawn(executor, "followReplicas", m_replicas.follow());
     spawn(executor, "pollMembers", pollMembers());
     spawn(executor, "gossip", gossip());
     return ports;
@@ -321,6 +320,9 @@
         hasRead = co_await readMembers();
     }
     m_isIncarnationFinal = true;
+    // Now the number of daemons is known, which all together read the replicas' entries.
+    tellDaemons();
+    spawn(m_context.get_executor(), "followReplicas", m_replicas.follow());
     bool isRegistered = co_await registerSelf();
     while (!isRegistered) {
         co_await sleepFor(failedPause);
@@ -341,6 +343,13 @@
     return std::chrono::duration_cast<duration>(membersPause * turns * chance);
 }
 
+void entry_control::tellDaemons()
+{
+    // After a start the store names daemons that were not heard of yet.
+    const member_list &members = m_membership.members();
+    m_replicas.setDaemons(1 + (m_replicas.hasReplicas() ? members.aliveCount() : members.known()));
+}
+
 void entry_control::tellReplicas()
 {
     if (const auto digest = m_replicas.digest())
@@ -424,7 +433,7 @@
 awaitable<void> entry_control::gossip()
 {
     while (true) {
-        m_replicas.setDaemons(m_membership.members().aliveCount() + 1);
+        tellDaemons();
         tellReplicas();
         m_membership.setSelf(!m_isLeaving && m_routes && m_replicas.hasReplicas(),
                              m_transport->isDirectWorking());
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -84,6 +84,8 @@
     /// \returns the time until this daemon reads the members' rows again.
     duration membersReadPause();
     void onGossip(const probe_message &message, const endpoint &from);
+    /// \brief Has the follower of replicas know how many daemons read by turns.
+    void tellDaemons();
     /// \brief Has the other daemons hear of the newest copy of the replicas' entries.
     void tellReplicas();
     void logMembers();
--- a/src/entry/replica_follower.cpp
+++ b/src/entry/replica_follower.cpp
@@ -15,6 +15,19 @@
 constexpr duration storeCallTime = milliseconds(1000);
 /// Time for a daemon nearby to hand out its changes; after it this daemon reads for itself.
 constexpr duration changesTime = milliseconds(250);
+/// Time for the whole table of ten thousand entries on the slowest hosts' lines.
+constexpr duration wholeTime = seconds(3);
+/// A daemon hands out the whole table this often at the most.
+constexpr duration handOutPause = milliseconds(250);
+/// Part of the reads that are of the whole table, so that a copy that the store's changes spoiled
+/// is found out.
+constexpr double wholeShare = 1.0 / 32;
+/// Answers a daemon that may ask another one, or again later.
+constexpr int statusBusy = 503;
+/// Rows in an answer of the store from which on there may be more changes.
+constexpr std::size_t manyChanges = 100;
+/// Looks without a copy after which each daemon reads, whatever the number of daemons.
+constexpr int mostLooksWithout = 6;
 constexpr std::string_view changesPath = "/inner/replicas";
 constexpr std::string_view afterParameter = "after";
 constexpr duration maxIdle = seconds(2);
@@ -61,10 +74,27 @@
     const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
     if (!m_mechanisms.has(mechanism::TableTurns))
         return true;
-    return isReadDue(m_turns, m_table.age(runtime_clock::now()), chance);
+    const auto age = m_table.age(runtime_clock::now());
+    if (age)
+        return isReadDue(m_turns, age, chance);
+    // All may have started at once. The readers' number doubles with each look, and whoever hears of
+    // a copy takes it.
+    const int looks = m_looksWithout++;
+    const read_turns turns{m_turns.bound, m_turns.daemons >> std::min(looks, mostLooksWithout)};
+    return looks >= mostLooksWithout || isReadDue(turns, duration::zero(), chance);
 }
 
 awaitable<void> replica_follower::readTable()
+{
+    const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
+    bool isRead = false;
+    if (m_table.version() != 0 && chance >= wholeShare)
+        isRead = co_await readChanges();
+    if (!isRead)
+        co_await readWhole();
+}
+
+awaitable<void> replica_follower::readWhole()
 {
     const time_point began = runtime_clock::now();
     row_range range = replicaRange();
@@ -73,6 +103,29 @@
         adopt("read");
 }
 
+awaitable<bool> replica_follower::readChanges()
+{
+    bool isChanged = false;
+    std::size_t rows = manyChanges;
+    while (rows >= manyChanges) {
+        const time_point began = runtime_clock::now();
+        std::string table = replicaRange().table;
+        const auto page = co_await m_store.changes(std::move(table), m_table.version(),
+                                                   duration::zero(), began + storeCallTime);
+        if (!page) {
+            const bool isGone = page.error().kind == store_error_kind::HistoryGone;
+            if (isChanged)
+                adopt("feed");
+            co_return !isGone;
+        }
+        rows = page->rows.size();
+        isChanged = m_table.onFeed(*page, began) || isChanged;
+    }
+    if (isChanged)
+        adopt("feed");
+    co_return true;
+}
+
 awaitable<void> replica_follower::touchStore()
 {
     row_range range = touchedRow();
@@ -120,7 +173,8 @@
 awaitable<void> replica_follower::takeChanges(digest_news news)
 {
     const time_point began = runtime_clock::now();
-    const time_point deadline = began + changesTime;
+    const bool isWhole = m_table.version() == 0;
+    const time_point deadline = began + (isWhole ? wholeTime : changesTime);
     http_connection connection = m_pool.take(news.peer, began);
     bool isConnected = connection.isReusable();
     if (!isConnected) {
@@ -128,6 +182,7 @@
         isConnected = connected.has_value();
     }
     bool isTaken = false;
+    bool isPeerBusy = false;
     if (isConnected) {
         http_request request = changesRequest(m_table.version());
         const auto response = co_await connection.exchange(std::move(request), deadline);
@@ -136,11 +191,12 @@
             isTaken = changes && m_table.onChanges(*changes, began);
             m_pool.give(news.peer, std::move(connection), runtime_clock::now());
         }
+        isPeerBusy = response && response->status == statusBusy;
     }
     m_isTakingChanges = false;
     if (isTaken)
         adopt("peer");
-    else if (m_table.version() < news.digest.version)
+    else if (!isPeerBusy && m_table.version() < news.digest.version)
         co_await readTable();
 }
 
@@ -149,41 +205,56 @@
     return request.path() == changesPath;
 }
 
-http_response replica_follower::answerChanges(const http_request &request) const
+http_response replica_follower::answerChanges(const http_request &request)
 {
     const std::string said = request.query(afterParameter).value_or("");
     store_version after = 0;
     const auto [end, error] = std::from_chars(said.data(), said.data() + said.size(), after);
     const bool isNumber = error == std::errc() && end == said.data() + said.size();
     if (!isNumber || m_table.version() == 0)
-        return jsonResponse(isNumber ? 503 : 400, "{}");
-    return jsonResponse(200, encodeChanges(m_table.changesSince(after, runtime_clock::now())));
+        return jsonResponse(isNumber ? statusBusy : 400, "{}");
+    const time_point now = runtime_clock::now();
+    const table_changes changes = m_table.changesSince(after, now);
+    const bool isLarge = changes.isWhole && changes.rows.size() > manyChanges;
+    if (isLarge && now < m_handedOutAt + handOutPause)
+        return jsonResponse(statusBusy, "{}");
+    if (isLarge)
+        m_handedOutAt = now;
+    return jsonResponse(200, encodeChanges(changes));
+}
+
+bool replica_follower::adoptRow(const std::string &key)
+{
+    const upstream_id id{key};
+    const auto old = m_replicas.find(id);
+    const replica_entry *const known = old == m_replicas.end() ? nullptr : &old->second;
+    const auto row = m_table.rows().find(key);
+    if (row == m_table.rows().end())
+        return m_replicas.erase(id) != 0;
+    const auto read = decodeReplica(row->second);
+    if (!read) {
+        m_unreadable.tell(log_event::ReplicaRowUnreadable, row->second, read.error());
+        return m_replicas.erase(id) != 0;
+    }
+    replica_entry entry = known ? latestEntry(*known, *read) : *read;
+    const bool isChanged = !known || known->incarnation != entry.incarnation
+        || known->draining != entry.draining;
+    if (isChanged && ++m_toldReplicas <= mostReplicaLines)
+        logReplica(known, entry);
+    m_replicas.insert_or_assign(id, std::move(entry));
+    return isChanged;
 }
 
 void replica_follower::adopt(std::string_view source)
 {
-    std::map<upstream_id, replica_entry> next;
     std::size_t changed = 0;
-    for (const auto &[key, row] : m_table.rows()) {
-        const auto read = decodeReplica(row);
-        if (!read) {
-            m_unreadable.tell(log_event::ReplicaRowUnreadable, row, read.error());
-            continue;
-        }
-        const auto old = m_replicas.find(read->incarnation.id);
-        const replica_entry *const known = old == m_replicas.end() ? nullptr : &old->second;
-        replica_entry entry = known ? latestEntry(*known, *read) : *read;
-        const bool isChanged = !known || known->incarnation != entry.incarnation
-            || known->draining != entry.draining;
-        if (isChanged && ++changed <= mostReplicaLines)
-            logReplica(known, entry);
-        next.emplace(read->incarnation.id, std::move(entry));
-    }
-    for (const auto &[id, old] : m_replicas) {
-        if (!next.contains(id) && ++changed <= mostReplicaLines)
-            logDecision(log_event::ReplicaGone, {{"replica", id.value}});
+    m_toldReplicas = 0;
+    for (const std::string &key : m_table.takeChanged()) {
+        const bool wasKnown = m_replicas.contains({key});
+        changed += adoptRow(key) ? 1 : 0;
+        if (wasKnown && !m_replicas.contains({key}) && ++m_toldReplicas <= mostReplicaLines)
+            logDecision(log_event::ReplicaGone, {{"replica", key}});
     }
-    m_replicas = std::move(next);
     m_hasReplicas = true;
     logDecision(log_event::ReplicasAdopted,
                 {{"source", std::string(source)},
--- a/src/entry/replica_follower.h
+++ b/src/entry/replica_follower.h
@@ -16,7 +16,9 @@
 ///
 /// All daemons together read the table as often as sixteen would, whatever their number, and hear
 /// from each other within a second that it changed. A daemon whose copy gets too old, since nobody
-/// reaches the store or it reaches nobody, reads for itself. Lives on the control thread.
+/// reaches the store or it reaches nobody, reads for itself. A daemon that has a copy reads what
+/// changed since; one that has none takes it from another daemon, unless it is its turn to read.
+/// Lives on the control thread.
 class replica_follower
 {
 public:
@@ -28,7 +30,7 @@
                      std::shared_ptr<peer_transport> transport, const daemon_id &self,
                      const mechanism_set &mechanisms, receiver onReplicas);
 
-    /// rief Reads when it is this daemon's turn. Runs until the program ends.
+    /// \brief Reads when it is this daemon's turn. Runs until the program ends.
     awaitable<void> follow();
     /// \brief Takes in how long a leaving replica goes on serving.
     void setDrain(duration drain) { m_turns.bound = drain; }
@@ -42,7 +44,7 @@
     /// \returns whether \p request asks for changes of the entries.
     static bool isChangesRequest(const http_request &request);
     /// \returns the changes that another daemon asks for.
-    http_response answerChanges(const http_request &request) const;
+    http_response answerChanges(const http_request &request);
 
     /// \returns whether the entries are known.
     bool hasReplicas() const { return m_hasReplicas; }
@@ -51,11 +53,17 @@
 private:
     /// \returns whether this daemon reads the table now.
     bool mustRead();
+    /// \brief Reads what changed since the copy, or all rows where there is no copy.
     awaitable<void> readTable();
+    awaitable<void> readWhole();
+    /// \returns whether the store still told what changed since the copy.
+    awaitable<bool> readChanges();
     /// \brief Reads one row, to learn whether the store answers this daemon.
     awaitable<void> touchStore();
     awaitable<void> takeChanges(digest_news news);
     void adopt(std::string_view source);
+    /// \brief Takes in the row of \p key as it is now. \returns whether its entry is another one.
+    bool adoptRow(const std::string &key);
     void logReplica(const replica_entry *known, const replica_entry &entry) const;
     void logStore();
 
@@ -70,8 +78,14 @@
     table_cache m_table;
     std::map<upstream_id, replica_entry> m_replicas;
     unreadable_rows m_unreadable;
+    /// Lines on single replicas at the change that is being taken in.
+    std::size_t m_toldReplicas = 0;
     bool m_hasReplicas = false;
     bool m_isTakingChanges = false;
+    /// Looks without a copy so far.
+    int m_looksWithout = 0;
+    /// When the whole table was last handed out.
+    time_point m_handedOutAt;
     bool m_storeWasReachable = true;
 };
 
--- a/src/rows/table_cache.cpp
+++ b/src/rows/table_cache.cpp
@@ -1,42 +1,78 @@
 #include "rows/table_cache.h"
 
-#include <utility>
+#include <algorithm>
+#include <vector>
 
 namespace azurehill {
 
 namespace {
 
-/// Rows that are gone are remembered up to this number; who missed more takes the table whole.
-constexpr std::size_t mostGone = 1000;
+/// Rows that are gone are remembered up to this number, or that of the rows that are there; who
+/// missed more takes the table whole.
+constexpr std::size_t leastGone = 1000;
+
+std::uint64_t hashOf(const std::string &key, store_version version)
+{
+    return stableHash(key, version);
+}
 
 } // namespace
 
-std::uint64_t table_cache::hashOf(const row_map &rows)
+void table_cache::boundGone()
 {
-    std::uint64_t hash = 0;
-    for (const auto &[key, row] : rows)
-        hash += stableHash(key, row.version);
-    return hash;
+    if (m_gone.size() <= std::max(leastGone, m_rows.size()))
+        return;
+    m_gone.clear();
+    m_goneSince = m_version;
+}
+
+void table_cache::setRow(const stored_row &row)
+{
+    const std::string &key = row.name.key;
+    const auto [found, isNew] = m_rows.try_emplace(key, row);
+    if (!isNew && found->second.version == row.version)
+        return;
+    if (!isNew) {
+        m_hash -= hashOf(key, found->second.version);
+        found->second = row;
+    }
+    m_hash += hashOf(key, row.version);
+    m_gone.erase(key);
+    m_changed.insert(key);
+}
+
+void table_cache::dropRow(const std::string &key, store_version version)
+{
+    const auto found = m_rows.find(key);
+    if (found == m_rows.end() || found->second.version > version)
+        return;
+    m_hash -= hashOf(key, found->second.version);
+    m_rows.erase(found);
+    m_gone[key] = version;
+    m_changed.insert(key);
+}
+
+void table_cache::becomeFresh(store_version version, time_point freshAt)
+{
+    m_version = std::max(m_version, version);
+    m_freshAt = m_freshAt ? std::max(*m_freshAt, freshAt) : freshAt;
+    boundGone();
 }
 
 void table_cache::replace(row_map rows, store_version version, time_point freshAt)
 {
     if (!m_freshAt)
         m_goneSince = version;
+    std::vector<std::string> gone;
     for (const auto &[key, row] : m_rows) {
         if (!rows.contains(key))
-            m_gone[key] = version;
+            gone.push_back(key);
     }
+    for (const std::string &key : gone)
+        dropRow(key, std::max(version, m_rows.at(key).version));
     for (const auto &[key, row] : rows)
-        m_gone.erase(key);
-    if (m_gone.size() > mostGone) {
-        m_gone.clear();
-        m_goneSince = version;
-    }
-    m_rows = std::move(rows);
-    m_hash = hashOf(m_rows);
-    m_version = version;
-    m_freshAt = m_freshAt ? std::max(*m_freshAt, freshAt) : freshAt;
+        setRow(row);
+    becomeFresh(version, freshAt);
 }
 
 bool table_cache::onRead(const row_page &page, time_point began)
@@ -52,6 +88,23 @@
     return isFirst || m_hash != before;
 }
 
+bool table_cache::onFeed(const row_page &page, time_point began)
+{
+    // Another daemon's changes may have come in the meantime.
+    if (!m_freshAt || page.version < m_version)
+        return false;
+    const std::uint64_t before = m_hash;
+    for (const stored_row &row : page.rows) {
+        const auto known = m_rows.find(row.name.key);
+        if (row.deleted)
+            dropRow(row.name.key, row.version);
+        else if (known == m_rows.end() || known->second.version < row.version)
+            setRow(row);
+    }
+    becomeFresh(page.version, began);
+    return m_hash != before;
+}
+
 digest_verdict table_cache::onDigest(const table_digest &digest, time_point askedAt)
 {
     if (!m_freshAt || (digest.hash != m_hash && digest.version > m_version))
@@ -68,20 +121,49 @@
     const table_digest &digest = changes.digest;
     if (m_freshAt && digest.version < m_version)
         return false;
-    row_map rows = changes.isWhole ? row_map() : m_rows;
-    for (const auto &[key, version] : changes.gone) {
-        const auto found = rows.find(key);
-        if (found != rows.end() && found->second.version <= version)
-            rows.erase(found);
+    if (changes.isWhole) {
+        row_map rows;
+        std::uint64_t hash = 0;
+        for (const stored_row &row : changes.rows) {
+            if (rows.emplace(row.name.key, row).second)
+                hash += hashOf(row.name.key, row.version);
+        }
+        if (hash != digest.hash)
+            return false;
+        replace(std::move(rows), digest.version, askedAt - digest.age);
+        return true;
     }
-    for (const stored_row &row : changes.rows)
-        rows.insert_or_assign(row.name.key, row);
-    if (hashOf(rows) != digest.hash)
+    if (hashWith(changes) != digest.hash)
         return false;
-    replace(std::move(rows), digest.version, askedAt - digest.age);
+    for (const auto &[key, version] : changes.gone)
+        dropRow(key, version);
+    for (const stored_row &row : changes.rows)
+        setRow(row);
+    becomeFresh(digest.version, askedAt - digest.age);
     return true;
 }
 
+std::uint64_t table_cache::hashWith(const table_changes &changes) const
+{
+    std::uint64_t hash = m_hash;
+    std::map<std::string, std::optional<store_version>> next;
+    for (const auto &[key, version] : changes.gone) {
+        const auto found = m_rows.find(key);
+        if (found != m_rows.end() && found->second.version <= version)
+            next[key] = std::nullopt;
+    }
+    for (const stored_row &row : changes.rows)
+        next[row.name.key] = row.version;
+    for (const auto &[key, version] : next) {
+        const auto found = m_rows.find(key);
+        if (found != m_rows.end())
+            hash -= hashOf(key, found->second.version);
+        if (version)
+            hash += hashOf(key, *version);
+    }
+    return hash;
+}
+
 std::optional<table_digest> table_cache::digest(time_point now) const
 {
     if (!m_freshAt)
--- a/src/rows/table_cache.h
+++ b/src/rows/table_cache.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 
 namespace azurehill {
 
@@ -53,6 +55,10 @@
     /// \brief Takes in an answer of the store to a read that began at \p began.
     /// \returns whether rows changed.
     bool onRead(const row_page &page, time_point began);
+    /// \brief Takes in an answer of the store to the question, asked at \p began, what changed since
+    /// this copy's version: rows as they are now, and those that are gone.
+    /// \returns whether rows changed.
+    bool onFeed(const row_page &page, time_point began);
     /// \brief Takes in the digest of another daemon's copy, from an answer to what was asked at
     /// \p askedAt.
     digest_verdict onDigest(const table_digest &digest, time_point askedAt);
@@ -70,12 +76,19 @@
     std::optional<duration> age(time_point now) const;
     /// \returns the rows by key.
     const std::map<std::string, stored_row> &rows() const { return m_rows; }
+    /// \returns the keys of the rows that changed or went since the last call.
+    std::set<std::string> takeChanged() { return std::exchange(m_changed, {}); }
 
 private:
     using row_map = std::map<std::string, stored_row>;
 
-    static std::uint64_t hashOf(const row_map &rows);
     void replace(row_map rows, store_version version, time_point freshAt);
+    void setRow(const stored_row &row);
+    void dropRow(const std::string &key, store_version version);
+    void boundGone();
+    void becomeFresh(store_version version, time_point freshAt);
+    /// \returns the hash that this copy would have with the rows of \p changes.
+    std::uint64_t hashWith(const table_changes &changes) const;
 
     row_map m_rows;
     std::uint64_t m_hash = 0;
@@ -85,6 +98,7 @@
     /// such are known here.
     std::map<std::string, store_version> m_gone;
     store_version m_goneSince = 0;
+    std::set<std::string> m_changed;
 };
 
 /// \returns \p changes as text.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -26,6 +26,9 @@
                                                             time_point deadline)
         = 0;
     /// \brief Reads all rows of \p range in key order.
+    ///
+    /// The store answers with a bounded number of rows at a time. Each answer has the time that the
+    /// first one has until \p deadline, so a read lasts as long as its range is long.
     virtual awaitable<store_result<row_page>> read(row_range range, time_point deadline) = 0;
     /// \brief Waits up to \p wait for changes of \p table after \p after.
     virtual awaitable<store_result<row_page>> changes(std::string table, store_version after,
--- a/test/io/lending_test.cpp
+++ b/test/io/lending_test.cpp
@@ -2,6 +2,7 @@
 #include "loopback.h"
 #include "model_store.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <doctest/doctest.h>
 
 #include <memory>
@@ -190,8 +191,7 @@
             lender.name = {"s" + std::to_string(i)};
         lender.serving = true;
         lender.storeReachable = true;
-        lender.gossip
-            = {"127.0.0.1", static_cast<std::uint16_t>(silent.local_endpoint().port() - 1)};
+        lender.gossip = endpoint{"127.0.0.1", std::uint16_t(silent.local_endpoint().port() - 1)};
         w.host(0).exchange.setMembers(w.host(0).self, {lender});
         CHECK_FALSE(w.borrows(0));
         int asked = 0;
--- a/test/io/model_store.h
+++ b/test/io/model_store.h
@@ -22,6 +22,10 @@
     std::function<store_fault()> nextFault = [] { return store_fault::None; };
     bool reachable = true;
     int calls = 0;
+    /// Rows that answers held.
+    std::size_t rowsRead = 0;
+    /// The store has forgotten what changed.
+    bool historyIsGone = false;
     /// Reads show these rows instead of the newest ones; conditions are answered from the newest.
     const row_store *readsShow = nullptr;
 
@@ -62,7 +66,9 @@
             co_return tl::unexpected(store_error{store_error_kind::Refused, "refused", {}});
         if (fault != store_fault::None && fault != store_fault::Slow)
             co_return tl::unexpected(lost());
-        co_return (readsShow ? *readsShow : m_rows).read(range);
+        row_page page = (readsShow ? *readsShow : m_rows).read(range);
+        rowsRead += page.rows.size();
+        co_return page;
     }
 
     awaitable<store_result<row_page>> changes(std::string table, store_version after,
@@ -71,7 +77,9 @@
         ++calls;
         co_await pass(store_fault::None, deadline);
         auto page = m_rows.changes(table, after);
-        if (!page)
+        if (page)
+            rowsRead += page->rows.size();
+        if (!page || historyIsGone)
             co_return tl::unexpected(store_error{store_error_kind::HistoryGone, "gone", {}});
         co_return *page;
     }
--- a/test/io/replica_follower_test.cpp
+++ b/test/io/replica_follower_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+
 namespace azurehill::test {
 
 namespace {
@@ -115,6 +117,103 @@
         CHECK(other.follower.replicas().begin()->second.draining);
     }
 
+    // Guards against reads that grow with the number of replicas, whatever changes.
+    TEST_CASE("a daemon that has a copy reads what changed since")
+    {
+        constexpr int entries = 1000;
+        constexpr int looks = 40;
+        row_store rows;
+        asio::io_context context;
+        following_daemon daemon(context, rows, "reader");
+        for (int i = 0; i < entries; ++i)
+            put(rows, "i-" + std::to_string(i), entryText(4));
+        const auto look = [&] {
+            const paused_clock pause;
+            auto wait = []() -> awaitable<void> { co_await sleepFor(milliseconds(600)); };
+            runInSteps(context, wait(), milliseconds(100));
+        };
+        spawn(context.get_executor(), "follow", daemon.follower.follow());
+        look();
+        REQUIRE(daemon.follower.replicas().size() == entries);
+        CHECK(daemon.inner.rowsRead == entries);
+
+        SUBCASE("and takes in only that")
+        {
+            for (int i = 0; i < looks; ++i) {
+                put(rows, "i-7", entryText(4 + i));
+                look();
+            }
+            CHECK(daemon.follower.replicas().at({"i-7"}).slots == 4 + looks - 1);
+            // A few reads are of all rows, to find out a copy that went wrong.
+            CHECK(daemon.inner.rowsRead < 6 * entries);
+        }
+        SUBCASE("and of one that is gone")
+        {
+            store_transaction t;
+            t.removals.push_back({"servers", "", "i-7"});
+            REQUIRE(rows.apply(t));
+            for (int i = 0; i < 3; ++i)
+                look();
+            CHECK(daemon.follower.replicas().size() == entries - 1);
+        }
+        SUBCASE("or all rows when the store has forgotten that")
+        {
+            daemon.inner.historyIsGone = true;
+            put(rows, "i-7", entryText(6));
+            for (int i = 0; i < 3; ++i)
+                look();
+            CHECK(daemon.follower.replicas().at({"i-7"}).slots == 6);
+        }
+    }
+
+    // Guards against a start in which each daemon reads the whole table from the store.
+    TEST_CASE("daemons that start together read by turns")
+    {
+        for (const int size : {3, 64, 256}) {
+            CAPTURE(size);
+            row_store rows;
+            asio::io_context context;
+            put(rows, "i-1", entryText(4));
+            std::vector<std::unique_ptr<following_daemon>> daemons;
+            for (int i = 0; i < size; ++i) {
+                daemons.push_back(
+                    std::make_unique<following_daemon>(context, rows, "d" + std::to_string(i)));
+                daemons.back()->follower.setDaemons(std::size_t(size));
+                spawn(context.get_executor(), "follow", daemons.back()->follower.follow());
+            }
+            const paused_clock pause;
+            auto wait = []() -> awaitable<void> { co_await sleepFor(milliseconds(100)); };
+            runInSteps(context, wait(), milliseconds(20));
+            std::size_t reads = 0;
+            for (const auto &daemon : daemons)
+                reads += daemon->inner.rowsRead;
+            CHECK(reads >= std::size_t(std::min(size, 4)));
+            CHECK(reads <= 40);
+        }
+    }
+
+    // Guards against a daemon that is kept busy with copies of the whole table.
+    TEST_CASE("the whole table is handed out now and then only")
+    {
+        const paused_clock pause;
+        row_store rows;
+        asio::io_context context;
+        following_daemon reader(context, rows, "reader");
+        for (int i = 0; i < 200; ++i)
+            put(rows, "i-" + std::to_string(i), entryText(4));
+        auto body = [&]() -> awaitable<void> {
+            spawn(context.get_executor(), "follow", reader.follower.follow());
+            co_await untilTold(reader, 1);
+        };
+        runIn(context, body());
+        http_request whole;
+        whole.target = "/inner/replicas?after=0";
+        CHECK(reader.follower.answerChanges(whole).status == 200);
+        CHECK(reader.follower.answerChanges(whole).status == 503);
+        runtime_clock::advance(seconds(1));
+        CHECK(reader.follower.answerChanges(whole).status == 200);
+    }
+
     TEST_CASE("what is no version is refused, and nothing is handed out before there is a copy")
     {
         const paused_clock pause;
--- a/test/logic/table_cache_test.cpp
+++ b/test/logic/table_cache_test.cpp
@@ -145,6 +145,21 @@
                     p.rows.push_back(r);
                 return p;
             };
+            std::map<std::string, store_version> dropped;
+            const auto changedSince = [&](store_version after) {
+                row_page p{{}, version};
+                for (const auto &[key, r] : table) {
+                    if (r.version > after)
+                        p.rows.push_back(r);
+                }
+                for (const auto &[key, at] : dropped) {
+                    if (at <= after)
+                        continue;
+                    p.rows.push_back(row(key, at));
+                    p.rows.back().deleted = true;
+                }
+                return p;
+            };
             const auto talk = [&](table_cache &asker, const table_cache &other) {
                 const auto digest = other.digest(at(ms));
                 if (!digest || asker.onDigest(*digest, at(ms)) != digest_verdict::Behind)
@@ -162,18 +177,24 @@
             for (int i = 0; i < steps; ++i, ms += 10) {
                 table_cache &one = copies[std::size_t(*rc::gen::inRange(0, daemons))];
                 const std::string key(1, char('a' + *rc::gen::inRange(0, 4)));
-                switch (*rc::gen::inRange(0, 5)) {
+                switch (*rc::gen::inRange(0, 6)) {
                 case 0:
                     ++version;
                     table[key] = row(key, version);
+                    dropped.erase(key);
                     break;
                 case 1:
                     ++version;
-                    table.erase(key);
+                    if (table.erase(key) != 0)
+                        dropped[key] = version;
                     break;
                 case 2:
                     one.onRead(wholePage(), at(ms));
                     break;
+                case 3:
+                    if (one.age(at(ms)))
+                        one.onFeed(changedSince(one.version()), at(ms));
+                    break;
                 default:
                     talk(one, copies[std::size_t(*rc::gen::inRange(0, daemons))]);
                     break;
