A session's part of the prompt grows with its turns

Cause: the last part of a prompt is the session's own and keeps its id while it grows. The board took all of it for new where it looks for a session's home, and all of it for cached where this daemon had sent it before.

Change: a part is cached as far as it was sent; at the session's home the prompt is, but for the part of one turn.

--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -268,8 +268,12 @@
     placement_request &wanted = work->wanted;
     wanted = placementOf(*work->call);
     const turn_ptr previous = previousIn(work->history);
-    if (std::holds_alternative<callers_history>(work->history))
+    if (std::holds_alternative<callers_history>(work->history)) {
         wanted.session = work->call->request.session;
+        const std::int64_t committed = m_ledger.accountView(work->claim.program).committed;
+        wanted.turnsBefore = committed / std::max<std::int64_t>(1, work->claim.most) - 1;
+        wanted.turnsBefore = std::max<std::int64_t>(0, wanted.turnsBefore);
+    }
     if (previous) {
         wanted.lastReplica = previous->replica;
         wanted.lastTokens = previous->tokens;
--- a/src/replicas/prefix_cache.cpp
+++ b/src/replicas/prefix_cache.cpp
@@ -1,5 +1,7 @@
 #include "replicas/prefix_cache.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace {
@@ -9,10 +11,11 @@
 
 } // namespace
 
-bool prefix_cache::holds(const prompt_part &part, std::int64_t capacity) const
+std::int64_t prefix_cache::held(const prompt_part &part, std::int64_t capacity) const
 {
-    const auto found = m_usedAt.find(part.id);
-    return found != m_usedAt.end() && m_takenIn - found->second <= capacity;
+    const auto found = m_parts.find(part.id);
+    const bool isKept = found != m_parts.end() && m_takenIn - found->second.usedAt <= capacity;
+    return isKept ? std::min(part.tokens, found->second.tokens) : 0;
 }
 
 std::int64_t prefix_cache::cached(const std::vector<prompt_part> &parts,
@@ -20,32 +23,31 @@
 {
     std::int64_t tokens = 0;
     for (const prompt_part &part : parts) {
-        if (!holds(part, capacity))
+        const std::int64_t kept = held(part, capacity);
+        tokens += kept;
+        if (kept < part.tokens)
             break;
-        tokens += part.tokens;
     }
     return tokens;
 }
 
 void prefix_cache::use(const std::vector<prompt_part> &parts, std::int64_t capacity)
 {
-    for (const prompt_part &part : parts) {
-        if (!holds(part, capacity))
-            m_takenIn += part.tokens;
-    }
     for (const prompt_part &part : parts)
-        m_usedAt[part.id] = m_takenIn;
-    if (m_usedAt.size() > maxParts) {
-        std::erase_if(m_usedAt,
-                      [&](const auto &item) { return m_takenIn - item.second > capacity; });
+        m_takenIn += part.tokens - held(part, capacity);
+    for (const prompt_part &part : parts)
+        m_parts[part.id] = {part.tokens, m_takenIn};
+    if (m_parts.size() > maxParts) {
+        std::erase_if(m_parts,
+                      [&](const auto &item) { return m_takenIn - item.second.usedAt > capacity; });
     }
-    if (m_usedAt.size() > maxParts)
-        m_usedAt.clear();
+    if (m_parts.size() > maxParts)
+        m_parts.clear();
 }
 
 void prefix_cache::clear()
 {
-    m_usedAt.clear();
+    m_parts.clear();
 }
 
 } // namespace azurehill
--- a/src/replicas/prefix_cache.h
+++ b/src/replicas/prefix_cache.h
@@ -29,10 +29,20 @@
     void clear();
 
 private:
-    bool holds(const prompt_part &part, std::int64_t capacity) const;
+    /// \brief A part as it was sent last.
+    struct known_part
+    {
+        /// Its tokens: a session's part grows with each turn.
+        std::int64_t tokens = 0;
+        /// Tokens taken in when it was last used.
+        std::int64_t usedAt = 0;
+    };
 
-    /// Tokens taken in when a part was last used, by the part's id.
-    std::unordered_map<std::string, std::int64_t> m_usedAt;
+    /// \returns the tokens at the beginning of \p part that the replica has.
+    std::int64_t held(const prompt_part &part, std::int64_t capacity) const;
+
+    /// By the part's id.
+    std::unordered_map<std::string, known_part> m_parts;
     std::int64_t m_takenIn = 0;
 };
 
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -45,12 +45,12 @@
 /// Most that a replica counts as slower than its peers.
 constexpr double maxSlowness = 8;
 
-/// \returns the tokens of the prompt of \p request that the turns before it have sent: all but its
-/// last part.
-std::int64_t ownTokensBefore(const placement_request &request)
+/// \returns the tokens of the prompt of \p request that the turns before it have probably sent. Its
+/// last part is the session's own, which grows with each turn.
+std::int64_t tokensSentBefore(const placement_request &request)
 {
-    const std::int64_t last = request.parts.empty() ? 0 : request.parts.back().tokens;
-    return std::max<std::int64_t>(0, request.promptTokens - last);
+    const std::int64_t own = request.parts.empty() ? 0 : request.parts.back().tokens;
+    return std::max<std::int64_t>(0, request.promptTokens - own / (request.turnsBefore + 1));
 }
 
 } // namespace
@@ -283,7 +283,7 @@
             continue;
         std::int64_t cached = cachedTokens(r, request, service, now);
         if (&r == home)
-            cached = std::max(cached, ownTokensBefore(request));
+            cached = std::max(cached, tokensSentBefore(request));
         double c = cost(r, request, cached, service);
         // The session's next turn goes to its home, where it would have to be read once more.
         if (home && &r != home)
--- a/src/replicas/replica_board.h
+++ b/src/replicas/replica_board.h
@@ -32,6 +32,8 @@
     /// The line of turns whose caller sends the whole prompt with each of them, or empty. Its turns
     /// come to any daemon, and none of them knows where the one before went.
     std::string session;
+    /// Turns that its program had before, as far as is known.
+    std::int64_t turnsBefore = 0;
     /// Tokens of the whole prompt.
     std::int64_t promptTokens = 0;
     /// Replicas that the request was sent to already.
--- a/test/logic/placement_replay_test.cpp
+++ b/test/logic/placement_replay_test.cpp
@@ -108,7 +108,10 @@
         p.asked.parts = {{subject, sharedTokens}, {session, inputTokens}};
         p.asked.promptTokens = sharedTokens + p.history + inputTokens;
         if (m_callersHistory) {
+            // The session's part is all that was said in it.
             p.asked.session = session;
+            p.asked.turnsBefore = p.turns;
+            p.asked.parts.back().tokens += p.history;
         } else {
             p.asked.lastReplica = p.last;
             p.asked.lastTokens = p.turns > 0 ? sharedTokens + p.history : 0;
