--- a/src/core/mechanism.h
+++ b/src/core/mechanism.h
@@ -39,9 +39,9 @@
 struct enum_names<mechanism>
 {
     static constexpr std::array<std::string_view, 11> names
-        = {"engine_gate",        "fill_slots",   "crowded_reads", "shared_parts",
-           "learned_slowness",   "paced_writes", "merged_writes", "limit_is_no_outage",
-           "peer_calls",         "table_turns",  "session_homes"};
+        = {"engine_gate",      "fill_slots",   "crowded_reads", "shared_parts",
+           "learned_slowness", "paced_writes", "merged_writes", "limit_is_no_outage",
+           "peer_calls",       "table_turns",  "session_homes"};
 };
 
 /// \brief Which mechanisms are on; all of them unless told otherwise.
--- a/src/entry/answer_relay.cpp
+++ b/src/entry/answer_relay.cpp
@@ -103,7 +103,7 @@
     m_places.onPace(call.service, span.count() / double(events - 1), call.lastByteAt);
 }
 
-std::string answer_relay::takePiece(entry_call &call, sse_reader &events, std::string piece,
+std::string answer_relay::takePiece(entry_call &call, sse_reader &events, const std::string &piece,
                                     stream_end &stream)
 {
     std::string whole;
@@ -155,7 +155,7 @@
             m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
         }
         m_board.onHeard(reply.where.replica.incarnation, call->lastByteAt);
-        const std::string bytes = takePiece(*call, events, std::move(*piece), stream);
+        const std::string bytes = takePiece(*call, events, *piece, stream);
         if (!bytes.empty())
             stream.isOpen = co_await writer.writeChunk(bytes);
     }
--- a/src/entry/answer_relay.h
+++ b/src/entry/answer_relay.h
@@ -43,9 +43,9 @@
     /// to the caller, who may have to wait before the client may learn of it.
     awaitable<stream_end> relayStream(entry_call_ptr call, open_reply &reply,
                                       response_writer &writer);
-    /// \brief Relays more of a stream whose beginning went out: the answer of another send that goes
-    /// on after the call's last event.
-    /// \param stream what was relayed so far; what comes is added to it.
+    /// \brief Relays more of a stream whose beginning went out: the answer of another send that
+    /// goes on after the call's last event. \param stream what was relayed so far; what comes is
+    /// added to it.
     awaitable<void> relayMore(entry_call_ptr call, open_reply &reply, stream_end &stream,
                               response_writer &writer);
 
@@ -53,9 +53,9 @@
     awaitable<void> relayFailure(entry_call_ptr call, open_reply reply, response_writer &writer);
 
 private:
-    /// \returns the bytes of \p piece that go out now, and adds its events to \p stream. Of a stream
-    /// that may be resumed these are whole events only, so that what follows can begin anew.
-    static std::string takePiece(entry_call &call, sse_reader &events, std::string piece,
+    /// \returns the bytes of \p piece that go out now, and adds its events to \p stream. Of a
+    /// stream that may be resumed these are whole events only, so that what follows can begin anew.
+    static std::string takePiece(entry_call &call, sse_reader &events, const std::string &piece,
                                  stream_end &stream);
     void notePace(const entry_call &call, std::int64_t events, time_point firstAt);
 
--- a/src/entry/replica_follower.cpp
+++ b/src/entry/replica_follower.cpp
@@ -77,8 +77,8 @@
     const auto age = m_table.age(runtime_clock::now());
     if (age)
         return isReadDue(m_turns, age, chance);
-    // All may have started at once. The readers' number doubles with each look, and whoever hears of
-    // a copy takes it.
+    // All may have started at once. The readers' number doubles with each look, and whoever hears
+    // of a copy takes it.
     const int looks = m_looksWithout++;
     const read_turns turns{m_turns.bound, m_turns.daemons >> std::min(looks, mostLooksWithout)};
     return looks >= mostLooksWithout || isReadDue(turns, duration::zero(), chance);
@@ -237,8 +237,8 @@
         return m_replicas.erase(id) != 0;
     }
     replica_entry entry = known ? latestEntry(*known, *read) : *read;
-    const bool isChanged = !known || known->incarnation != entry.incarnation
-        || known->draining != entry.draining;
+    const bool isChanged
+        = !known || known->incarnation != entry.incarnation || known->draining != entry.draining;
     if (isChanged && ++m_toldReplicas <= mostReplicaLines)
         logReplica(known, entry);
     m_replicas.insert_or_assign(id, std::move(entry));
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -138,8 +138,8 @@
     stream_end stream = co_await m_relay.relayStream(call, reply, writer);
     for (int i = 0; i < mostResumes && mayResume(*call, stream); ++i) {
         std::string prompt = buildPrompt(previousIn(work->history), request.body);
-        auto next = co_await m_sender.resume(call, work->wanted, reply.where, request,
-                                             std::move(prompt));
+        auto next
+            = co_await m_sender.resume(call, work->wanted, reply.where, request, std::move(prompt));
         if (!next)
             break;
         reply = std::move(*next);
--- a/src/entry/turn_exchange.h
+++ b/src/entry/turn_exchange.h
@@ -9,8 +9,8 @@
 ///
 /// A turn goes through five steps: what its program did before is loaded, the most that it can
 /// generate is held in its program's account, it gets a place at the engines, its answer is
-/// relayed, and it is ended. A turn whose history the daemons keep is made durable before the client
-/// learns of its end; one whose caller keeps it is charged beside.
+/// relayed, and it is ended. A turn whose history the daemons keep is made durable before the
+/// client learns of its end; one whose caller keeps it is charged beside.
 class turn_exchange
 {
 public:
@@ -44,9 +44,8 @@
     awaitable<bool> takePlace(turn_work_ptr work, response_writer &writer);
     awaitable<std::optional<open_reply>> send(turn_work_ptr work, const http_request &request,
                                               response_writer &writer);
-    /// \brief Relays the stream of \p reply, and goes on with it elsewhere if it breaks off and may be
-    /// resumed.
-    /// \param reply becomes the answer of the last send.
+    /// \brief Relays the stream of \p reply, and goes on with it elsewhere if it breaks off and may
+    /// be resumed. \param reply becomes the answer of the last send.
     awaitable<stream_end> relay(turn_work_ptr work, open_reply &reply, const http_request &request,
                                 response_writer &writer);
     /// \brief Ends a turn that was relayed up to its end.
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -79,8 +79,8 @@
 {
     if (call.route->kind != route_kind::Stream)
         return false;
-    const time_point heard = std::max({call.lastByteAt, call.sentAt, call.replicaAliveAt,
-                                       m_board.lastHeard(call.replica)});
+    const time_point heard = std::max(
+        {call.lastByteAt, call.sentAt, call.replicaAliveAt, m_board.lastHeard(call.replica)});
     return now - heard > std::max<duration>(silenceTime, 2 * call.route->eventGap);
 }
 
@@ -179,8 +179,8 @@
     if (call->route->kind == route_kind::Idempotent)
         call->attemptDeadline = now + attemptTime(*call, m_board, now);
     const forward_fields fields{where.replica.incarnation.id, call->deadline - now,
-                                call->rank.urgency, !call->routes->accounts().empty(),
-                                call->accountName(), call->lastEventId};
+                                call->rank.urgency,           !call->routes->accounts().empty(),
+                                call->accountName(),          call->lastEventId};
     http_request out = encodeForward(original, fields, std::move(body));
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -48,11 +48,9 @@
     /// The replica that broke off is asked again where the route's attempts are used up; another
     /// one once that replica is over.
     /// \param broken where the stream broke off.
-    awaitable<tl::expected<open_reply, send_failure>> resume(entry_call_ptr call,
-                                                             placement_request &wanted,
-                                                             placement broken,
-                                                             const http_request &original,
-                                                             std::string body);
+    awaitable<tl::expected<open_reply, send_failure>>
+    resume(entry_call_ptr call, placement_request &wanted, placement broken,
+           const http_request &original, std::string body);
     /// \brief The answer of \p reply is over. Its connection is kept if it can be.
     void finish(entry_call &call, open_reply &reply, send_end end);
 
--- a/src/lending/credit_exchange.cpp
+++ b/src/lending/credit_exchange.cpp
@@ -115,9 +115,9 @@
         m_socket.send(lendingAddress(*member), encodeQuotaMessage(request));
 }
 
-awaitable<std::optional<borrow_result>>
-credit_exchange::borrowOnce(account_id account, credit_use use, duration &pause,
-                            time_point deadline)
+awaitable<std::optional<borrow_result>> credit_exchange::borrowOnce(account_id account,
+                                                                    credit_use use, duration &pause,
+                                                                    time_point deadline)
 {
     const member_state &self = m_view.self();
     const std::uint64_t number = ++m_lastNumber;
--- a/src/replicas/replica_board.cpp
+++ b/src/replicas/replica_board.cpp
@@ -206,9 +206,9 @@
     return std::max(cached, shared);
 }
 
-const replica_board::replica_state *
-replica_board::homeOf(const std::vector<upstream_id> &group, const placement_request &request,
-                      time_point now) const
+const replica_board::replica_state *replica_board::homeOf(const std::vector<upstream_id> &group,
+                                                          const placement_request &request,
+                                                          time_point now) const
 {
     if (request.session.empty() || !m_mechanisms.has(mechanism::SessionHomes))
         return nullptr;
--- a/src/rows/table_cache.cpp
+++ b/src/rows/table_cache.cpp
@@ -59,7 +59,7 @@
     boundGone();
 }
 
-void table_cache::replace(row_map rows, store_version version, time_point freshAt)
+void table_cache::replace(const row_map &rows, store_version version, time_point freshAt)
 {
     if (!m_freshAt)
         m_goneSince = version;
@@ -84,7 +84,7 @@
         rows.emplace(row.name.key, row);
     const bool isFirst = !m_freshAt;
     const std::uint64_t before = m_hash;
-    replace(std::move(rows), page.version, began);
+    replace(rows, page.version, began);
     return isFirst || m_hash != before;
 }
 
@@ -130,7 +130,7 @@
         }
         if (hash != digest.hash)
             return false;
-        replace(std::move(rows), digest.version, askedAt - digest.age);
+        replace(rows, digest.version, askedAt - digest.age);
         return true;
     }
     if (hashWith(changes) != digest.hash)
--- a/src/rows/table_cache.h
+++ b/src/rows/table_cache.h
@@ -55,9 +55,9 @@
     /// \brief Takes in an answer of the store to a read that began at \p began.
     /// \returns whether rows changed.
     bool onRead(const row_page &page, time_point began);
-    /// \brief Takes in an answer of the store to the question, asked at \p began, what changed since
-    /// this copy's version: rows as they are now, and those that are gone.
-    /// \returns whether rows changed.
+    /// \brief Takes in an answer of the store to the question, asked at \p began, what changed
+    /// since this copy's version: rows as they are now, and those that are gone. \returns whether
+    /// rows changed.
     bool onFeed(const row_page &page, time_point began);
     /// \brief Takes in the digest of another daemon's copy, from an answer to what was asked at
     /// \p askedAt.
@@ -82,7 +82,7 @@
 private:
     using row_map = std::map<std::string, stored_row>;
 
-    void replace(row_map rows, store_version version, time_point freshAt);
+    void replace(const row_map &rows, store_version version, time_point freshAt);
     void setRow(const stored_row &row);
     void dropRow(const std::string &key, store_version version);
     void boundGone();
--- a/test/io/lending_test.cpp
+++ b/test/io/lending_test.cpp
@@ -187,7 +187,8 @@
         asio::ip::udp::socket silent(w.context, {asio::ip::address_v4::loopback(), 0});
         silent.non_blocking(true);
         member_state lender;
-        for (int i = 0; lender.name != preferredHolder(shardOf(account), {{"h0"}, lender.name}); ++i)
+        for (int i = 0; lender.name != preferredHolder(shardOf(account), {{"h0"}, lender.name});
+             ++i)
             lender.name = {"s" + std::to_string(i)};
         lender.serving = true;
         lender.storeReachable = true;
--- a/test/io/stream_resume_test.cpp
+++ b/test/io/stream_resume_test.cpp
@@ -88,8 +88,7 @@
         SUBCASE("also if the client itself went on with it")
         {
             w.model.script = {events(5, 5, false), events(6, 6, true)};
-            const std::string answer
-                = w.ask(chatHead("\r\nLast-Event-Id: 4"), "one;");
+            const std::string answer = w.ask(chatHead("\r\nLast-Event-Id: 4"), "one;");
             CHECK(answer.ends_with("0\r\n\r\n"));
             REQUIRE(w.model.arrived.size() == 2);
             CHECK(contains(w.model.arrived[0], "Last-Event-Id: 4\r\n"));
