--- a/src/entry/answer_relay.h
+++ b/src/entry/answer_relay.h
@@ -44,8 +44,9 @@
     awaitable<stream_end> relayStream(entry_call_ptr call, open_reply &reply,
                                       response_writer &writer);
     /// \brief Relays more of a stream whose beginning went out: the answer of another send that
-    /// goes on after the call's last event. \param stream what was relayed so far; what comes is
-    /// added to it.
+    /// goes on after the call's last event.
+    ///
+    /// \param stream what was relayed so far; what comes is added to it.
     awaitable<void> relayMore(entry_call_ptr call, open_reply &reply, stream_end &stream,
                               response_writer &writer);
 
--- a/src/entry/turn_exchange.cpp
+++ b/src/entry/turn_exchange.cpp
@@ -80,7 +80,9 @@
     const bool isCutByClient = call.clientLeft() || !stream.isOpen;
     const bool isTimeOver
         = call.cut == cut_reason::TimeOver || runtime_clock::now() >= call.deadline;
-    return call.route->isResumable && !stream.isWhole && !isCutByClient && !isTimeOver;
+    const bool isPlaceKnown = stream.events == 0 || !call.lastEventId.empty();
+    return call.route->isResumable && isPlaceKnown && !stream.isWhole && !isCutByClient
+        && !isTimeOver;
 }
 
 std::int64_t tokensPerEvent(const entry_call &call)
--- a/src/entry/turn_exchange.h
+++ b/src/entry/turn_exchange.h
@@ -45,7 +45,9 @@
     awaitable<std::optional<open_reply>> send(turn_work_ptr work, const http_request &request,
                                               response_writer &writer);
     /// \brief Relays the stream of \p reply, and goes on with it elsewhere if it breaks off and may
-    /// be resumed. \param reply becomes the answer of the last send.
+    /// be resumed.
+    ///
+    /// \param reply becomes the answer of the last send.
     awaitable<stream_end> relay(turn_work_ptr work, open_reply &reply, const http_request &request,
                                 response_writer &writer);
     /// \brief Ends a turn that was relayed up to its end.
--- a/src/turns/store_calls.h
+++ b/src/turns/store_calls.h
@@ -32,4 +32,13 @@
     return nullptr;
 }
 
+/// \returns the newest version of \p rows.
+inline store_version versionOf(const std::vector<stored_row> &rows)
+{
+    store_version newest = 0;
+    for (const stored_row &row : rows)
+        newest = std::max(newest, row.version);
+    return newest;
+}
+
 } // namespace azurehill
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -19,10 +19,6 @@
 constexpr duration accountMemory = seconds(90);
 /// Rows stay this much longer than a turn has to be kept: clocks and answers lag.
 constexpr duration removalMargin = seconds(10);
-/// Programs whose rows are removed at a time, so that removals stay a small share of the calls.
-constexpr std::size_t removalsAtOnce = 8;
-/// Entries that one transaction may have.
-constexpr std::size_t maxEntries = 100;
 
 std::size_t bytesOf(const store_transaction &t)
 {
@@ -39,15 +35,6 @@
     freed->notifyAll();
 }
 
-/// \returns the newest version of \p rows.
-store_version versionOf(const std::vector<stored_row> &rows)
-{
-    store_version newest = 0;
-    for (const stored_row &row : rows)
-        newest = std::max(newest, row.version);
-    return newest;
-}
-
 } // namespace
 
 struct turn_ledger::account_step
@@ -225,40 +212,6 @@
     co_return done;
 }
 
-awaitable<void> turn_ledger::removeOldRows()
-{
-    for (const row_janitor::due_program &due :
-         m_janitor.takeDue(runtime_clock::now(), removalsAtOnce)) {
-        row_range range = turn_rows::ofProgram(due.program);
-        const auto page = co_await m_store.read(std::move(range), runtime_clock::now() + callTime);
-        if (!page)
-            continue;
-        const row_name accountRow = turn_rows::account(due.program);
-        store_transaction t;
-        // Another daemon may have added a turn since: the program then is that daemon's to remove.
-        store_version accountVersion = 0;
-        for (const stored_row &row : page->rows) {
-            t.removals.push_back(row.name);
-            if (row.name == accountRow)
-                accountVersion = row.version;
-        }
-        if (versionOf(page->rows) > due.version)
-            continue;
-        t.conditions.push_back({accountRow, accountVersion});
-        if (m_settings.spansParts) {
-            for (const turn_id &id : due.turns)
-                t.removals.push_back(turn_rows::index(id));
-        }
-        // A program of more rows than fit is left; its rows cost room, not correctness.
-        if (t.removals.size() >= maxEntries)
-            continue;
-        const std::int64_t count = std::int64_t(t.removals.size());
-        const auto done = co_await m_store.transact(std::move(t), runtime_clock::now() + callTime);
-        if (done)
-            logDecision(log_event::RowsDropped, {{"program", due.program.value}, {"rows", count}});
-    }
-}
-
 awaitable<void> turn_ledger::waitToRetry(duration pause, time_point deadline)
 {
     // The end of an answer has some four seconds until its client leaves. With a pause, and a call
