--- a/src/entry/replica_follower.cpp
+++ b/src/entry/replica_follower.cpp
@@ -15,7 +15,7 @@
 constexpr duration storeCallTime = milliseconds(1000);
 /// Time for a daemon nearby to hand out its changes; after it this daemon reads for itself.
 constexpr duration changesTime = milliseconds(250);
-/// Time for the whole table of ten thousand entries on the slowest hosts' lines.
+/// Time to hand out the whole table, which may be some megabytes on a slow line.
 constexpr duration wholeTime = seconds(3);
 /// A daemon hands out the whole table this often at the most.
 constexpr duration handOutPause = milliseconds(250);
