Program dispatch: one daemon grants the engine slots of a group

Cause: each daemon placed and admitted turns by its own requests. With 62 daemons before 44 engines, 35 of 100 requests were beyond the slots of their replica while slots were free elsewhere, and no decision said which programs begin, so that every program of a burst ended late.

Change: for streams that may be resumed and whose clients keep the history, one daemon of the group grants slots (src/dispatch, src/slots). It begins a program only if those under way leave room, sends a session's turns to the replica that has its prompt cached, ejects a replica after two failures at any daemons, and holds tokens of a program for several turns at once (src/turns/budget_holder). Mechanism: program_dispatch.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -52,12 +52,18 @@
     Answered,
     LocalReply,
     LogDropped,
+    DispatcherStarted,
+    DispatcherLoad,
+    DispatcherUnreachable,
+    SlotGranted,
+    SlotRefused,
+    TokensHeldAhead,
 };
 
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 42> names = {"started",
+    static constexpr std::array<std::string_view, 48> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -98,7 +104,13 @@
                                                                "turn_broke_off",
                                                                "answered",
                                                                "own_answer",
-                                                               "log_dropped"};
+                                                               "log_dropped",
+                                                               "dispatcher_started",
+                                                               "dispatcher_load",
+                                                               "dispatcher_unreachable",
+                                                               "slot_granted",
+                                                               "slot_refused",
+                                                               "tokens_held_ahead"};
 };
 
 /// \returns the level at which \p event is logged.
@@ -124,6 +136,8 @@
     case log_event::TurnInterrupted:
     case log_event::LocalReply:
     case log_event::LogDropped:
+    case log_event::DispatcherUnreachable:
+    case log_event::SlotRefused:
         return log_level::Warning;
     default:
         return log_level::Info;
--- a/src/core/mechanism.h
+++ b/src/core/mechanism.h
@@ -39,15 +39,18 @@
     /// Session affinity: the turns of a session whose caller keeps its history go to a replica
     /// chosen by rendezvous hashing.
     SessionAffinity,
+    /// One daemon dispatches the turns of client-history programs to the engines of a group: it
+    /// decides which programs begin and which replica serves a turn.
+    ProgramDispatch,
 };
 
 template <>
 struct enum_names<mechanism>
 {
-    static constexpr std::array<std::string_view, 11> names
+    static constexpr std::array<std::string_view, 12> names
         = {"engine_gate",      "fill_slots",   "crowded_reads", "shared_parts",
            "learned_slowness", "paced_writes", "merged_writes", "limit_is_no_outage",
-           "peer_calls",       "table_turns",  "session_homes"};
+           "peer_calls",       "table_turns",  "session_homes", "program_dispatch"};
 };
 
 /// \brief Set of the enabled mechanisms; by default all are enabled.
--- a/src/entry/engine_admission.cpp
+++ b/src/entry/engine_admission.cpp
@@ -153,6 +153,14 @@
     co_return wait->granted && !call->clientDisconnected();
 }
 
+void engine_admission::countAdmitted(entry_call &call)
+{
+    const auto serviceLimiter = m_serviceLimiters.find(call.service);
+    if (serviceLimiter == m_serviceLimiters.end() || std::exchange(call.holdsEngineSlot, true))
+        return;
+    serviceLimiter->second.countAdmitted();
+}
+
 void engine_admission::release(entry_call &call)
 {
     const auto serviceLimiter = m_serviceLimiters.find(call.service);
--- a/src/entry/engine_admission.h
+++ b/src/entry/engine_admission.h
@@ -36,6 +36,8 @@
     /// \param times time limits of the call's program, if it has an account.
     /// \returns whether the call was admitted; always true for services without engines.
     awaitable<bool> admit(entry_call_ptr call, program_timing times);
+    /// \brief Counts \p call, which a dispatcher has admitted, as admitted.
+    void countAdmitted(entry_call &call);
     /// \brief Releases the capacity that the call holds, if any.
     void release(entry_call &call);
     /// \brief Records that the events of an answer of \p service were \p msPerEvent apart.
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -47,6 +47,7 @@
     m.peers = s.peers;
     m.gossip = s.gossip;
     m.dataCentre = s.dataCentre;
+    m.cores = s.cores;
     return m;
 }
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -51,6 +51,23 @@
     return {fmt::format("{}/{}", account.value, clientProgram.value)};
 }
 
+/// \returns the services with engines whose turns a dispatcher decides on: those of resumable
+/// streams whose clients keep the history.
+std::set<std::string> dispatchedServices(const routing_config &routes)
+{
+    std::set<std::string> services;
+    for (const route_rule &route : routes.routes()) {
+        if (!isDispatchedRoute(route))
+            continue;
+        for (const weighted_service &s : route.services) {
+            const service_rule *const service = routes.service(s.service);
+            if (service && service->engine)
+                services.insert(s.service);
+        }
+    }
+    return services;
+}
+
 ledger_settings ledgerSettings(const host_settings &s)
 {
     return {s.rowBytes, s.storeSpansParts,
@@ -66,13 +83,14 @@
       m_transport(
           std::make_shared<peer_transport>(m_executor, settings.storeAddress, settings.mechanisms)),
       m_store(m_transport), m_pacedStore(m_executor, m_store, settings.mechanisms),
-      m_ledger(m_pacedStore, ledgerSettings(settings)),
-      m_credits(m_executor, m_pacedStore, settings.quota),
+      m_ledger(m_pacedStore, ledgerSettings(settings)), m_budgets(m_executor, m_ledger),
+      m_slots(m_executor, m_budgets), m_credits(m_executor, m_pacedStore, settings.quota),
       m_loadBalancer(settings.dataCentre, stableHash(settings.name.value), settings.mechanisms),
       m_sender(m_executor, m_loadBalancer, metrics),
       m_engineAdmission(m_executor, settings.mechanisms, metrics), m_localReplies(metrics),
       m_relay(m_sender, m_loadBalancer, m_engineAdmission, m_localReplies, metrics),
-      m_turns(m_executor, m_ledger, m_engineAdmission, m_sender, m_relay, m_localReplies, metrics),
+      m_turns(m_executor, m_ledger, m_engineAdmission, m_sender, m_relay, m_localReplies, m_slots,
+              metrics),
       m_server(m_executor, limitsOf(settings, {}),
                [this](const http_request &r, response_writer &w) { return serve(r, w); })
 { }
@@ -85,8 +103,9 @@
     spawn(m_executor, "watchOutages", m_store.probeDuringOutages());
     spawn(m_executor, "sweep", sweep());
     spawn(m_executor, "removeOldRows", removeExpiredRows());
-    const bool canLend = m_credits.start(m_settings.credits) != 0;
-    return canLend ? m_server.listen(m_settings.clients) : std::uint16_t(0);
+    const bool canExchange
+        = m_credits.start(m_settings.credits) != 0 && m_slots.start(m_settings.slots) != 0;
+    return canExchange ? m_server.listen(m_settings.clients) : std::uint16_t(0);
 }
 
 void entry_service::announceClose()
@@ -106,12 +125,33 @@
         m_loadBalancer.setCacheTokens(service.name, service.engine->cacheTokens);
         m_engineAdmission.addService(service.name);
     }
+    if (m_settings.mechanisms.has(mechanism::ProgramDispatch))
+        m_slots.setServices(dispatchedServices(*m_routes));
+    updateDispatchedReplicas();
+}
+
+awaitable<void> entry_service::release(time_point deadline)
+{
+    co_await m_budgets.release(deadline);
+    co_await m_credits.release(deadline);
+}
+
+void entry_service::updateDispatchedReplicas()
+{
+    std::vector<replica_entry> listed;
+    for (const std::string &service : m_slots.services()) {
+        for (replica_entry &entry : m_loadBalancer.entries(service))
+            listed.push_back(std::move(entry));
+    }
+    if (!m_slots.services().empty())
+        m_slots.setReplicas(std::move(listed));
 }
 
 void entry_service::setReplicas(const std::vector<replica_entry> &listed)
 {
     for (const replica_entry &ended : m_loadBalancer.setReplicas(listed, runtime_clock::now()))
         m_sender.dropConnections(ended);
+    updateDispatchedReplicas();
 }
 
 void entry_service::setPeers(std::vector<endpoint> reachingStore, int alive)
@@ -124,6 +164,7 @@
 
 void entry_service::setMembers(member_state self, std::vector<member_state> others)
 {
+    m_slots.setMembers(self, others);
     m_credits.setMembers(std::move(self), std::move(others));
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -5,6 +5,7 @@
 #include "lending/lending.h"
 #include "members/members.h"
 #include "platform/platform_store.h"
+#include "slots/slots.h"
 #include "store/paced_store.h"
 
 #include <functional>
@@ -49,9 +50,9 @@
         m_publishAdmissionReport = std::move(publish);
     }
 
-    /// \brief Stops lending credits, which only a daemon that keeps running may do; gives up at \p
-    /// deadline.
-    awaitable<void> release(time_point deadline) { return m_credits.release(deadline); }
+    /// \brief Stops lending credits, which only a daemon that keeps running may do, and writes the
+    /// tokens used in place of the holds; gives up at \p deadline.
+    awaitable<void> release(time_point deadline);
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
@@ -71,6 +72,8 @@
     awaitable<void> sweep();
     awaitable<void> removeExpiredRows();
     void publishReports(time_point now);
+    /// \brief Passes the replicas of the dispatched services to the slot exchange.
+    void updateDispatchedReplicas();
 
     static bool mayRetry(const entry_call &call);
     std::string pickService(const route_rule &route);
@@ -84,6 +87,8 @@
     platform_store m_store;
     paced_store m_pacedStore;
     turn_ledger m_ledger;
+    budget_holder m_budgets;
+    slot_exchange m_slots;
     credit_exchange m_credits;
     replica_load_balancer m_loadBalancer;
     upstream_sender m_sender;
--- a/src/entry/host_settings.h
+++ b/src/entry/host_settings.h
@@ -29,6 +29,8 @@
     endpoint gossip;
     /// Where datagrams on credits arrive.
     endpoint credits;
+    /// Where datagrams on engine slots arrive.
+    endpoint slots;
     /// Peer addresses of a few hosts, which may be stale.
     std::vector<endpoint> seeds;
 
@@ -45,6 +47,8 @@
     /// From the daemon's own settings, not the platform's.
     mechanism_set mechanisms;
 
+    /// Processor that the daemon may use, in cores.
+    double cores = 1;
     std::int64_t memoryBytes = 256LL << 20U;
     int fileDescriptors = 1024;
 
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -9,6 +9,20 @@
 
 namespace {
 
+/// Maximum number of further sends that resume a stream after its first send.
+constexpr int maxResumes = 3;
+
+/// \returns whether \p stream may be resumed at a replica.
+bool mayResume(const entry_call &call, const stream_result &stream)
+{
+    const bool isClientGone = call.clientDisconnected() || !stream.isClientConnected;
+    const bool isPastDeadline = call.abortReason == abort_reason::DeadlineExceeded
+        || runtime_clock::now() >= call.deadline;
+    const bool isPositionKnown = stream.events == 0 || !call.lastEventId.empty();
+    return call.route->isResumable && isPositionKnown && !stream.isComplete && !isClientGone
+        && !isPastDeadline;
+}
+
 std::optional<std::int64_t> wholeNumber(std::string_view text)
 {
     std::int64_t value = 0;
@@ -38,6 +52,12 @@
 
 } // namespace
 
+std::int64_t tokensPerEvent(const entry_call &call)
+{
+    const service_rule *service = call.routes->service(call.service);
+    return service && service->engine ? service->engine->tokensPerEvent : 1;
+}
+
 response_relay::response_relay(upstream_sender &sender, replica_load_balancer &loadBalancer,
                                engine_admission &admission, local_reply_writer &localReplies,
                                entry_metrics &metrics)
@@ -99,17 +119,18 @@
     co_await writer.write(std::move(response));
 }
 
-void response_relay::recordEventInterval(const entry_call &call, std::int64_t events,
-                                         time_point firstAt)
+double response_relay::recordEventInterval(const entry_call &call, std::int64_t events,
+                                           time_point firstAt)
 {
     // Fewer events say more about how the answer was split into packets than about the engine.
     constexpr std::int64_t enoughEvents = 4;
     m_metrics.onPhase(call.route->name, request_phase::Events, call.lastByteAt - firstAt);
     if (events < enoughEvents)
-        return;
+        return 0;
     const std::chrono::duration<double, std::milli> span = call.lastByteAt - firstAt;
-    m_engineAdmission.onEventInterval(call.service, span.count() / double(events - 1),
-                                      call.lastByteAt);
+    const double msPerEvent = span.count() / double(events - 1);
+    m_engineAdmission.onEventInterval(call.service, msPerEvent, call.lastByteAt);
+    return msPerEvent;
 }
 
 std::string response_relay::parseChunk(entry_call &call, sse_reader &events,
@@ -140,12 +161,40 @@
     call->responseStarted = true;
     call->lastEventId = call->request.lastEventId;
     stream.isClientConnected = co_await writer.begin(reply.head.status, std::move(headers));
-    co_await relayContinuation(call, reply, stream, writer);
+    stream.firstEnd = co_await relayEvents(call, reply, stream, writer);
+    co_return stream;
+}
+
+awaitable<stream_result> response_relay::relayWithResumes(entry_call_ptr call, open_reply &reply,
+                                                          placement_request &placementRequest,
+                                                          const http_request &original,
+                                                          std::string body, response_writer &writer)
+{
+    stream_result stream = co_await relayStream(call, reply, writer);
+    for (int i = 0; i < maxResumes && mayResume(*call, stream); ++i) {
+        std::string copy = body;
+        auto next = co_await m_sender.resume(call, placementRequest, reply.where, original,
+                                             std::move(copy));
+        if (!next)
+            break;
+        reply = std::move(*next);
+        if (reply.head.status != 200) {
+            m_sender.finish(*call, reply, send_outcome::Answered);
+            break;
+        }
+        co_await relayContinuation(call, reply, stream, writer);
+    }
     co_return stream;
 }
 
 awaitable<void> response_relay::relayContinuation(entry_call_ptr call, open_reply &reply,
                                                   stream_result &stream, response_writer &writer)
+{
+    co_await relayEvents(call, reply, stream, writer);
+}
+
+awaitable<send_outcome> response_relay::relayEvents(entry_call_ptr call, open_reply &reply,
+                                                    stream_result &stream, response_writer &writer)
 {
     std::optional<time_point> firstAt;
     sse_reader events;
@@ -171,10 +220,11 @@
     if (stream.isComplete && call->route->isResumable && !events.unfinished().empty())
         stream.isClientConnected = co_await writer.writeChunk(events.unfinished());
     if (firstAt)
-        recordEventInterval(*call, stream.events - eventsBefore, *firstAt);
-    m_sender.finish(*call, reply,
-                    stream.isComplete ? send_outcome::Answered
-                                      : incompleteSendEnd(*call, stream.isClientConnected));
+        stream.msPerEvent = recordEventInterval(*call, stream.events - eventsBefore, *firstAt);
+    const send_outcome end = stream.isComplete ? send_outcome::Answered
+                                               : incompleteSendEnd(*call, stream.isClientConnected);
+    m_sender.finish(*call, reply, end);
+    co_return end;
 }
 
 } // namespace azurehill
--- a/src/entry/response_relay.h
+++ b/src/entry/response_relay.h
@@ -18,6 +18,10 @@
     /// Data of the events, each followed by a line feed.
     std::string output;
     std::int64_t events = 0;
+    /// Outcome of the first send. Further ones resumed the stream elsewhere.
+    send_outcome firstEnd = send_outcome::Answered;
+    /// Mean time between the events of one send in milliseconds; 0 if there were too few.
+    double msPerEvent = 0;
 };
 
 /// \brief Relays replicas' answers to clients. Used on the traffic thread.
@@ -44,6 +48,14 @@
     /// response to the client, since it may have to wait before the client may see the end.
     awaitable<stream_result> relayStream(entry_call_ptr call, open_reply &reply,
                                          response_writer &writer);
+    /// \brief Relays a stream up to its last chunk, and resumes it at a replica if it breaks off
+    /// and may be resumed. \param reply becomes the reply of the last send. \param placementRequest
+    /// requirements on the replicas at which it is resumed. \param original the client's request.
+    /// \param body body of the request to a replica.
+    awaitable<stream_result> relayWithResumes(entry_call_ptr call, open_reply &reply,
+                                              placement_request &placementRequest,
+                                              const http_request &original, std::string body,
+                                              response_writer &writer);
     /// \brief Continues a stream whose beginning was already relayed, with the answer of another
     /// send that resumes after the call's last event.
     ///
@@ -60,7 +72,11 @@
     /// a continuation starts at an event.
     static std::string parseChunk(entry_call &call, sse_reader &events, const std::string &chunk,
                                   stream_result &stream);
-    void recordEventInterval(const entry_call &call, std::int64_t events, time_point firstAt);
+    /// \returns the mean time between the events in milliseconds; 0 if there were too few.
+    double recordEventInterval(const entry_call &call, std::int64_t events, time_point firstAt);
+    /// \returns the outcome of the send.
+    awaitable<send_outcome> relayEvents(entry_call_ptr call, open_reply &reply,
+                                        stream_result &stream, response_writer &writer);
 
     upstream_sender &m_sender;
     replica_load_balancer &m_loadBalancer;
@@ -69,4 +85,7 @@
     entry_metrics &m_metrics;
 };
 
+/// \returns the output tokens that one event of an answer to \p call stands for.
+std::int64_t tokensPerEvent(const entry_call &call);
+
 } // namespace azurehill
--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -18,9 +18,6 @@
 constexpr int eventGapsPerStallTimeout = 8;
 constexpr duration streamEndMargin = milliseconds(300);
 
-/// Maximum number of further sends that resume a stream after its first send.
-constexpr int maxResumes = 3;
-
 /// Retry-After while the store can't be reached. Outages last for seconds and a program gives up
 /// after a few attempts: with two seconds between them it survives an outage of six seconds.
 constexpr duration storeRetryAfter = seconds(2);
@@ -75,36 +72,25 @@
     return {{r.id}, program, budget, maxTokens, r.programTimeLeft, r.previousTurn.empty()};
 }
 
-/// \returns whether \p stream may be resumed at a replica.
-bool mayResume(const entry_call &call, const stream_result &stream)
-{
-    const bool isClientGone = call.clientDisconnected() || !stream.isClientConnected;
-    const bool isPastDeadline = call.abortReason == abort_reason::DeadlineExceeded
-        || runtime_clock::now() >= call.deadline;
-    const bool isPositionKnown = stream.events == 0 || !call.lastEventId.empty();
-    return call.route->isResumable && isPositionKnown && !stream.isComplete && !isClientGone
-        && !isPastDeadline;
-}
-
-std::int64_t tokensPerEvent(const entry_call &call)
-{
-    const service_rule *service = call.routes->service(call.service);
-    return service && service->engine ? service->engine->tokensPerEvent : 1;
-}
-
 } // namespace
 
 turn_handler::turn_handler(asio::any_io_executor executor, turn_ledger &ledger,
                            engine_admission &admission, upstream_sender &sender,
                            response_relay &relay, local_reply_writer &localReplies,
-                           entry_metrics &metrics)
+                           slot_exchange &slots, entry_metrics &metrics)
     : m_executor(std::move(executor)), m_ledger(ledger), m_engineAdmission(admission),
-      m_sender(sender), m_relay(relay), m_localReplies(localReplies), m_metrics(metrics)
+      m_sender(sender), m_relay(relay), m_localReplies(localReplies), m_metrics(metrics),
+      m_dispatched(m_executor, slots, admission, sender, relay, localReplies, metrics)
 { }
 
 awaitable<void> turn_handler::serve(entry_call_ptr call, const http_request &request,
                                     response_writer &writer)
 {
+    if (m_dispatched.handles(*call)) {
+        const bool isServed = co_await m_dispatched.serve(call, request, writer);
+        if (isServed)
+            co_return;
+    }
     auto context = std::make_shared<turn_context>();
     context->call = call;
     if (!call->route->keepsHistory)
@@ -127,7 +113,9 @@
     auto reply = co_await send(context, request, writer);
     if (!reply)
         co_return;
-    stream_result stream = co_await relay(context, *reply, request, writer);
+    std::string prompt = buildPrompt(previousIn(context->history), request.body);
+    stream_result stream = co_await m_relay.relayWithResumes(
+        call, *reply, context->placementRequest, request, std::move(prompt), writer);
     m_engineAdmission.release(*call);
     if (stream.isComplete)
         co_await finish(context, request, reply->where, std::move(stream), writer);
@@ -135,27 +123,6 @@
         chargeIncompleteTurn(*context, stream);
 }
 
-awaitable<stream_result> turn_handler::relay(turn_context_ptr context, open_reply &reply,
-                                             const http_request &request, response_writer &writer)
-{
-    const entry_call_ptr call = context->call;
-    stream_result stream = co_await m_relay.relayStream(call, reply, writer);
-    for (int i = 0; i < maxResumes && mayResume(*call, stream); ++i) {
-        std::string prompt = buildPrompt(previousIn(context->history), request.body);
-        auto next = co_await m_sender.resume(call, context->placementRequest, reply.where, request,
-                                             std::move(prompt));
-        if (!next)
-            break;
-        reply = std::move(*next);
-        if (reply.head.status != 200) {
-            m_sender.finish(*call, reply, send_outcome::Answered);
-            break;
-        }
-        co_await m_relay.relayContinuation(call, reply, stream, writer);
-    }
-    co_return stream;
-}
-
 awaitable<void> turn_handler::finish(turn_context_ptr context, const http_request &request,
                                      const placement &where, stream_result stream,
                                      response_writer &writer)
--- a/src/entry/turn_handler.h
+++ b/src/entry/turn_handler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/dispatched_turn_handler.h"
 #include "entry/response_relay.h"
 #include "entry/turn_history.h"
 
@@ -12,13 +13,14 @@
 /// that it can generate is reserved in its program's account, it is admitted to the engines, its
 /// answer is relayed, and it is finished. A turn whose history the daemons keep is made durable
 /// before the client receives the end of the stream; a turn whose client keeps the history is
-/// charged in the background.
+/// charged in the background. Where a dispatcher decides on turns, it takes the place of the first
+/// three stages; the daemon does them itself while it can't be reached.
 class turn_handler
 {
 public:
     turn_handler(asio::any_io_executor executor, turn_ledger &ledger, engine_admission &admission,
                  upstream_sender &sender, response_relay &relay, local_reply_writer &localReplies,
-                 entry_metrics &metrics);
+                 slot_exchange &slots, entry_metrics &metrics);
 
     awaitable<void> serve(entry_call_ptr call, const http_request &request,
                           response_writer &writer);
@@ -47,12 +49,6 @@
     awaitable<bool> awaitAdmission(turn_context_ptr context, response_writer &writer);
     awaitable<std::optional<open_reply>> send(turn_context_ptr context, const http_request &request,
                                               response_writer &writer);
-    /// \brief Relays the stream of \p reply, and resumes it at a replica if it breaks off and may
-    /// be resumed.
-    ///
-    /// \param reply becomes the reply of the last send.
-    awaitable<stream_result> relay(turn_context_ptr context, open_reply &reply,
-                                   const http_request &request, response_writer &writer);
     /// \brief Finishes a turn whose stream was relayed up to its end.
     awaitable<void> finish(turn_context_ptr context, const http_request &request,
                            const placement &where, stream_result stream, response_writer &writer);
@@ -74,6 +70,7 @@
     response_relay &m_relay;
     local_reply_writer &m_localReplies;
     entry_metrics &m_metrics;
+    dispatched_turn_handler m_dispatched;
 };
 
 } // namespace azurehill
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -282,6 +282,44 @@
                  {"ms", toMilliseconds(now - call.sentAt)}});
 }
 
+awaitable<tl::expected<open_reply, send_failure>>
+upstream_sender::sendAndRepeat(entry_call_ptr call, placement where,
+                               const placement_request &placementRequest,
+                               const http_request &original, std::string body)
+{
+    std::string copy = body;
+    auto reply = co_await sendOnce(call, where, placementRequest, original, std::move(copy));
+    // Another replica may not run the request while this one is alive, if the route allows one
+    // attempt only.
+    const bool mayRepeat = !reply && reply.error().end == send_outcome::Broken
+        && call->route->isResumable && call->abortReason == abort_reason::None
+        && call->sends + 1 >= call->route->maxAttempts && runtime_clock::now() < call->deadline;
+    if (mayRepeat)
+        reply = co_await sendOnce(call, where, placementRequest, original, std::move(body));
+    co_return reply;
+}
+
+awaitable<tl::expected<open_reply, send_failure>>
+upstream_sender::openAt(entry_call_ptr call, placement_request &placementRequest,
+                        replica_incarnation replica, std::int64_t cachedTokens,
+                        const http_request &original, std::string body)
+{
+    if (!isStillAllowed(*call))
+        co_return tl::unexpected(
+            send_failure{send_outcome::Cancelled, "the key or the route was taken away"});
+    const auto where = m_loadBalancer.placementAt(replica, cachedTokens);
+    if (!where)
+        co_return tl::unexpected(
+            send_failure{send_outcome::NotRun, "the replica does not accept requests"});
+    placementRequest.tried.insert(replica);
+    auto reply = co_await sendAndRepeat(call, *where, placementRequest, original, std::move(body));
+    const bool wasAttempt = !reply && reply.error().end != send_outcome::NotRun
+        && reply.error().end != send_outcome::Unreachable;
+    if (wasAttempt)
+        ++call->sends;
+    co_return reply;
+}
+
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::open(entry_call_ptr call, placement_request &placementRequest,
                       const http_request &original, std::string body)
@@ -300,7 +338,8 @@
             break;
         placementRequest.tried.insert(where->replica.incarnation);
         std::string copy = body;
-        auto reply = co_await sendOnce(call, *where, placementRequest, original, std::move(copy));
+        auto reply
+            = co_await sendAndRepeat(call, *where, placementRequest, original, std::move(copy));
         if (reply)
             co_return reply;
         last = reply.error();
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -44,6 +44,11 @@
                                                            placement_request &placementRequest,
                                                            const http_request &original,
                                                            std::string body);
+    /// \brief Sends \p call to \p replica, which a dispatcher has chosen.
+    /// \param cachedTokens prompt tokens that the replica is expected to have cached.
+    awaitable<tl::expected<open_reply, send_failure>>
+    openAt(entry_call_ptr call, placement_request &placementRequest, replica_incarnation replica,
+           std::int64_t cachedTokens, const http_request &original, std::string body);
     /// \brief Resumes a stream that broke off after the call's last event.
     ///
     /// The replica whose stream broke off is asked again if the attempts of the route are used up;
@@ -73,6 +78,11 @@
     awaitable<tl::expected<open_reply, send_failure>>
     sendOnce(entry_call_ptr call, placement where, const placement_request &placementRequest,
              const http_request &original, std::string body);
+    /// \brief Sends \p call to the replica of \p where, and once more if its route allows that and
+    /// the replica closed the connection before it answered.
+    awaitable<tl::expected<open_reply, send_failure>>
+    sendAndRepeat(entry_call_ptr call, placement where, const placement_request &placementRequest,
+                  const http_request &original, std::string body);
     /// \returns whether the configuration in force still allows \p call, which may have waited
     /// since it was last checked.
     bool isStillAllowed(const entry_call &call) const;
--- a/src/members/member_state.cpp
+++ b/src/members/member_state.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace azurehill {
@@ -25,6 +26,8 @@
     o["dc"] = m.dataCentre.value;
     o["serving"] = m.serving;
     o["store"] = m.storeReachable;
+    if (m.cores > 0)
+        o["cores"] = m.cores;
     return o;
 }
 
@@ -48,6 +51,9 @@
     m.dataCentre = {std::string(o.at("dc").as_string())};
     m.serving = o.at("serving").as_bool();
     m.storeReachable = o.at("store").as_bool();
+    // Absent in rows of earlier releases.
+    if (const json::value *cores = o.if_contains("cores"))
+        m.cores = std::max(0.0, cores->to_number<double>());
     return m;
 }
 
--- a/src/members/member_state.h
+++ b/src/members/member_state.h
@@ -27,6 +27,8 @@
     bool serving = false;
     /// Whether the daemon reaches the store directly.
     bool storeReachable = false;
+    /// Processor of the daemon's host in cores; 0 if it does not state it.
+    double cores = 0;
 };
 
 /// \brief Compares two states of one daemon by incarnation and version.
--- a/src/members/probe_message.cpp
+++ b/src/members/probe_message.cpp
@@ -33,7 +33,9 @@
     DataCentre,
     Serving,
     StoreReachable,
-    UpdateFields
+    RequiredFields,
+    /// Absent in updates of earlier releases.
+    Cores = RequiredFields
 };
 
 json::value encode(const concurrency_report &report)
@@ -49,9 +51,17 @@
 json::value encode(const member_update &update)
 {
     const member_state &m = update.state;
-    return json::array{m.name.value,      m.incarnation,   m.version,        int(update.health),
-                       toText(m.clients), toText(m.peers), toText(m.gossip), m.dataCentre.value,
-                       m.serving,         m.storeReachable};
+    return json::array{m.name.value,
+                       m.incarnation,
+                       m.version,
+                       int(update.health),
+                       toText(m.clients),
+                       toText(m.peers),
+                       toText(m.gossip),
+                       m.dataCentre.value,
+                       m.serving,
+                       m.storeReachable,
+                       std::llround(hundredths * m.cores)};
 }
 
 endpoint addressIn(const json::value &value)
@@ -104,7 +114,7 @@
 member_update updateIn(const json::value &value)
 {
     const json::array &a = value.as_array();
-    if (a.size() < UpdateFields)
+    if (a.size() < RequiredFields)
         throw std::out_of_range("member update truncated");
     member_update update;
     member_state &m = update.state;
@@ -118,6 +128,8 @@
     m.dataCentre = {std::string(a[DataCentre].as_string())};
     m.serving = a[Serving].as_bool();
     m.storeReachable = a[StoreReachable].as_bool();
+    if (a.size() > Cores)
+        m.cores = numberIn(a[Cores]);
     return update;
 }
 
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -319,6 +319,26 @@
     return chosen;
 }
 
+std::optional<placement> replica_load_balancer::placementAt(const replica_incarnation &who,
+                                                            std::int64_t cachedTokens) const
+{
+    const replica_state *const r = find(who);
+    if (!r || r->leaving || r->entry.draining)
+        return std::nullopt;
+    return placement{r->entry, r->outstanding, cachedTokens, 0, 1};
+}
+
+std::vector<replica_entry> replica_load_balancer::entries(const std::string &service) const
+{
+    std::vector<replica_entry> result;
+    const auto group = m_byService.find(service);
+    if (group == m_byService.end())
+        return result;
+    for (const upstream_id &id : group->second)
+        result.push_back(m_replicas.at(id).entry);
+    return result;
+}
+
 void replica_load_balancer::onSent(const placement &p, const placement_request &request,
                                    time_point now)
 {
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -112,6 +112,14 @@
     /// if no other is left; nothing is returned if all are draining, leaving or tried.
     std::optional<placement> choose(const placement_request &request, time_point now);
 
+    /// \returns the placement at \p who, which a dispatcher has chosen, or nothing if this daemon
+    /// does not know that replica as one that accepts requests.
+    /// \param cachedTokens prompt tokens that the replica is expected to have cached.
+    std::optional<placement> placementAt(const replica_incarnation &who,
+                                         std::int64_t cachedTokens) const;
+    /// \returns the entries of the replicas of \p service.
+    std::vector<replica_entry> entries(const std::string &service) const;
+
     /// \brief The request of \p p is sent.
     void onSent(const placement &p, const placement_request &request, time_point now);
     /// \brief The first byte of the answer arrived \p waited after the request was sent.
--- /dev/null
+++ b/src/turns/budget_holder.cpp
@@ -0,0 +1,211 @@
+#include "turns/budget_holder.h"
+
+#include "core/log_event.h"
+#include "turns/store_calls.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace azurehill {
+
+namespace {
+
+/// Time after which a program without turns is forgotten; its holds stay in its account.
+constexpr duration retention = seconds(20);
+/// Start of the ids of holds. Ids of clients' requests are hexadecimal numbers.
+constexpr std::string_view holdPrefix = "hold-";
+/// Maximum time for a hold that is made ahead of need.
+constexpr duration aheadTimeout = seconds(5);
+
+awaitable<void> notifyAt(std::shared_ptr<notifier> changed, time_point deadline)
+{
+    co_await sleepFor(deadline - runtime_clock::now());
+    changed->notifyAll();
+}
+
+} // namespace
+
+struct budget_holder::held_program
+{
+    explicit held_program(std::int64_t tokens) : budget(tokens) { }
+
+    program_budget budget;
+    /// Holds of this run of the daemon, with their tokens.
+    std::map<turn_id, std::int64_t> holds;
+    bool isAccountRead = false;
+    bool isChanging = false;
+    std::shared_ptr<notifier> changed = std::make_shared<notifier>();
+    turn_claim latestClaim;
+    time_point usedAt;
+};
+
+budget_holder::budget_holder(asio::any_io_executor executor, turn_ledger &ledger)
+    : m_executor(std::move(executor)), m_ledger(ledger)
+{ }
+
+void budget_holder::setSelf(const daemon_id &name, std::int64_t incarnation)
+{
+    m_holdPrefix = fmt::format("{}{}-{}-", holdPrefix, name.value, incarnation);
+}
+
+budget_holder::held_program_ptr budget_holder::programOf(const turn_claim &claim)
+{
+    held_program_ptr &p = m_programs[claim.program];
+    if (!p)
+        p = std::make_shared<held_program>(claim.budgetTokens);
+    p->latestClaim = claim;
+    p->usedAt = runtime_clock::now();
+    return p;
+}
+
+bool budget_holder::tryReserve(const turn_claim &claim)
+{
+    held_program_ptr p = programOf(claim);
+    if (!p->budget.tryReserve(claim.id, claim.maxOutputTokens))
+        return false;
+    const bool isLow = p->budget.needsHoldFor(claim.maxOutputTokens);
+    if (isLow && !p->isChanging && p->budget.nextHold(claim.maxOutputTokens) > 0)
+        spawn(m_executor, "holdAhead", holdAhead(std::move(p)));
+    return true;
+}
+
+awaitable<void> budget_holder::holdAhead(held_program_ptr p)
+{
+    turn_claim claim = p->latestClaim;
+    const auto held = co_await extend(p, std::move(claim), runtime_clock::now() + aheadTimeout);
+    logDecision(log_event::TokensHeldAhead,
+                {{"program", p->latestClaim.program.value},
+                 {"held", p->budget.held()},
+                 {"used", p->budget.used()},
+                 {"result", held ? "held" : std::string(toName(held.error()))}});
+}
+
+awaitable<tl::expected<void, turn_refusal>> budget_holder::reserve(turn_claim claim,
+                                                                   time_point deadline)
+{
+    held_program_ptr p = programOf(claim);
+    while (!p->budget.tryReserve(claim.id, claim.maxOutputTokens)) {
+        if (runtime_clock::now() >= deadline)
+            co_return tl::unexpected(turn_refusal::StoreUnavailable);
+        if (p->isChanging) {
+            spawn(m_executor, "wakeAt", notifyAt(p->changed, deadline));
+            const std::uint64_t seen = p->changed->version();
+            co_await p->changed->waitForChangeSince(seen);
+            continue;
+        }
+        turn_claim copy = claim;
+        const auto extended = co_await extend(p, std::move(copy), deadline);
+        if (!extended)
+            co_return tl::unexpected(extended.error());
+    }
+    co_return tl::expected<void, turn_refusal>();
+}
+
+awaitable<tl::expected<void, turn_refusal>>
+budget_holder::extend(held_program_ptr p, turn_claim claim, time_point deadline)
+{
+    p->isChanging = true;
+    if (!p->isAccountRead) {
+        // A hold that begins from an outdated account fails at first.
+        program_id program = claim.program;
+        p->isAccountRead = co_await m_ledger.refresh(std::move(program), deadline);
+    }
+    const std::int64_t preferred = p->budget.nextHold(claim.maxOutputTokens);
+    auto held = co_await hold(p, claim, preferred, deadline);
+    const std::int64_t missing = p->budget.missingFor(claim.maxOutputTokens);
+    const bool isTooMuch = !held && held.error() == turn_refusal::BudgetSpent;
+    if (isTooMuch && missing > 0 && missing < preferred)
+        held = co_await hold(p, claim, missing, deadline);
+    if (!held && held.error() == turn_refusal::BudgetSpent) {
+        if (hasForeignHold(*p, claim.program))
+            held = tl::unexpected(turn_refusal::StoreUnavailable);
+        else if (!p->budget.hasOutstanding())
+            co_await settleHolds(p, claim);
+    }
+    p->isChanging = false;
+    p->changed->notifyAll();
+    co_return held;
+}
+
+awaitable<tl::expected<void, turn_refusal>> budget_holder::hold(held_program_ptr p,
+                                                                const turn_claim &claim,
+                                                                std::int64_t tokens,
+                                                                time_point deadline)
+{
+    if (tokens <= 0)
+        co_return tl::unexpected(turn_refusal::BudgetSpent);
+    turn_claim holding = claim;
+    holding.id = {fmt::format("{}{}", m_holdPrefix, ++m_lastHold)};
+    holding.maxOutputTokens = tokens;
+    turn_claim copy = holding;
+    const auto held = co_await m_ledger.reserve(std::move(copy), deadline);
+    if (held) {
+        p->holds.emplace(holding.id, tokens);
+        p->budget.onHeld(tokens);
+    } else if (held.error() == turn_refusal::InDoubt) {
+        // It may still take effect; until it is settled, it only takes from the budget.
+        spawn(m_executor, "settleHold", m_ledger.settleHold(std::move(holding), 0));
+    }
+    co_return held;
+}
+
+bool budget_holder::hasForeignHold(const held_program &p, const program_id &program) const
+{
+    const std::vector<turn_id> holds = m_ledger.holdsOf(program);
+    return std::any_of(holds.begin(), holds.end(), [&](const turn_id &id) {
+        return id.value.starts_with(holdPrefix) && !p.holds.contains(id);
+    });
+}
+
+awaitable<void> budget_holder::settleHolds(held_program_ptr p, turn_claim claim)
+{
+    const std::map<turn_id, std::int64_t> holds = std::exchange(p->holds, {});
+    std::int64_t used = p->budget.used();
+    p->budget = program_budget(p->budget.budget());
+    for (const auto &[id, tokens] : holds) {
+        const std::int64_t charged = std::min(used, tokens);
+        used -= charged;
+        claim.id = id;
+        claim.maxOutputTokens = tokens;
+        turn_claim copy = claim;
+        co_await m_ledger.settleHold(std::move(copy), charged);
+    }
+}
+
+void budget_holder::settle(const program_id &program, const turn_id &turn, std::int64_t used)
+{
+    const auto found = m_programs.find(program);
+    if (found != m_programs.end())
+        found->second->budget.settle(turn, used);
+}
+
+void budget_holder::expire(time_point now)
+{
+    std::erase_if(m_programs, [now](const auto &item) {
+        return !item.second->isChanging && now > item.second->usedAt + retention;
+    });
+}
+
+awaitable<void> budget_holder::release(time_point deadline)
+{
+    auto remaining = std::make_shared<int>(0);
+    for (const auto &[program, p] : m_programs) {
+        if (p->isChanging || p->budget.hasOutstanding() || p->holds.empty())
+            continue;
+        ++*remaining;
+        spawn(m_executor, "releaseHolds", releaseHolds(p, remaining));
+    }
+    constexpr duration pollInterval = milliseconds(20);
+    while (*remaining > 0 && runtime_clock::now() < deadline)
+        co_await sleepFor(pollInterval);
+}
+
+awaitable<void> budget_holder::releaseHolds(held_program_ptr p, std::shared_ptr<int> remaining)
+{
+    turn_claim claim = p->latestClaim;
+    co_await settleHolds(p, std::move(claim));
+    --*remaining;
+}
+
+} // namespace azurehill
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -88,6 +88,17 @@
     : m_store(rows), m_settings(settings), m_cache(settings.cacheBytes)
 { }
 
+std::vector<turn_id> turn_ledger::holdsOf(const program_id &program) const
+{
+    std::vector<turn_id> ids;
+    const auto found = m_accounts.find(program);
+    if (found == m_accounts.end())
+        return ids;
+    for (const auto &[id, tokens] : found->second->account.holds)
+        ids.push_back({id});
+    return ids;
+}
+
 turn_ledger::account_ptr turn_ledger::accountOf(const program_id &program)
 {
     account_ptr &state = m_accounts[program];
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -152,6 +152,9 @@
     /// \returns the cached account of \p program.
     account_view accountView(const program_id &program) const;
 
+    /// \returns the ids of the holds in the cached account of \p program.
+    std::vector<turn_id> holdsOf(const program_id &program) const;
+
     /// \brief Evicts the cached turns and accounts whose retention time is over at \p now.
     void expire(time_point now);
 
--- a/test/io/entry_fixture.h
+++ b/test/io/entry_fixture.h
@@ -171,6 +171,7 @@
         settings.storeSpansParts = true;
         settings.clients = {"127.0.0.1", port};
         settings.credits = {"127.0.0.1", 0};
+        settings.slots = {"127.0.0.1", 0};
         begin(makeRoutes());
     }
 
