Dispatch: holds that replace each other, queued answers, lenders that stay

(3) A host of 0.12 cores held the shard of the account that sent seven times its usual; it answered 2,400 requests a second and most of them too late. (4) Holds of a program added up, so a dispatcher that died left most of a budget held.

Change: such a grant is first answered as queued; while no daemon reaches the store all that serve stay candidates; a holder's host has at least half of the largest processor; a new hold replaces the one before and charges what was used of it, in one write.

--- a/src/lending/lender_view.cpp
+++ b/src/lending/lender_view.cpp
@@ -9,6 +9,10 @@
 /// Before this, a daemon knows too few others to conclude that one is silent.
 constexpr duration settleTime = seconds(3);
 
+/// Fraction of the largest host's processor that a holder's host has at least. One account may send
+/// thousands of requests per second, which a host of 0.12 cores can't answer in time.
+constexpr double minCoresFraction = 0.5;
+
 } // namespace
 
 void lender_view::set(member_state self, std::vector<member_state> others)
@@ -17,13 +21,30 @@
         m_firstSetAt = runtime_clock::now();
     m_self = std::move(self);
     m_others = std::move(others);
-    m_candidates.clear();
-    const auto consider = [this](const member_state &m) {
-        if (m.serving && m.storeReachable)
-            m_candidates.push_back(m.name);
+    selectCandidates(true);
+    // While no daemon reaches the store, holders go on lending by their reservations, so that none
+    // is to hand its row over.
+    if (m_candidates.empty())
+        selectCandidates(false);
+}
+
+void lender_view::selectCandidates(bool reachesStore)
+{
+    std::vector<const member_state *> serving;
+    double mostCores = 0;
+    const auto consider = [&](const member_state &m) {
+        if (!m.serving || (reachesStore && !m.storeReachable))
+            return;
+        serving.push_back(&m);
+        mostCores = std::max(mostCores, m.cores);
     };
     consider(m_self);
     std::for_each(m_others.begin(), m_others.end(), consider);
+    m_candidates.clear();
+    for (const member_state *m : serving) {
+        if (m->cores >= minCoresFraction * mostCores)
+            m_candidates.push_back(m->name);
+    }
 }
 
 const member_state *lender_view::find(const daemon_id &name) const
--- a/src/lending/lender_view.h
+++ b/src/lending/lender_view.h
@@ -25,6 +25,10 @@
     bool isSettled(time_point now) const;
 
 private:
+    /// \brief Sets the candidates.
+    /// \param reachesStore whether they have to reach the store.
+    void selectCandidates(bool reachesStore);
+
     member_state m_self;
     std::vector<member_state> m_others;
     /// The daemons that may hold a shard.
--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -467,6 +467,8 @@
         send(request.ticket.daemon, grant);
         return;
     }
+    // Its daemon would otherwise count this one as unreachable while the store is slow.
+    send(request.ticket.daemon, slot_queued{request.ticket.number});
     if (m_unconfirmed.insert(request.ticket).second)
         spawn(m_executor, "holdTokens", holdAndConfirm(group, request, grant));
 }
--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -26,13 +26,24 @@
 
 } // namespace
 
+/// \brief A write that replaces a hold.
+struct budget_holder::pending_hold
+{
+    turn_id id;
+    std::int64_t tokens = 0;
+    /// Tokens of the hold before that are charged as used.
+    std::int64_t charged = 0;
+};
+
 struct budget_holder::held_program
 {
     explicit held_program(std::int64_t tokens) : budget(tokens) { }
 
     program_budget budget;
-    /// Holds of this run of the daemon, with their tokens.
-    std::map<turn_id, std::int64_t> holds;
+    /// The present hold of this run of the daemon, or empty.
+    turn_id hold;
+    /// A hold that may have replaced it.
+    std::optional<pending_hold> pending;
     bool isAccountRead = false;
     bool isChanging = false;
     std::shared_ptr<notifier> changed = std::make_shared<notifier>();
@@ -112,41 +123,48 @@
         p->isAccountRead = co_await m_ledger.refresh(std::move(program), deadline);
     }
     const std::int64_t preferred = p->budget.nextHold(claim.maxOutputTokens);
-    auto held = co_await hold(p, claim, preferred, deadline);
-    const std::int64_t missing = p->budget.missingFor(claim.maxOutputTokens);
+    auto held = co_await replaceHold(p, claim, preferred, deadline);
+    const std::int64_t smallest = p->budget.smallestHold(claim.maxOutputTokens);
     const bool isTooMuch = !held && held.error() == turn_refusal::BudgetSpent;
-    if (isTooMuch && missing > 0 && missing < preferred)
-        held = co_await hold(p, claim, missing, deadline);
+    if (isTooMuch && smallest < preferred)
+        held = co_await replaceHold(p, claim, smallest, deadline);
     if (!held && held.error() == turn_refusal::BudgetSpent) {
         if (hasForeignHold(*p, claim.program))
             held = tl::unexpected(turn_refusal::StoreUnavailable);
         else if (!p->budget.hasOutstanding())
-            co_await settleHolds(p, claim);
+            co_await settleHold(p, claim);
     }
     p->isChanging = false;
     p->changed->notifyAll();
     co_return held;
 }
 
-awaitable<tl::expected<void, turn_refusal>> budget_holder::hold(held_program_ptr p,
-                                                                const turn_claim &claim,
-                                                                std::int64_t tokens,
-                                                                time_point deadline)
+awaitable<tl::expected<void, turn_refusal>> budget_holder::replaceHold(held_program_ptr p,
+                                                                       const turn_claim &claim,
+                                                                       std::int64_t tokens,
+                                                                       time_point deadline)
 {
-    if (tokens <= 0)
+    if (!p->pending && tokens <= 0)
         co_return tl::unexpected(turn_refusal::BudgetSpent);
+    if (!p->pending) {
+        const turn_id id{fmt::format("{}{}", m_holdPrefix, ++m_lastHold)};
+        p->pending = pending_hold{id, tokens, p->budget.used()};
+    }
+    // A write with unknown outcome is made again with the same figures until it is known.
+    const pending_hold pending = *p->pending;
     turn_claim holding = claim;
-    holding.id = {fmt::format("{}{}", m_holdPrefix, ++m_lastHold)};
-    holding.maxOutputTokens = tokens;
-    turn_claim copy = holding;
-    const auto held = co_await m_ledger.reserve(std::move(copy), deadline);
+    holding.id = pending.id;
+    holding.maxOutputTokens = pending.tokens;
+    used_holds replaced;
+    if (!p->hold.empty())
+        replaced.emplace_back(p->hold, pending.charged);
+    const auto held = co_await m_ledger.reserve(std::move(holding), deadline, std::move(replaced));
     if (held) {
-        p->holds.emplace(holding.id, tokens);
-        p->budget.onHeld(tokens);
-    } else if (held.error() == turn_refusal::InDoubt) {
-        // It may still take effect; until it is settled, it only takes from the budget.
-        spawn(m_executor, "settleHold", m_ledger.settleHold(std::move(holding), 0));
+        p->hold = pending.id;
+        p->budget.onHeld(pending.tokens, pending.charged);
     }
+    if (held || held.error() != turn_refusal::InDoubt)
+        p->pending.reset();
     co_return held;
 }
 
@@ -154,23 +172,19 @@
 {
     const std::vector<turn_id> holds = m_ledger.holdsOf(program);
     return std::any_of(holds.begin(), holds.end(), [&](const turn_id &id) {
-        return id.value.starts_with(holdPrefix) && !p.holds.contains(id);
+        return id.value.starts_with(holdPrefix) && id != p.hold;
     });
 }
 
-awaitable<void> budget_holder::settleHolds(held_program_ptr p, turn_claim claim)
+awaitable<void> budget_holder::settleHold(held_program_ptr p, turn_claim claim)
 {
-    const std::map<turn_id, std::int64_t> holds = std::exchange(p->holds, {});
-    std::int64_t used = p->budget.used();
+    if (p->hold.empty() || p->pending)
+        co_return;
+    claim.id = std::exchange(p->hold, {});
+    claim.maxOutputTokens = p->budget.held();
+    const std::int64_t used = p->budget.used();
     p->budget = program_budget(p->budget.budget());
-    for (const auto &[id, tokens] : holds) {
-        const std::int64_t charged = std::min(used, tokens);
-        used -= charged;
-        claim.id = id;
-        claim.maxOutputTokens = tokens;
-        turn_claim copy = claim;
-        co_await m_ledger.settleHold(std::move(copy), charged);
-    }
+    co_await m_ledger.settleHold(std::move(claim), used);
 }
 
 void budget_holder::settle(const program_id &program, const turn_id &turn, std::int64_t used)
@@ -191,7 +205,7 @@
 {
     auto remaining = std::make_shared<int>(0);
     for (const auto &[program, p] : m_programs) {
-        if (p->isChanging || p->budget.hasOutstanding() || p->holds.empty())
+        if (p->isChanging || p->budget.hasOutstanding() || p->hold.empty())
             continue;
         ++*remaining;
         spawn(m_executor, "releaseHolds", releaseHolds(p, remaining));
@@ -204,7 +218,7 @@
 awaitable<void> budget_holder::releaseHolds(held_program_ptr p, std::shared_ptr<int> remaining)
 {
     turn_claim claim = p->latestClaim;
-    co_await settleHolds(p, std::move(claim));
+    co_await settleHold(p, std::move(claim));
     --*remaining;
 }
 
--- a/src/turns/budget_holder.h
+++ b/src/turns/budget_holder.h
@@ -39,6 +39,7 @@
     awaitable<void> release(time_point deadline);
 
 private:
+    struct pending_hold;
     struct held_program;
     using held_program_ptr = std::shared_ptr<held_program>;
 
@@ -48,14 +49,16 @@
     /// \brief Holds so many tokens more that the turn of \p claim can be reserved.
     awaitable<tl::expected<void, turn_refusal>> extend(held_program_ptr p, turn_claim claim,
                                                        time_point deadline);
-    /// \brief Holds \p tokens more.
-    awaitable<tl::expected<void, turn_refusal>> hold(held_program_ptr p, const turn_claim &claim,
-                                                     std::int64_t tokens, time_point deadline);
+    /// \brief Replaces the hold of \p p by one of \p tokens, and charges what was used of it.
+    awaitable<tl::expected<void, turn_refusal>> replaceHold(held_program_ptr p,
+                                                            const turn_claim &claim,
+                                                            std::int64_t tokens,
+                                                            time_point deadline);
     /// \returns whether the account of \p program has a hold of another daemon, or of an earlier
     /// run of this one, of which turns may have used less.
     bool hasForeignHold(const held_program &p, const program_id &program) const;
-    /// \brief Writes the tokens used in place of the holds of \p p.
-    awaitable<void> settleHolds(held_program_ptr p, turn_claim claim);
+    /// \brief Writes the tokens used in place of the hold of \p p.
+    awaitable<void> settleHold(held_program_ptr p, turn_claim claim);
     awaitable<void> releaseHolds(held_program_ptr p, std::shared_ptr<int> remaining);
 
     asio::any_io_executor m_executor;
--- a/src/turns/program_budget.cpp
+++ b/src/turns/program_budget.cpp
@@ -6,11 +6,11 @@
 
 namespace {
 
-/// Parts of the budget that the first and the further holds take, so that most programs need one or
-/// two, and a dispatcher that dies leaves the other half to its successor.
+/// Parts of the budget that the first and the further holds take. Larger holds need fewer writes
+/// and last longer while the store is away; what a dispatcher that dies had not used stays held.
 constexpr std::int64_t firstHoldDivisor = 2;
 constexpr std::int64_t nextHoldDivisor = 4;
-/// Turns that a further hold covers at least.
+/// Turns that a hold covers at least.
 constexpr std::int64_t turnsPerHold = 2;
 
 } // namespace
@@ -42,24 +42,35 @@
     m_reservations.erase(found);
 }
 
-std::int64_t program_budget::missingFor(std::int64_t maxOutputTokens) const
+void program_budget::onHeld(std::int64_t tokens, std::int64_t charged)
 {
-    return std::max<std::int64_t>(0, m_used + outstanding() + maxOutputTokens - m_held);
+    m_held = tokens;
+    m_used -= charged;
+    m_charged += charged;
 }
 
 bool program_budget::needsHoldFor(std::int64_t maxOutputTokens) const
 {
-    return missingFor(maxOutputTokens) > 0;
+    return m_used + outstanding() + maxOutputTokens > m_held;
+}
+
+std::int64_t program_budget::smallestHold(std::int64_t maxOutputTokens) const
+{
+    // Not less than what is left of the present hold, as a turn may be reserved from that while the
+    // outcome of the write is unknown.
+    return std::max(outstanding() + maxOutputTokens, m_held - m_used);
 }
 
 std::int64_t program_budget::nextHold(std::int64_t maxOutputTokens) const
 {
-    const std::int64_t missing = missingFor(maxOutputTokens);
-    const std::int64_t preferred = m_held == 0
-        ? m_budget / firstHoldDivisor
-        : std::max(m_budget / nextHoldDivisor, turnsPerHold * maxOutputTokens);
-    const std::int64_t rest = m_budget - m_held;
-    return missing > rest ? 0 : std::min(rest, std::max(missing, preferred));
+    const std::int64_t smallest = smallestHold(maxOutputTokens);
+    const std::int64_t rest = m_budget - m_charged - m_used;
+    if (smallest > rest)
+        return 0;
+    const bool isFirst = m_held == 0;
+    const std::int64_t part = m_budget / (isFirst ? firstHoldDivisor : nextHoldDivisor);
+    const std::int64_t preferred = outstanding() + std::max(part, turnsPerHold * maxOutputTokens);
+    return std::clamp(preferred, smallest, rest);
 }
 
 } // namespace azurehill
--- a/src/turns/program_budget.h
+++ b/src/turns/program_budget.h
@@ -9,7 +9,8 @@
 
 /// \brief Use of the tokens that one daemon holds durably for the turns of a program.
 ///
-/// What turns have used and may still use never exceeds what is held.
+/// One hold is in the store at a time; the next one replaces it and charges what was used of it.
+/// What turns have used and may still use of the hold never exceeds it.
 class program_budget
 {
 public:
@@ -21,20 +22,22 @@
     bool tryReserve(const turn_id &turn, std::int64_t maxOutputTokens);
     /// \brief Replaces the reservation of \p turn by the tokens that it used.
     void settle(const turn_id &turn, std::int64_t used);
-    /// \brief \p tokens more are held durably.
-    void onHeld(std::int64_t tokens) { m_held += tokens; }
+    /// \brief A hold of \p tokens has replaced the one before, of which \p charged tokens were
+    /// charged as used.
+    void onHeld(std::int64_t tokens, std::int64_t charged);
 
-    /// \returns how many tokens to hold next, so that a turn of \p maxOutputTokens can be reserved;
-    /// 0 if the budget does not allow that.
+    /// \returns the tokens of the next hold, which covers the turns in progress and a further one
+    /// of \p maxOutputTokens; 0 if the budget does not allow that.
     std::int64_t nextHold(std::int64_t maxOutputTokens) const;
-    /// \returns how many tokens too few are held for a further turn of \p maxOutputTokens; 0 if
-    /// none.
-    std::int64_t missingFor(std::int64_t maxOutputTokens) const;
+    /// \returns the tokens of the smallest such hold.
+    std::int64_t smallestHold(std::int64_t maxOutputTokens) const;
     /// \returns whether a further turn of \p maxOutputTokens needs another hold.
     bool needsHoldFor(std::int64_t maxOutputTokens) const;
 
     std::int64_t budget() const { return m_budget; }
+    /// \returns the tokens of the present hold.
     std::int64_t held() const { return m_held; }
+    /// \returns the tokens that ended turns used of the present hold.
     std::int64_t used() const { return m_used; }
     /// \returns the sum of the reservations of turns that have not ended.
     std::int64_t outstanding() const;
@@ -44,6 +47,8 @@
     std::int64_t m_budget;
     std::int64_t m_held = 0;
     std::int64_t m_used = 0;
+    /// Tokens that were charged when holds were replaced.
+    std::int64_t m_charged = 0;
     std::map<turn_id, std::int64_t> m_reservations;
 };
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -45,6 +45,8 @@
     change_kind kind = change_kind::Reserve;
     turn_claim claim;
     std::int64_t used = 0;
+    /// Holds that a reservation replaces.
+    used_holds replaced;
     /// The turn that a commit adds.
     turn_ptr added;
     /// Write the row even if nothing is held: a reservation whose response was lost may still
@@ -73,7 +75,11 @@
     std::optional<token_account> apply(const token_account &account) const
     {
         if (kind == change_kind::Reserve) {
-            auto held = hold(account, claim.id, claim.maxOutputTokens, claim.budgetTokens);
+            token_account settled = account;
+            for (const auto &[id, tokens] : replaced)
+                settled = settle(std::move(settled), id, tokens);
+            auto held
+                = hold(std::move(settled), claim.id, claim.maxOutputTokens, claim.budgetTokens);
             if (held && held->finishUnixMs == 0 && claim.timeToFinish) {
                 held->finishUnixMs = unixMilliseconds() + toMilliseconds(*claim.timeToFinish);
                 held->timeBudgetMs = claim.isFirst ? toMilliseconds(*claim.timeToFinish) : 0;
@@ -174,8 +180,8 @@
     }
 }
 
-awaitable<tl::expected<void, turn_refusal>> turn_ledger::reserve(turn_claim claim,
-                                                                 time_point deadline)
+awaitable<tl::expected<void, turn_refusal>>
+turn_ledger::reserve(turn_claim claim, time_point deadline, used_holds replaced)
 {
     account_ptr state = accountOf(claim.program);
     if (isExhausted(state->account, claim.maxOutputTokens, claim.budgetTokens))
@@ -185,6 +191,7 @@
     account_change change;
     change.kind = account_change::change_kind::Reserve;
     change.claim = claim;
+    change.replaced = std::move(replaced);
     store_version version = 0;
     change.writtenVersion = &version;
     const auto held = co_await apply(std::move(state), std::move(change), deadline);
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -88,6 +88,9 @@
     duration retention = duration::zero();
 };
 
+/// \brief Holds with the tokens used of each.
+using used_holds = std::vector<std::pair<turn_id, std::int64_t>>;
+
 /// \brief Local state of a program's account, for the log and for scheduling.
 struct account_view
 {
@@ -129,7 +132,9 @@
 
     /// \brief Holds the maximum output of a turn. The turn must not run before the hold is durable.
     /// \returns InDoubt if the hold may still take effect and therefore has to be settled.
-    awaitable<tl::expected<void, turn_refusal>> reserve(turn_claim claim, time_point deadline);
+    /// \param replaced holds that are replaced in the same write by the tokens used of each.
+    awaitable<tl::expected<void, turn_refusal>> reserve(turn_claim claim, time_point deadline,
+                                                        used_holds replaced = {});
 
     /// \brief Adds a completed turn and settles its hold. The end of the response may be sent to
     /// the client only after that.
