Slot exchange: one wake-up a second where nothing is dispatched

Cause: every daemon woke up 14 times a second for dispatchers and renewals, also on deployments whose turns no dispatcher decides on. Change: the pause is a second while there is neither.

--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -21,6 +21,8 @@
 /// Interval in which a dispatcher looks for what has become due.
 constexpr duration busyTick = milliseconds(10);
 constexpr duration idleTick = milliseconds(100);
+/// The same while there is nothing to dispatch or renew, as on deployments without dispatch.
+constexpr duration restTick = seconds(1);
 /// Time for which a daemon goes on to dispatch a group although the members prefer another one:
 /// daemons learn of that at different times.
 constexpr duration handOverTime = seconds(2);
@@ -362,7 +364,7 @@
 awaitable<void> slot_exchange::renewTickets()
 {
     while (true) {
-        co_await sleepFor(renewalInterval);
+        co_await sleepFor(m_services.empty() ? restTick : renewalInterval);
         sendRenewals();
     }
 }
@@ -428,7 +430,8 @@
         const bool isBusy = std::any_of(m_led.begin(), m_led.end(), [](const auto &item) {
             return item.second.dispatcher->hasQueued();
         });
-        m_tick.expires_after(isBusy ? busyTick : idleTick);
+        const duration idlePause = m_led.empty() ? restTick : idleTick;
+        m_tick.expires_after(isBusy ? busyTick : idlePause);
         boost::system::error_code code;
         co_await m_tick.async_wait(asio::redirect_error(use_awaitable, code));
         const time_point now = runtime_clock::now();
