--- a/src/entry/dispatched_turn_handler.cpp
+++ b/src/entry/dispatched_turn_handler.cpp
@@ -11,6 +11,17 @@
 /// Slots that are requested for one call while replicas certainly do not run it.
 constexpr int maxSlots = 3;
 
+/// \brief Visitor that names the result of a request for a slot.
+struct result_name
+{
+    std::string_view operator()(const held_slot &) const { return "granted"; }
+    std::string_view operator()(const slot_refusal &refusal) const
+    {
+        return toName(refusal.reason);
+    }
+    std::string_view operator()(const dispatcher_unreachable &) const { return "unreachable"; }
+};
+
 slot_request slotRequestOf(const entry_call &call)
 {
     const client_request &client = call.request;
@@ -102,6 +113,7 @@
         = co_await m_slots.acquire(std::move(slotRequest), std::move(wait), std::move(isWanted));
     call->admissionTimer = nullptr;
     m_metrics.onPhase(call->route->name, request_phase::Admission, runtime_clock::now() - began);
+    m_metrics.onSlot(std::visit(result_name(), result));
     if (const auto *slot = std::get_if<held_slot>(&result)) {
         logDecision(log_event::SlotGranted,
                     {{"request", call->request.id},
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -42,6 +42,10 @@
                     .Name("azurehill_sends_total")
                     .Help("Sends to replicas by how they ended.")
                     .Register(registry)),
+          slots(prometheus::BuildCounter()
+                    .Name("azurehill_slots_total")
+                    .Help("Requests for an engine slot by the dispatcher's answer.")
+                    .Register(registry)),
           accounts(prometheus::BuildHistogram()
                        .Name("azurehill_account_request_seconds")
                        .Help("Time that requests of a client account took, by who answered.")
@@ -68,6 +72,7 @@
     prometheus::Family<prometheus::Histogram> &phases;
     prometheus::Family<prometheus::Counter> &answers;
     prometheus::Family<prometheus::Counter> &sends;
+    prometheus::Family<prometheus::Counter> &slots;
     prometheus::Family<prometheus::Histogram> &accounts;
     prometheus::Family<prometheus::Gauge> &gauges;
     std::mutex mutex;
@@ -109,6 +114,22 @@
     m_state->sends.Add({{"end", std::string(end)}}).Increment();
 }
 
+void entry_metrics::onSlot(std::string_view result)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->slots.Add({{"result", std::string(result)}}).Increment();
+}
+
+void entry_metrics::setDispatcherLoad(const dispatcher_gauges &load)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->setGauge("dispatch_first_queued", load.queuedFirstTurns);
+    m_state->setGauge("dispatch_later_queued", load.queuedLaterTurns);
+    m_state->setGauge("dispatch_in_flight", load.inFlight);
+    m_state->setGauge("dispatch_slots", load.slots);
+    m_state->setGauge("dispatch_programs", load.programs);
+}
+
 void entry_metrics::setEjectedReplicas(int count)
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "dispatch/program_dispatcher.h"
 
 #include <memory>
 #include <string>
@@ -55,6 +56,11 @@
     /// \brief Counts a send to a replica that ended as \p end.
     void onSend(std::string_view end);
 
+    /// \brief Counts the result of a request for a slot: "granted", "unreachable" or the reason of
+    /// a refusal.
+    void onSlot(std::string_view result);
+    /// \brief Sets the load of the groups that this daemon dispatches.
+    void setDispatcherLoad(const dispatcher_gauges &load);
     /// \brief Sets the number of ejected replicas, which get no requests because some failed there.
     void setEjectedReplicas(int count);
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -185,6 +185,8 @@
         m_engineAdmission.update(m_loadBalancer, now);
         publishReports(now);
         m_metrics.setEjectedReplicas(m_loadBalancer.ejectedReplicas());
+        if (!m_slots.services().empty())
+            m_metrics.setDispatcherLoad(m_slots.gauges(now));
         co_await sleepFor(sweepInterval);
     }
 }
--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -502,6 +502,21 @@
     carryOut(group);
 }
 
+dispatcher_gauges slot_exchange::gauges(time_point now) const
+{
+    dispatcher_gauges sum;
+    for (const auto &[group, led] : m_led) {
+        const dispatcher_gauges g = led.dispatcher->gauges(now);
+        sum.queuedFirstTurns += g.queuedFirstTurns;
+        sum.queuedLaterTurns += g.queuedLaterTurns;
+        sum.inFlight += g.inFlight;
+        sum.slots += g.slots;
+        sum.programs += g.programs;
+        sum.ejectedReplicas += g.ejectedReplicas;
+    }
+    return sum;
+}
+
 void slot_exchange::logLoad(time_point now)
 {
     if (now < m_loadLoggedAt + loadLogInterval)
--- a/src/slots/slot_exchange.h
+++ b/src/slots/slot_exchange.h
@@ -63,6 +63,8 @@
     const std::set<std::string> &services() const { return m_services; }
     /// \returns whether slots of \p service are to be requested at present.
     bool isDispatched(const std::string &service) const { return m_services.contains(service); }
+    /// \returns the load of all groups that this daemon dispatches.
+    dispatcher_gauges gauges(time_point now) const;
     /// \brief Requests a slot and waits for the answer.
     /// \param request the request; its ticket is set here.
     /// \param wait timer to cancel when \p isWanted has become false.
