Replica pool: an unreachable replica counts as a failure

After an ejection for an unreachable replica, a failed trial request did not eject the replica again, since the ejection was not counted among the consecutive failures. The second ejection therefore took two failed trials, and the doubling up to 4 s did not happen.

--- a/src/dispatch/replica_pool.cpp
+++ b/src/dispatch/replica_pool.cpp
@@ -80,6 +80,7 @@
         break;
     case send_outcome::Silent:
     case send_outcome::Unreachable:
+        ++r.failuresInRow;
         eject(r, now);
         break;
     case send_outcome::Cancelled:
