Program admission: programs taken over teach no pauses

A program that a new dispatcher takes for one under way recorded a pause of 0 s with its first request. After 20 of them the longest pause was learned as 300 ms instead of the initial 600 ms, and programs counted as ended within their usual pauses. Seen by "programs taken over teach no pauses": 0 of 40 programs were under way after 500 ms, 40 with this change.

--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -73,7 +73,8 @@
         if (isUnderWay)
             begin(p, now);
     }
-    if (p.hasBegun && p.inFlight + p.queued == 0)
+    // When the previous turn of a program that was just taken over ended is not known.
+    if (!isNew && p.hasBegun && p.inFlight + p.queued == 0)
         recordPause(p, now);
     return p;
 }
