Program admission: a program under way keeps its route

Each request replaced the route of its program, while the counts of programs and turns stayed with the route on which it began. A program with turns of two routes left one route with too many and the other with too few (negative) for good, so rule 4 added wrong demands. Seen by "a program with turns of two routes leaves nothing behind when it ends": ten programs with a turn in flight each counted as less than 10 slots. Passes with this change.

--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -67,7 +67,9 @@
         p.route = request.route;
         begin(p, now);
     }
-    p.route = request.route;
+    // A program under way counts for the route that it began on, also with turns of others.
+    if (!p.isRunning)
+        p.route = request.route;
     if (isNew) {
         p.lastActiveAt = now;
         if (isUnderWay)
