Program dispatcher: a ticket that counts as released answers with a refusal

A ticket that was released since its daemon was gone or no longer listed it kept its last answer. A repeated request then got a grant of a slot that another turn had by then, or a place in a queue in which it was not. Seen by "a ticket that counted as released gets no slot again"; passes with this change.

--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -340,6 +340,8 @@
         endGranted(t, send_outcome::Cancelled, 0, now);
     drop(ticket, now);
     t.phase = ticket_phase::Ended;
+    // A repeated request must not be told of a slot or a place in the queue that is gone.
+    t.answer = slot_refusal{ticket.number, slot_refusal_reason::EnginesBusy, {}};
     t.since = now;
 }
 
