Program dispatcher: lost programs are refused only while others wait

Rule 6 refuses a later turn of a lost program while others wait. It was refused also if no other turn waited, that is, while its replica was busy for a moment. Seen by "a later turn of a lost program is refused while others wait, and only then"; passes with this change.

--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -120,7 +120,9 @@
     if (!p || now < m_startedAt + collectTime)
         return;
     if (!turn->isFirst) {
-        if (m_programs.feasibility(*p, duration::zero(), now) == deadline_feasibility::Lost)
+        const bool othersWait = m_queue.size(false) + m_queue.size(true) > 1;
+        if (othersWait
+            && m_programs.feasibility(*p, duration::zero(), now) == deadline_feasibility::Lost)
             refuse(ticket, slot_refusal_reason::CannotFinish, maxRetryAfter, now);
         return;
     }
