Slot queue: first turns with equal priority count as queued ahead

The expected wait of a first turn left out the queued turns with the same priority, although they arrived earlier and are granted first.

--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -126,8 +126,8 @@
             refuse(ticket, slot_refusal_reason::CannotFinish, maxRetryAfter, now);
         return;
     }
-    const int before = m_queue.firstTurnsBefore(priorityOf(*turn, now));
-    const duration wait = m_programs.expectedWait(before + 1, m_replicas.slots(now), now);
+    const duration wait
+        = m_programs.expectedWait(m_queue.firstTurnsUpTo(ticket), m_replicas.slots(now), now);
     if (m_programs.feasibility(*p, wait, now) == deadline_feasibility::Lost)
         refuse(ticket, slot_refusal_reason::CannotFinish, retryAfter(wait), now);
     else if (wait > maxFirstWait)
--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -74,11 +74,12 @@
     return nullptr;
 }
 
-int slot_queue::firstTurnsBefore(const slot_priority &priority) const
+int slot_queue::firstTurnsUpTo(const slot_ticket &ticket) const
 {
+    const queue_key &key = m_keys.at(ticket);
     int count = 0;
     for (auto item = m_turns.rbegin(); item != m_turns.rend() && item->second.isFirst; ++item)
-        count += item->first.first < priority ? 1 : 0;
+        count += item->first <= key ? 1 : 0;
     return count;
 }
 
--- a/src/dispatch/slot_queue.h
+++ b/src/dispatch/slot_queue.h
@@ -57,8 +57,8 @@
     /// \brief Counts a grant of a first or later turn.
     void onGranted(bool isFirst) { ++m_grants[isFirst ? 1 : 0]; }
 
-    /// \returns the number of first turns that are granted before one of \p priority.
-    int firstTurnsBefore(const slot_priority &priority) const;
+    /// \returns the place of the queued \p ticket among the first turns, 1 for the next one.
+    int firstTurnsUpTo(const slot_ticket &ticket) const;
     /// \brief Recomputes all priorities.
     void reorder(const std::function<slot_priority(const queued_turn &)> &priorityOf);
     /// \returns the tickets of the turns that \p matches accepts.
