Program dispatcher: queued first turns of a program that began are later turns

If several sessions of a new program were queued, only the first to be granted began the program. The others stayed in the class of first turns: they waited behind all later turns, were limited to 1 s, and each counted as another begin of their account.

--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -44,6 +44,12 @@
     return {request.program, request.session};
 }
 
+duration maxWait(const queued_turn &turn)
+{
+    const auto wait = std::chrono::duration_cast<duration>(waitShare * turn.request.timeLeft);
+    return turn.isFirst ? std::min(wait, maxFirstWait) : wait;
+}
+
 } // namespace
 
 program_dispatcher::program_dispatcher(std::uint64_t seed, time_point now)
@@ -86,8 +92,7 @@
     turn.request = request;
     turn.isFirst = !p.hasBegun;
     turn.queuedAt = now;
-    const auto maxWait = std::chrono::duration_cast<duration>(waitShare * request.timeLeft);
-    turn.expiresAt = now + (turn.isFirst ? std::min(maxWait, maxFirstWait) : maxWait);
+    turn.expiresAt = now + maxWait(turn);
     turn.waitsForReplicaUntil = now;
     if (const auto location = m_sessions.find(sessionOf(request))) {
         const duration reading
@@ -203,8 +208,11 @@
         granted.cachedTokens = std::min(location->tokens, request.promptTokens);
     m_sessions.assign(key, replica, request.promptTokens, now);
     m_replicas.acquire(replica);
-    if (auto *const p = m_programs.find(request.program))
+    if (auto *const p = m_programs.find(request.program)) {
         m_programs.onGranted(*p, now);
+        if (turn.isFirst && p->queued > 0)
+            requeueAsLater(request.program, now);
+    }
     ticket_state &t = m_tickets[ticket];
     t.phase = ticket_phase::Granted;
     t.replica = replica;
@@ -214,6 +222,19 @@
     m_decisions.push_back({std::move(turn.request), granted, now - turn.queuedAt});
 }
 
+void program_dispatcher::requeueAsLater(const program_id &program, time_point now)
+{
+    const auto tickets = m_queue.select(
+        [&](const queued_turn &turn) { return turn.isFirst && turn.request.program == program; });
+    for (const slot_ticket &ticket : tickets) {
+        queued_turn turn = *m_queue.remove(ticket);
+        turn.isFirst = false;
+        turn.expiresAt = turn.queuedAt + maxWait(turn);
+        const slot_priority priority = priorityOf(turn, now);
+        m_queue.add(priority, std::move(turn));
+    }
+}
+
 void program_dispatcher::refuse(slot_ticket ticket, slot_refusal_reason reason, duration retryAfter,
                                 time_point now)
 {
--- a/src/dispatch/program_dispatcher.h
+++ b/src/dispatch/program_dispatcher.h
@@ -96,6 +96,8 @@
     // Tickets are passed by value below: a reference may point into the queue entry that is
     // removed.
     void grant(slot_ticket ticket, const replica_incarnation &replica, time_point now);
+    /// \brief The queued turns of \p program become later turns, as it has begun.
+    void requeueAsLater(const program_id &program, time_point now);
     void refuse(slot_ticket ticket, slot_refusal_reason reason, duration retryAfter,
                 time_point now);
     /// \brief Adds a ticket that an earlier dispatcher granted.
