--- a/test/logic/dispatcher_selection_test.cpp
+++ b/test/logic/dispatcher_selection_test.cpp
@@ -14,6 +14,7 @@
 std::vector<dispatcher_candidate> candidates()
 {
     std::vector<dispatcher_candidate> result;
+    result.reserve(62);
     for (int i = 0; i < 62; ++i)
         result.push_back({{"d" + std::to_string(i)}, i < 16 ? 0.5 : 0.12});
     return result;
--- a/test/logic/program_dispatcher_test.cpp
+++ b/test/logic/program_dispatcher_test.cpp
@@ -331,6 +331,7 @@
     {
         dispatcher_fixture f(3, 2);
         std::vector<slot_ticket> tickets;
+        tickets.reserve(9);
         for (int i = 0; i < 9; ++i)
             tickets.push_back(f.send("p" + std::to_string(i)));
         std::map<replica_incarnation, int> perReplica;
--- a/test/logic/replica_pool_test.cpp
+++ b/test/logic/replica_pool_test.cpp
@@ -17,6 +17,7 @@
     explicit pool_fixture(int replicas, int slots)
     {
         std::vector<engine_replica> listed;
+        listed.reserve(std::size_t(replicas));
         for (int i = 0; i < replicas; ++i)
             listed.push_back({replica(i), slots});
         pool.setReplicas(listed);
