--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -67,13 +67,16 @@
         p.route = request.route;
         begin(p, now);
     }
-    p.route = request.route;
+    // A program under way counts for the route that it began on, also with turns of others.
+    if (!p.isRunning)
+        p.route = request.route;
     if (isNew) {
         p.lastActiveAt = now;
         if (isUnderWay)
             begin(p, now);
     }
-    if (p.hasBegun && p.inFlight + p.queued == 0)
+    // When the previous turn of a program that was just taken over ended is not known.
+    if (!isNew && p.hasBegun && p.inFlight + p.queued == 0)
         recordPause(p, now);
     return p;
 }
