--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -189,11 +189,13 @@
     });
     if (!turn)
         return false;
-    grant(turn->request.ticket, *replica, now);
+    // The ticket in the queue ends with its entry.
+    const slot_ticket ticket = turn->request.ticket;
+    grant(ticket, *replica, now);
     return true;
 }
 
-void program_dispatcher::grant(slot_ticket ticket, const replica_incarnation &replica,
+void program_dispatcher::grant(const slot_ticket &ticket, const replica_incarnation &replica,
                                time_point now)
 {
     queued_turn turn = *m_queue.remove(ticket);
@@ -235,8 +237,8 @@
     }
 }
 
-void program_dispatcher::refuse(slot_ticket ticket, slot_refusal_reason reason, duration retryAfter,
-                                time_point now)
+void program_dispatcher::refuse(const slot_ticket &ticket, slot_refusal_reason reason,
+                                duration retryAfter, time_point now)
 {
     auto turn = m_queue.remove(ticket);
     if (!turn)
@@ -251,7 +253,7 @@
     m_decisions.push_back({std::move(turn->request), refusal, now - turn->queuedAt});
 }
 
-void program_dispatcher::drop(slot_ticket ticket, time_point now)
+void program_dispatcher::drop(const slot_ticket &ticket, time_point now)
 {
     const auto turn = m_queue.remove(ticket);
     if (!turn)
@@ -357,7 +359,7 @@
     }
 }
 
-void program_dispatcher::abandon(slot_ticket ticket, ticket_state &t, time_point now)
+void program_dispatcher::abandon(const slot_ticket &ticket, ticket_state &t, time_point now)
 {
     if (t.phase == ticket_phase::Granted)
         endGranted(t, send_outcome::Cancelled, 0, now);
--- a/src/dispatch/program_dispatcher.h
+++ b/src/dispatch/program_dispatcher.h
@@ -93,12 +93,10 @@
     void grantQueued(time_point now);
     /// \returns whether a turn was granted.
     bool grantNext(bool isFirst, time_point now);
-    // Tickets are passed by value below: a reference may point into the queue entry that is
-    // removed.
-    void grant(slot_ticket ticket, const replica_incarnation &replica, time_point now);
+    void grant(const slot_ticket &ticket, const replica_incarnation &replica, time_point now);
     /// \brief The queued turns of \p program become later turns, as it has begun.
     void requeueAsLater(const program_id &program, time_point now);
-    void refuse(slot_ticket ticket, slot_refusal_reason reason, duration retryAfter,
+    void refuse(const slot_ticket &ticket, slot_refusal_reason reason, duration retryAfter,
                 time_point now);
     /// \brief Adds a ticket that an earlier dispatcher granted.
     void adopt(const slot_ticket &ticket, const active_ticket &active, const std::string &service,
@@ -106,9 +104,9 @@
     /// \brief Counts the renewals that miss a ticket of \p renewal's daemon.
     void releaseUnlisted(const slot_renewal &renewal, time_point now);
     /// \brief Releases a ticket that its daemon no longer uses.
-    void abandon(slot_ticket ticket, ticket_state &t, time_point now);
+    void abandon(const slot_ticket &ticket, ticket_state &t, time_point now);
     /// \brief Removes a queued ticket without an answer.
-    void drop(slot_ticket ticket, time_point now);
+    void drop(const slot_ticket &ticket, time_point now);
     void endGranted(ticket_state &t, send_outcome outcome, double msPerEvent, time_point now);
     std::optional<replica_incarnation> replicaFor(const queued_turn &turn, time_point now);
     slot_priority priorityOf(const queued_turn &turn, time_point now);
