Program dispatch: an account over its share leaves a quarter of the slots

One begin in eight went to the overtaken turns of the busy account, and its programs filled the slots up to the bound for all, so that the others' turns waited longer.

Change: turns of an account over its share are not granted out of order, and its programs begin only under 75 % of the slots.

--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -15,6 +15,10 @@
 /// With more free slots than this fraction, a program begins whatever the averages say: they are
 /// too high while short programs follow long ones.
 constexpr double idleFraction = 0.15;
+/// The same for programs of an account that is over its share: the rest is for the others, whose
+/// turns wait longer the fuller the slots are.
+constexpr double maxOverShareUtilisation = 0.75;
+constexpr double overShareIdleFraction = 0.4;
 /// Time over which the use of slots is averaged.
 constexpr double averagingSeconds = 4;
 /// Program seconds from which on a route's own figures are used.
@@ -184,17 +188,18 @@
     return found == m_routes.end() ? nullptr : &found->second;
 }
 
-bool program_admission::mayBegin(const std::string &route, int slots, int freeSlots) const
+bool program_admission::mayBegin(const std::string &route, bool isOverShare, int slots,
+                                 int freeSlots) const
 {
     if (slots <= 0)
         return false;
-    if (freeSlots > idleFraction * slots)
+    if (freeSlots > (isOverShare ? overShareIdleFraction : idleFraction) * slots)
         return true;
     const route_state *const own = findRoute(route);
     double demand = own ? slotsPerProgram(*own) : defaultSlotsPerProgram;
     for (const auto &[name, r] : m_routes)
         demand += r.programs * slotsPerProgram(r);
-    return demand <= maxUtilisation * slots;
+    return demand <= (isOverShare ? maxOverShareUtilisation : maxUtilisation) * slots;
 }
 
 duration program_admission::expectedDuration(const program_state &p) const
--- a/src/dispatch/program_admission.h
+++ b/src/dispatch/program_admission.h
@@ -57,8 +57,9 @@
     void onReleased(program_state &p, time_point now);
 
     /// \returns whether a program of \p route may begin.
+    /// \param isOverShare whether its account is over its share.
     /// \param slots slots of the group's available engines, of which \p freeSlots are free.
-    bool mayBegin(const std::string &route, int slots, int freeSlots) const;
+    bool mayBegin(const std::string &route, bool isOverShare, int slots, int freeSlots) const;
     /// \returns whether \p p can still end in time, if it has to wait for \p wait first.
     deadline_feasibility feasibility(const program_state &p, duration wait, time_point now) const;
     /// \returns how long the first turn at \p position of the queue is expected to wait.
--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -182,7 +182,11 @@
     const int freeSlots = m_replicas.freeSlots(now) - m_queue.size(false);
     std::optional<replica_incarnation> replica;
     const queued_turn *const turn = m_queue.next(isFirst, [&](const queued_turn &candidate) {
-        if (isFirst && !m_programs.mayBegin(candidate.request.route, slots, freeSlots))
+        const slot_request &request = candidate.request;
+        const bool mayBegin = !isFirst
+            || m_programs.mayBegin(request.route, m_shares.isOverShare(request.account, now), slots,
+                                   freeSlots);
+        if (!mayBegin)
             return false;
         replica = replicaFor(candidate, now);
         return replica.has_value();
--- a/src/dispatch/slot_queue.cpp
+++ b/src/dispatch/slot_queue.cpp
@@ -50,7 +50,9 @@
         const queued_turn &turn = item.second;
         const bool isOvertaken = grants - turn.grantsOnArrival >= grantsBeforePriority;
         const bool isOlder = !oldest || item.first.second < oldest->first.second;
-        if (turn.isFirst == isFirst && isOvertaken && isOlder && isEligible(turn))
+        // An account over its share is overtaken on purpose, until it no longer is.
+        const bool isOverShare = item.first.first.isOverShare;
+        if (turn.isFirst == isFirst && isOvertaken && isOlder && !isOverShare && isEligible(turn))
             oldest = &item;
     }
     return oldest ? &oldest->second : nullptr;
--- a/test/logic/program_admission_test.cpp
+++ b/test/logic/program_admission_test.cpp
@@ -53,23 +53,23 @@
         // Half a slot for each program until their use is known.
         for (int i = 0; i < 18; ++i)
             f.beginTurn(f.request(i));
-        CHECK(f.programs.mayBegin("plan", 10, 0));
+        CHECK(f.programs.mayBegin("plan", false, 10, 0));
         f.beginTurn(f.request(18));
-        CHECK(!f.programs.mayBegin("plan", 10, 0));
+        CHECK(!f.programs.mayBegin("plan", false, 10, 0));
         SUBCASE("or while more than 15 % of the slots are free")
         {
-            CHECK(f.programs.mayBegin("plan", 10, 2));
-            CHECK(!f.programs.mayBegin("plan", 10, 1));
+            CHECK(f.programs.mayBegin("plan", false, 10, 2));
+            CHECK(!f.programs.mayBegin("plan", false, 10, 1));
         }
         SUBCASE("but never without a slot")
         {
-            CHECK(!f.programs.mayBegin("plan", 0, 0));
+            CHECK(!f.programs.mayBegin("plan", false, 0, 0));
         }
         SUBCASE("the use of a program is learned: these have a turn in flight all the time")
         {
             f.advance(seconds(2));
-            CHECK(!f.programs.mayBegin("plan", 20, 0));
-            CHECK(f.programs.mayBegin("plan", 22, 0));
+            CHECK(!f.programs.mayBegin("plan", false, 20, 0));
+            CHECK(f.programs.mayBegin("plan", false, 22, 0));
         }
     }
 
@@ -124,19 +124,19 @@
         }
         f.advance(seconds(3));
         CHECK(f.programs.running() == 40);
-        CHECK(!f.programs.mayBegin("plan", 20, 0));
+        CHECK(!f.programs.mayBegin("plan", false, 20, 0));
         for (int i = 0; i < 40; ++i)
             f.programs.onReleased(*f.programs.find({"p" + std::to_string(i)}), f.now);
         f.advance(seconds(4));
         CHECK(f.programs.running() == 0);
         // One more program of either route uses one slot at most.
-        CHECK(f.programs.mayBegin("plan", 2, 0));
-        CHECK(f.programs.mayBegin("summary", 2, 0));
+        CHECK(f.programs.mayBegin("plan", false, 2, 0));
+        CHECK(f.programs.mayBegin("summary", false, 2, 0));
         // Ten programs of one turn each in flight use ten slots.
         for (int i = 100; i < 110; ++i)
             f.beginTurn(f.request(i, "summary"));
         f.advance(seconds(8));
-        CHECK(!f.programs.mayBegin("summary", 10, 0));
+        CHECK(!f.programs.mayBegin("summary", false, 10, 0));
     }
 
     TEST_CASE("feasibility follows the program's time, its wait and what its route needs")
