Connection pool: hasIdle() tells whether take() would reuse a connection

Cause: the load balancer can't prefer replicas that need no new connection, because nothing tells it which those are.

Change: connection_pool::hasIdle() answers from the idle times alone, without checking the socket, so that it may be asked for many peers per request.

Result: no behaviour changes yet.

--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -35,6 +35,15 @@
     return http_connection(m_executor);
 }
 
+bool connection_pool::hasIdle(const endpoint &peer, time_point now, duration maxIdleTime) const
+{
+    const auto found = m_idle.find(peer);
+    if (found == m_idle.end() || found->second.empty())
+        return false;
+    const idle_connection &last = found->second.back();
+    return now - last.since <= maxIdleTime && now < last.until;
+}
+
 void connection_pool::give(const endpoint &peer, http_connection connection, time_point now)
 {
     if (!connection.isReusable())
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -25,6 +25,9 @@
     void give(const endpoint &peer, http_connection connection, time_point now);
     /// \brief Like take(peer, now), but reuses only connections idle for at most \p maxIdleTime.
     http_connection take(const endpoint &peer, time_point now, duration maxIdleTime);
+    /// \returns whether take() with the same arguments would reuse a connection, as far as is known
+    /// without checking its socket.
+    bool hasIdle(const endpoint &peer, time_point now, duration maxIdleTime) const;
     /// \brief Closes the connections whose idle timeout has passed.
     void expire(time_point now);
     /// \brief Closes the idle connections to \p peer.
