Paged reads have the version of their first page

Cause: a read of a table takes one request per 500 rows, and its result had the version of the last page. A change of a row of an earlier page in between was missing in the daemon's copy, and reads of the changes since that version did not return it. A digest of that copy passed its version on to daemons with equal rows. Only a read of all entries, one read in 32, ended this.

Change: the result has the version of the first page, and replica_discovery adds the changes since, so that the copy equals the table at one version.

--- a/src/entry/replica_discovery.cpp
+++ b/src/entry/replica_discovery.cpp
@@ -103,11 +103,34 @@
 {
     const time_point began = runtime_clock::now();
     row_range range = replicaRange();
-    const auto page = co_await m_store.read(std::move(range), began + storeCallTimeout);
-    if (page && m_table.onRead(*page, began))
+    auto page = co_await m_store.read(std::move(range), began + storeCallTimeout);
+    if (!page)
+        co_return;
+    row_page table = std::move(*page);
+    // The pages of a long read are of different versions. Without the changes since the first one,
+    // the copy would equal no version of the table, and other copies could not be compared with it.
+    if (table.rows.size() >= fullPageRows)
+        table = co_await withChangesSince(std::move(table));
+    if (m_table.onRead(table, began))
         applyChanges("read");
 }
 
+awaitable<row_page> replica_discovery::withChangesSince(row_page table)
+{
+    std::size_t rows = fullPageRows;
+    while (rows >= fullPageRows) {
+        std::string name = replicaRange().table;
+        const time_point deadline = runtime_clock::now() + storeCallTimeout;
+        const auto changes
+            = co_await m_store.changes(std::move(name), table.version, duration::zero(), deadline);
+        if (!changes)
+            break;
+        rows = changes->version > table.version ? changes->rows.size() : 0;
+        applyFeed(table, *changes);
+    }
+    co_return table;
+}
+
 awaitable<bool> replica_discovery::readChanges()
 {
     bool isChanged = false;
--- a/src/entry/replica_discovery.h
+++ b/src/entry/replica_discovery.h
@@ -61,6 +61,8 @@
     /// \brief Reads the changes since the copy, or all rows if there is no copy.
     awaitable<void> readTable();
     awaitable<void> readFullTable();
+    /// \returns \p table with the changes since its version.
+    awaitable<row_page> withChangesSince(row_page table);
     /// \brief Reads the changes since the copy.
     /// \returns false if the store no longer has them.
     awaitable<bool> readChanges();
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -30,7 +30,8 @@
     ///
     /// The store returns a bounded number of rows per response, so a long range takes several
     /// requests. Each request gets as much time as the first one has until \p deadline; the total
-    /// time grows with the range.
+    /// time grows with the range. The result has the store's version at the first response: it
+    /// contains all changes up to that version, and may contain later ones.
     virtual awaitable<store_result<row_page>> read(row_range range, time_point deadline) = 0;
     /// \brief Long-polls for up to \p wait for changes of \p table after version \p after.
     virtual awaitable<store_result<row_page>> changes(std::string table, store_version after,
