Replicas: a copy that gets too old is refreshed, or not acted on

Cause: the loop that polls the replica table waits for its own read. Two reads without an answer take two seconds, so that the next one began after the drain time. Nothing stopped a daemon from sending by a copy of any age.

Change: the age of the copy is checked twelve times per drain time, apart from polls and fetches; from a third of the drain time on, the changes are read from the store with a timeout of a sixth. From five sixths on, the copy is outdated if the store answers the daemon's other calls: the load balancer chooses no replica until the copy is refreshed. During an outage of the store the daemons continue, since no change can be acknowledged.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -19,6 +19,8 @@
     ConfigurationAdopted,
     ConfigurationUnreadable,
     ReplicasAdopted,
+    ReplicasOutdated,
+    ReplicasRefreshed,
     ReplicaListed,
     ReplicaDraining,
     ReplicaRestarted,
@@ -63,7 +65,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 48> names = {"started",
+    static constexpr std::array<std::string_view, 50> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -72,6 +74,8 @@
                                                                "configuration_adopted",
                                                                "configuration_unreadable",
                                                                "replicas_adopted",
+                                                               "replicas_outdated",
+                                                               "replicas_refreshed",
                                                                "replica_listed",
                                                                "replica_draining",
                                                                "replica_restarted",
@@ -121,6 +125,7 @@
     case log_event::ListenFailed:
     case log_event::ConfigurationUnreadable:
     case log_event::RowUnreadable:
+    case log_event::ReplicasOutdated:
         return log_level::Error;
     case log_event::ReplicaRowUnreadable:
     case log_event::ReplicaEjected:
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -105,6 +105,8 @@
     spawn(executor, "followConfiguration", followConfiguration());
     spawn(executor, "pollConfiguration", pollConfiguration());
     m_replicas.setDrainTime(m_settings.replicaDrain);
+    if (m_events.onReplicasOutdated)
+        m_replicas.onOutdated(m_events.onReplicasOutdated);
     spawn(executor, "pollMembers", pollMembers());
     spawn(executor, "gossip", gossip());
     return ports;
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -22,6 +22,9 @@
 {
     std::function<void(routing_config_ptr)> onRoutes;
     std::function<void(std::vector<replica_entry>)> onReplicas;
+    /// Whether the entries of the replicas have become, or are no longer, too old to send requests
+    /// by them.
+    std::function<void(bool)> onReplicasOutdated;
     /// Addresses of the peers that reach the store, and the number of live daemons, this one
     /// included.
     std::function<void(std::vector<endpoint>, int)> onPeers;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -31,6 +31,8 @@
 
     void setRoutes(routing_config_ptr routes);
     void setReplicas(const std::vector<replica_entry> &listed);
+    /// \brief Sets whether the entries are too old to send requests by them.
+    void setReplicasOutdated(bool isOutdated) { m_loadBalancer.setOutdated(isOutdated); }
     /// \param alive number of live daemons, this one included.
     void setPeers(std::vector<endpoint> reachingStore, int alive);
     /// \brief Sets the member state of this daemon and those of the other live members.
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -175,6 +175,10 @@
     events.onReplicas = [&](std::vector<replica_entry> listed) {
         asio::post(trafficContext, [&service, l = std::move(listed)] { service.setReplicas(l); });
     };
+    events.onReplicasOutdated = [&](bool isOutdated) {
+        asio::post(trafficContext,
+                   [&service, isOutdated] { service.setReplicasOutdated(isOutdated); });
+    };
     events.onPeers = [&](std::vector<endpoint> peers, int alive) {
         asio::post(trafficContext,
                    [&service, p = std::move(peers), alive] { service.setPeers(p, alive); });
--- a/src/entry/replica_discovery.cpp
+++ b/src/entry/replica_discovery.cpp
@@ -94,7 +94,7 @@
     const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
     bool isRead = false;
     if (m_table.version() != 0 && draw >= fullReadShare)
-        isRead = co_await readChanges();
+        isRead = co_await readChanges(storeCallTimeout);
     if (!isRead)
         co_await readFullTable();
 }
@@ -131,7 +131,7 @@
     co_return table;
 }
 
-awaitable<bool> replica_discovery::readChanges()
+awaitable<bool> replica_discovery::readChanges(duration timeout)
 {
     bool isChanged = false;
     std::size_t rows = fullPageRows;
@@ -139,7 +139,7 @@
         const time_point began = runtime_clock::now();
         std::string table = replicaRange().table;
         const auto page = co_await m_store.changes(std::move(table), m_table.version(),
-                                                   duration::zero(), began + storeCallTimeout);
+                                                   duration::zero(), began + timeout);
         if (!page) {
             const bool isGone = page.error().kind == store_error_kind::HistoryGone;
             if (isChanged)
@@ -171,8 +171,59 @@
     m_storeWasReachable = reachable;
 }
 
+copy_freshness replica_discovery::freshness()
+{
+    const time_point now = runtime_clock::now();
+    copy_freshness copy;
+    copy.age = m_table.age(now).value_or(duration::zero());
+    copy.sinceStoreAnswer = now - m_transport->lastAnswer();
+    if (!isInTouch(m_readSchedule, copy.sinceStoreAnswer))
+        m_inTouchSince.reset();
+    else if (!m_inTouchSince)
+        m_inTouchSince = now;
+    copy.inTouchFor = m_inTouchSince ? now - *m_inTouchSince : duration::zero();
+    return copy;
+}
+
+void replica_discovery::updateOutdated(const copy_freshness &copy)
+{
+    const bool isOutdated = isCopyOutdated(m_readSchedule, copy);
+    if (isOutdated == m_isOutdated)
+        return;
+    m_isOutdated = isOutdated;
+    logDecision(isOutdated ? log_event::ReplicasOutdated : log_event::ReplicasRefreshed,
+                {{"age_ms", toMilliseconds(copy.age)},
+                 {"version", static_cast<std::int64_t>(m_table.version())}});
+    if (m_onOutdated)
+        m_onOutdated(isOutdated);
+}
+
+awaitable<void> replica_discovery::refresh()
+{
+    const bool isRead = co_await readChanges(refreshTimeout(m_readSchedule));
+    if (!isRead)
+        co_await readFullTable();
+    m_isRefreshing = false;
+    updateOutdated(freshness());
+}
+
+awaitable<void> replica_discovery::keepFresh()
+{
+    while (true) {
+        co_await sleepFor(freshnessCheckInterval(m_readSchedule));
+        const copy_freshness copy = freshness();
+        updateOutdated(copy);
+        if (m_isRefreshing || !isRefreshDue(m_readSchedule, copy))
+            continue;
+        m_isRefreshing = true;
+        spawn(m_executor, "refreshReplicas", refresh());
+    }
+}
+
 awaitable<void> replica_discovery::follow()
 {
+    // A loop of its own: a poll may wait several seconds for a store that does not answer.
+    spawn(m_executor, "keepReplicasFresh", keepFresh());
     while (true) {
         const duration pause = pollInterval(m_readSchedule);
         // Callers are sent to daemons that reach the store, so each daemon checks at this interval
--- a/src/entry/replica_discovery.h
+++ b/src/entry/replica_discovery.h
@@ -19,11 +19,16 @@
 /// from each other within a second that it changed. A daemon whose copy gets too old, because no
 /// daemon reaches the store or it reaches no other daemon, reads the table itself. A daemon that
 /// has a copy reads the changes since; one that has none fetches the copy of another daemon, unless
-/// it is scheduled to read. Lives on the control thread.
+/// it is scheduled to read.
+///
+/// No read and no fetch delays the refresh of a copy that gets too old. If a copy can't be
+/// refreshed although the store answers this daemon, it is reported as outdated before the drain
+/// time has passed, see isCopyOutdated(). Lives on the control thread.
 class replica_discovery
 {
 public:
     using replicas_callback = std::function<void(std::vector<replica_entry>)>;
+    using outdated_callback = std::function<void(bool)>;
 
     /// \param transport reports whether the store answers this daemon directly.
     /// \param onReplicas called whenever entries changed.
@@ -31,8 +36,13 @@
                       std::shared_ptr<peer_transport> transport, const daemon_id &self,
                       const mechanism_set &mechanisms, replicas_callback onReplicas);
 
-    /// \brief Reads the table whenever this daemon is scheduled to. Runs until the process ends.
+    /// \brief Reads the table whenever this daemon is scheduled to, and keeps the copy fresh. Runs
+    /// until the process ends.
     awaitable<void> follow();
+    /// \brief Sets the function called when the copy becomes outdated, and when it no longer is.
+    void onOutdated(outdated_callback callback) { m_onOutdated = std::move(callback); }
+    /// \returns whether the copy is too old to choose replicas by it.
+    bool isOutdated() const { return m_isOutdated; }
     /// \brief Sets how long a leaving replica continues to serve.
     void setDrainTime(duration drain) { m_readSchedule.propagationBound = drain; }
     /// \brief Sets the number of live daemons, this one included.
@@ -63,9 +73,15 @@
     awaitable<void> readFullTable();
     /// \returns \p table with the changes since its version.
     awaitable<row_page> withChangesSince(row_page table);
-    /// \brief Reads the changes since the copy.
+    /// \brief Reads the changes since the copy, each page within \p timeout.
     /// \returns false if the store no longer has them.
-    awaitable<bool> readChanges();
+    awaitable<bool> readChanges(duration timeout);
+    /// \brief Checks the age of the copy periodically. Runs until the process ends.
+    awaitable<void> keepFresh();
+    /// \brief Refreshes a copy that is too old from the store.
+    awaitable<void> refresh();
+    copy_freshness freshness();
+    void updateOutdated(const copy_freshness &copy);
     /// \brief Reads a row that doesn't exist, to find out whether the store answers this daemon.
     awaitable<void> probeStore();
     awaitable<void> fetchChanges(peer_digest announcement);
@@ -80,6 +96,7 @@
     std::shared_ptr<peer_transport> m_transport;
     mechanism_set m_mechanisms;
     replicas_callback m_onReplicas;
+    outdated_callback m_onOutdated;
     connection_pool m_pool;
     std::minstd_rand m_random;
     poll_schedule m_readSchedule;
@@ -95,6 +112,10 @@
     /// When the full table was last served.
     time_point m_fullTableServedAt;
     bool m_storeWasReachable = true;
+    bool m_isRefreshing = false;
+    bool m_isOutdated = false;
+    /// Since when this daemon has been in touch with the store; empty if it is not.
+    std::optional<time_point> m_inTouchSince;
 };
 
 } // namespace azurehill
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -278,7 +278,7 @@
                                                        time_point now)
 {
     const auto group = m_byService.find(request.service);
-    if (group == m_byService.end())
+    if (group == m_byService.end() || m_isOutdated)
         return std::nullopt;
     const service_state &service = m_services[request.service];
     const replica_state *const home = sessionHome(group->second, request, now);
@@ -323,7 +323,7 @@
                                                             std::int64_t cachedTokens) const
 {
     const replica_state *const r = find(who);
-    if (!r || r->leaving || r->entry.draining)
+    if (!r || r->leaving || r->entry.draining || m_isOutdated)
         return std::nullopt;
     return placement{r->entry, r->outstanding, cachedTokens, 0, 1};
 }
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -96,6 +96,9 @@
     /// \returns the entries of processes that were replaced by a newer incarnation.
     std::vector<replica_entry> setReplicas(const std::vector<replica_entry> &listed,
                                            time_point now);
+    /// \brief Sets whether the entries are so old that a replica may have left without this daemon
+    /// knowing it. No replica is chosen then.
+    void setOutdated(bool isOutdated) { m_isOutdated = isOutdated; }
     /// \brief Sets the number of daemons that send requests to the replicas; this one knows only
     /// its own requests.
     void setDaemons(int count) { m_daemons = std::max(1, count); }
@@ -109,7 +112,8 @@
     bool isReplaced(const replica_incarnation &who) const;
 
     /// \returns the replica with the lowest cost for the request. Ejected replicas are chosen only
-    /// if no other is left; nothing is returned if all are draining, leaving or tried.
+    /// if no other is left; nothing is returned if all are draining, leaving or tried, or if the
+    /// entries are outdated.
     std::optional<placement> choose(const placement_request &request, time_point now);
 
     /// \returns the placement at \p who, which a dispatcher has chosen, or nothing if this daemon
@@ -212,6 +216,7 @@
     std::minstd_rand m_random;
     mechanism_set m_mechanisms;
     int m_daemons = 1;
+    bool m_isOutdated = false;
     std::unordered_map<upstream_id, replica_state> m_replicas;
     std::map<std::string, std::vector<upstream_id>, std::less<>> m_byService;
     std::map<std::string, service_state, std::less<>> m_services;
--- a/test/logic/replica_load_balancer_test.cpp
+++ b/test/logic/replica_load_balancer_test.cpp
@@ -89,6 +89,14 @@
             balancer.setLeaving({{"a"}, 1});
             CHECK(chosenReplica(balancer, prompt({}), at(20)) == "b");
         }
+        SUBCASE("when the entries are too old to tell")
+        {
+            balancer.setOutdated(true);
+            CHECK(chosenReplica(balancer, prompt({}), at(20)) == "none");
+            CHECK_FALSE(balancer.placementAt({{"b"}, 1}, 0));
+            balancer.setOutdated(false);
+            CHECK(chosenReplica(balancer, prompt({}), at(20)) != "none");
+        }
         SUBCASE("when its entry is gone")
         {
             balancer.setReplicas({entry("b")}, at(10));
