--- a/test/io/membership_replay.cpp
+++ b/test/io/membership_replay.cpp
@@ -7,6 +7,13 @@
 namespace {
 
 constexpr std::int64_t ipAndUdpBytes = 28;
+/// Fraction of the reads that read all rows, as in replica_discovery.
+constexpr double fullReadShare = 1.0 / 32;
+
+std::string rowKey(int row)
+{
+    return "row-" + std::to_string(10'000 + row);
+}
 
 std::string nameOf(int daemon)
 {
@@ -50,7 +57,7 @@
         for (int other = 0; other < size; ++other)
             m_daemons[std::size_t(i)].onStoredMember(stateOf(other), m_now);
         const auto phase = std::uniform_int_distribution<int>(0, 199)(m_random);
-        push(m_now + milliseconds(phase), {i, -1, {}, false});
+        push(m_now + milliseconds(phase), {i, -1, {}, event_kind::RoundOrMessage});
     }
     if (how == start::Joined)
         introduceAll();
@@ -117,7 +124,7 @@
     const int target = indexOf(datagram.to);
     const bool isLost = std::uniform_real_distribution<double>(0, 1)(m_random) < m_lossRate;
     if (!isLost && !m_cutLinks.contains({from, target}))
-        push(m_now + latency(), {target, from, datagram.message, false});
+        push(m_now + latency(), {target, from, datagram.message, event_kind::RoundOrMessage});
 }
 
 void membership_replay::count(int observer, const std::vector<member_change> &changes)
@@ -157,13 +164,43 @@
     m_turns = {bound, m_daemons.size()};
     m_copies.resize(m_daemons.size());
     changeTable();
+    schedulePolls();
+}
+
+void membership_replay::followLongTable(duration bound, int rows, int pageRows, duration pageTime)
+{
+    m_turns = {bound, m_daemons.size()};
+    m_copies.resize(m_daemons.size());
+    m_pageRows = std::size_t(pageRows);
+    m_pageTime = pageTime;
+    for (int i = 0; i < rows; ++i) {
+        ++m_storeVersion;
+        m_table.push_back({{"t", "", rowKey(i)}, "value", m_storeVersion});
+    }
+    schedulePolls();
+}
+
+void membership_replay::schedulePolls()
+{
+    m_followsSince = m_now;
     for (int i = 0; i < int(m_daemons.size()); ++i) {
         const double phase = std::uniform_real_distribution<double>(0, 1)(m_random);
         const auto wait = std::chrono::duration_cast<duration>(phase * pollInterval(m_turns));
-        push(m_now + wait, {i, -1, std::nullopt, true});
+        push(m_now + wait, {i, -1, std::nullopt, event_kind::TablePoll});
+        const auto untilCheck
+            = std::chrono::duration_cast<duration>(phase * freshnessCheckInterval(m_turns));
+        push(m_now + untilCheck, {i, -1, std::nullopt, event_kind::FreshnessCheck});
     }
 }
 
+store_version membership_replay::changeRow(int row)
+{
+    stored_row &changed = m_table[std::size_t(row)];
+    changed.version = ++m_storeVersion;
+    m_history.push_back(changed);
+    return m_storeVersion;
+}
+
 void membership_replay::changeTable()
 {
     ++m_storeVersion;
@@ -182,11 +219,114 @@
 {
     table_cache &copy = m_copies[std::size_t(daemon)];
     const double randomFraction = std::uniform_real_distribution<double>(0, 1)(m_random);
-    if (isReadDue(m_turns, copy.age(m_now), randomFraction) && !m_withoutStore.contains(daemon)) {
+    if (isReadDue(m_turns, copy.age(m_now), randomFraction) && canReadTable(daemon))
+        readTable(daemon);
+    push(m_now + pollInterval(m_turns), {daemon, -1, std::nullopt, event_kind::TablePoll});
+}
+
+bool membership_replay::canReadTable(int daemon) const
+{
+    return !m_withoutStore.contains(daemon) && !m_failingReads.contains(daemon);
+}
+
+void membership_replay::readTable(int daemon)
+{
+    table_cache &copy = m_copies[std::size_t(daemon)];
+    if (m_pageRows == 0) {
         ++tableReads;
         copy.onRead(tablePage(), m_now);
+        return;
+    }
+    const bool isFull = std::uniform_real_distribution<double>(0, 1)(m_random) < fullReadShare;
+    if (isFull || copy.version() == 0)
+        readAllRows(daemon);
+    else
+        readChanges(daemon);
+}
+
+void membership_replay::readChanges(int daemon)
+{
+    ++tableReads;
+    table_cache &copy = m_copies[std::size_t(daemon)];
+    copy.onFeed(changesSince(copy.version()), m_now);
+}
+
+row_page membership_replay::changesSince(store_version after) const
+{
+    row_page page;
+    page.version = m_storeVersion;
+    for (const stored_row &row : m_history) {
+        if (row.version > after)
+            page.rows.push_back(row);
+    }
+    return page;
+}
+
+void membership_replay::readAllRows(int daemon)
+{
+    if (m_reads.contains(daemon))
+        return;
+    ++tableReads;
+    m_reads[daemon].began = m_now;
+    readNextPage(daemon);
+}
+
+void membership_replay::readNextPage(int daemon)
+{
+    read_in_progress &read = m_reads.at(daemon);
+    const std::size_t end = std::min(read.nextRow + m_pageRows, m_table.size());
+    row_page page;
+    page.version = m_storeVersion;
+    for (; read.nextRow < end; ++read.nextRow)
+        page.rows.push_back(m_table[read.nextRow]);
+    read.pages.add(std::move(page));
+    if (end < m_table.size()) {
+        push(m_now + m_pageTime, {daemon, -1, std::nullopt, event_kind::NextPage});
+        return;
+    }
+    row_page table = read.pages.take();
+    applyFeed(table, changesSince(table.version));
+    m_copies[std::size_t(daemon)].onRead(table, read.began);
+    m_reads.erase(daemon);
+}
+
+void membership_replay::checkFreshness(int daemon)
+{
+    const table_cache &copy = m_copies[std::size_t(daemon)];
+    if (const auto age = copy.age(m_now)) {
+        // The store answers the daemon's other calls, unless the daemon is cut off.
+        const duration inTouchFor = m_now - m_followsSince;
+        const bool isCut = m_withoutStore.contains(daemon);
+        const copy_freshness state{*age, isCut ? inTouchFor : duration::zero(),
+                                   isCut ? duration::zero() : inTouchFor};
+        if (m_pageRows != 0 && isRefreshDue(m_turns, state) && canReadTable(daemon))
+            readChanges(daemon);
+        if (isCopyOutdated(m_turns, state))
+            m_outdated.insert(daemon);
+        else
+            m_outdated.erase(daemon);
     }
-    push(m_now + pollInterval(m_turns), {daemon, -1, std::nullopt, true});
+    push(m_now + freshnessCheckInterval(m_turns),
+         {daemon, -1, std::nullopt, event_kind::FreshnessCheck});
+}
+
+int membership_replay::daemonsActingOnOlder(int row, store_version version) const
+{
+    int acting = 0;
+    for (std::size_t i = 0; i < m_copies.size(); ++i) {
+        const int daemon = int(i);
+        if (m_stopped.contains(daemon) || m_outdated.contains(daemon))
+            continue;
+        const auto &rows = m_copies[i].rows();
+        const auto found = rows.find(rowKey(row));
+        acting += found == rows.end() || found->second.version < version ? 1 : 0;
+    }
+    return acting;
+}
+
+int membership_replay::outdatedDaemons() const
+{
+    return int(m_outdated.size());
 }
 
 void membership_replay::onDigests(int daemon)
@@ -201,7 +341,12 @@
         const bool isReached = !m_stopped.contains(other) && !m_cutLinks.contains({daemon, other});
         if (isBehind && isReached) {
             const table_cache &theirs = m_copies[std::size_t(other)];
-            copy.onChanges(theirs.changesSince(copy.version(), m_now), m_now);
+            const bool isApplied
+                = copy.onChanges(theirs.changesSince(copy.version(), m_now), m_now);
+            // As replica_discovery does: changes that don't fit its copy make the daemon read.
+            const bool isUnfit = !isApplied && copy.version() < received.digest.version;
+            if (m_pageRows != 0 && isUnfit && canReadTable(daemon))
+                readTable(daemon);
         }
     }
 }
@@ -233,10 +378,20 @@
     return oldest;
 }
 
-void membership_replay::process(const event &e)
+void membership_replay::processTableEvent(const event &e)
 {
-    if (e.isTablePoll) {
+    if (e.kind == event_kind::TablePoll)
         pollTable(e.daemon);
+    else if (e.kind == event_kind::FreshnessCheck)
+        checkFreshness(e.daemon);
+    else
+        readNextPage(e.daemon);
+}
+
+void membership_replay::process(const event &e)
+{
+    if (e.kind != event_kind::RoundOrMessage) {
+        processTableEvent(e);
         return;
     }
     membership_protocol &daemon = m_daemons[std::size_t(e.daemon)];
@@ -249,7 +404,7 @@
         out = daemon.onMessage(*e.message, addressOf(e.from), m_now);
     } else {
         out = daemon.onRound(m_now);
-        push(m_now + round, {e.daemon, -1, {}, false});
+        push(m_now + round, {e.daemon, -1, {}, event_kind::RoundOrMessage});
     }
     count(e.daemon, daemon.takeChanges());
     onDigests(e.daemon);
--- a/test/io/membership_replay.h
+++ b/test/io/membership_replay.h
@@ -48,6 +48,23 @@
     void followTable(duration bound);
     /// \brief Adds a row to the table, and removes the oldest if there are more than three.
     void changeTable();
+    /// \brief Makes all daemons follow a table of \p rows rows, of which they read the changes and
+    /// now and then all rows, page by page.
+    /// \param pageRows number of rows per page.
+    /// \param pageTime time between two pages of a read.
+    void followLongTable(duration bound, int rows, int pageRows, duration pageTime);
+    /// \brief Writes a new version of the row. \returns the version.
+    store_version changeRow(int row);
+    /// \brief Makes the daemon read all rows, beginning now.
+    void readAllRows(int daemon);
+    /// \brief Makes all further reads of the table by the daemon fail, while the store still
+    /// answers its other calls.
+    void failTableReads(int daemon) { m_failingReads.insert(daemon); }
+    /// \returns the number of running daemons that act on a copy in which \p row is older than
+    /// \p version.
+    int daemonsActingOnOlder(int row, store_version version) const;
+    /// \returns the number of running daemons whose copy is outdated, see isCopyOutdated().
+    int outdatedDaemons() const;
     /// \brief Makes all further reads of the daemon fail.
     void cutStore(int daemon) { m_withoutStore.insert(daemon); }
     /// \brief Restores access to the store for all daemons.
@@ -72,19 +89,36 @@
     std::int64_t bytes = 0;
 
 private:
+    enum class event_kind { RoundOrMessage, TablePoll, FreshnessCheck, NextPage };
     struct event
     {
         int daemon = 0;
         int from = -1;
-        /// The received message; empty if the event is the daemon's own round or table poll.
+        /// The received message; empty if the event is the daemon's own.
         std::optional<probe_message> message;
-        bool isTablePoll = false;
+        event_kind kind = event_kind::RoundOrMessage;
+    };
+    /// \brief A read of all rows in progress.
+    struct read_in_progress
+    {
+        time_point began;
+        std::size_t nextRow = 0;
+        paged_read pages;
     };
 
     void push(time_point at, event e);
     void introduceAll();
     void process(const event &e);
+    void processTableEvent(const event &e);
     void pollTable(int daemon);
+    void checkFreshness(int daemon);
+    bool canReadTable(int daemon) const;
+    /// \brief Reads the table as replica_discovery does: mostly the changes since the copy.
+    void readTable(int daemon);
+    void readChanges(int daemon);
+    void readNextPage(int daemon);
+    row_page changesSince(store_version after) const;
+    void schedulePolls();
     void onDigests(int daemon);
     row_page tablePage() const;
     void send(int from, const probe_datagram &datagram);
@@ -106,6 +140,14 @@
     poll_schedule m_turns;
     std::vector<table_cache> m_copies;
     std::set<int> m_withoutStore;
+    std::set<int> m_failingReads;
+    std::map<int, read_in_progress> m_reads;
+    std::set<int> m_outdated;
+    /// Rows per page and time between two pages; 0 if a read takes no time.
+    std::size_t m_pageRows = 0;
+    duration m_pageTime = duration::zero();
+    std::vector<stored_row> m_history;
+    time_point m_followsSince;
     std::vector<stored_row> m_table;
     store_version m_storeVersion = 1;
 };
