--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -127,6 +127,7 @@
     }
     if (m_settings.mechanisms.has(mechanism::ProgramDispatch))
         m_slots.setServices(dispatchedServices(*m_routes));
+    m_sender.setSharedReplicas(!m_slots.services().empty());
     updateDispatchedReplicas();
 }
 
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -110,6 +110,8 @@
                                                  const placement_request &request)
 {
     const time_point now = runtime_clock::now();
+    if (!m_hasSharedReplicas)
+        return m_loadBalancer.choose(request, now);
     const duration maxIdleTime = maxIdleFor(call);
     return m_loadBalancer.choose(request, now, [&](const endpoint &address) {
         return m_pool.hasIdle(address, now, maxIdleTime);
@@ -253,7 +255,7 @@
     }
     if (kind == reply_kind::WrongReplica)
         m_loadBalancer.setLeaving(where.replica.incarnation);
-    else
+    else if (m_hasSharedReplicas)
         m_loadBalancer.onShed(where, placementRequest, call->lastByteAt);
     // The rest of a refusal is read so that the connection can be reused.
     while (true) {
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -65,6 +65,10 @@
     /// are sent.
     void setRoutes(routing_config_ptr routes) { m_routes = std::move(routes); }
 
+    /// \brief Sets whether replicas with an idle connection are preferred, and plain ones that
+    /// refused a request are avoided for a while. Both help where many daemons share few replicas.
+    void setSharedReplicas(bool areShared) { m_hasSharedReplicas = areShared; }
+
     /// \brief Closes the idle connections to a replica whose process has ended. A process that
     /// crashed may not have closed them, and a non-idempotent request would be lost on them.
     void dropConnections(const replica_entry &replaced);
@@ -100,6 +104,7 @@
     entry_metrics &m_metrics;
     connection_pool m_pool;
     routing_config_ptr m_routes;
+    bool m_hasSharedReplicas = false;
     std::set<entry_call_ptr> m_inFlight;
     /// Silent replicas that are being probed.
     std::set<replica_incarnation> m_probedReplicas;
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -101,6 +101,9 @@
     /// \returns the entries of processes that were replaced by a newer incarnation.
     std::vector<replica_entry> setReplicas(const std::vector<replica_entry> &listed,
                                            time_point now);
+    /// \brief Sets whether the entries are so old that a replica may have left without this daemon
+    /// knowing it. No replica is chosen then.
+    void setOutdated(bool isOutdated) { m_isOutdated = isOutdated; }
     /// \brief Sets the number of daemons that send requests to the replicas; this one knows only
     /// its own requests.
     void setDaemons(int count) { m_daemons = std::max(1, count); }
@@ -116,7 +119,8 @@
     /// \returns the replica with the lowest cost for the request; one with an idle connection if
     /// its cost differs by no more than the random factor on costs. Replicas that refused a request
     /// shortly before are chosen only if no other is left, ejected ones only if no such replica is
-    /// left either; nothing is returned if all are draining, leaving or tried.
+    /// left either; nothing is returned if all are draining, leaving or tried, or if the
+    /// entries are outdated.
     /// \param hasIdleConnection whether a connection can be reused. Without it, no replica needs a
     /// new connection.
     std::optional<placement> choose(const placement_request &request, time_point now,
@@ -230,6 +234,7 @@
     std::minstd_rand m_random;
     mechanism_set m_mechanisms;
     int m_daemons = 1;
+    bool m_isOutdated = false;
     std::unordered_map<upstream_id, replica_state> m_replicas;
     std::map<std::string, std::vector<upstream_id>, std::less<>> m_byService;
     std::map<std::string, service_state, std::less<>> m_services;
