Slot messages: any bytes in ids, and the time of a late program

Cause: a request whose program, session or account id is not valid UTF-8 was encoded but not decoded. The dispatcher did not answer, and counted as unreachable for all turns of that daemon for half a second. A negative time to finish, which a client may state, was encoded as a missing one.

Change: the decoder accepts invalid UTF-8; the encoder writes 0 for a time that has passed.

--- a/src/dispatch/slot_message.cpp
+++ b/src/dispatch/slot_message.cpp
@@ -52,7 +52,9 @@
         a.emplace_back(m.session);
         a.emplace_back(m.requestId);
         a.emplace_back(m.rank);
-        a.emplace_back(m.timeToFinish ? toMilliseconds(*m.timeToFinish) : missing);
+        // Negative numbers stand for a missing time.
+        a.emplace_back(m.timeToFinish ? std::max<std::int64_t>(0, toMilliseconds(*m.timeToFinish))
+                                      : missing);
         a.emplace_back(toMilliseconds(m.timeLeft));
         a.emplace_back(m.promptTokens);
         a.emplace_back(m.budgetTokens.value_or(missing));
@@ -264,7 +266,10 @@
 std::optional<slot_message> decodeSlotMessage(std::string_view text)
 {
     try {
-        const json::value document = json::parse(text);
+        // Clients' ids may contain any byte.
+        json::parse_options options;
+        options.allow_invalid_utf8 = true;
+        const json::value document = json::parse(text, {}, options);
         return readMessage(document.as_array());
     } catch (const std::exception &) {
         // The caller logs the error with the sender.
