Token holds: a stop writes what was used, also with turns in flight

Cause: a program with a turn in flight was left out at shutdown, so all its holds stayed in the account. A turn that was reserved between the check and the write would have lost its reservation. The answer "spent" waited for the write of what was used, up to 20 s for each hold, while its turn's slot was idle.

Change: the holds are replaced by the tokens used and the maximum of the turns in flight. The write that goes with "spent" no longer delays it.

--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -121,7 +121,7 @@
         if (hasForeignHold(*p, claim.program))
             held = tl::unexpected(turn_refusal::StoreUnavailable);
         else if (!p->budget.hasOutstanding())
-            co_await settleHolds(p, claim);
+            spawn(m_executor, "settleHolds", settleHolds(p, claim));
     }
     p->isChanging = false;
     p->changed->notifyAll();
@@ -161,7 +161,8 @@
 awaitable<void> budget_holder::settleHolds(held_program_ptr p, turn_claim claim)
 {
     const std::map<turn_id, std::int64_t> holds = std::exchange(p->holds, {});
-    std::int64_t used = p->budget.used();
+    // Turns that have not ended may still use their maximum.
+    std::int64_t used = p->budget.used() + p->budget.outstanding();
     p->budget = program_budget(p->budget.budget());
     for (const auto &[id, tokens] : holds) {
         const std::int64_t charged = std::min(used, tokens);
@@ -191,7 +192,7 @@
 {
     auto remaining = std::make_shared<int>(0);
     for (const auto &[program, p] : m_programs) {
-        if (p->isChanging || p->budget.hasOutstanding() || p->holds.empty())
+        if (p->holds.empty())
             continue;
         ++*remaining;
         spawn(m_executor, "releaseHolds", releaseHolds(p, remaining));
--- a/src/turns/budget_holder.h
+++ b/src/turns/budget_holder.h
@@ -54,7 +54,8 @@
     /// \returns whether the account of \p program has a hold of another daemon, or of an earlier
     /// run of this one, of which turns may have used less.
     bool hasForeignHold(const held_program &p, const program_id &program) const;
-    /// \brief Writes the tokens used in place of the holds of \p p.
+    /// \brief Writes the tokens used in place of the holds of \p p, and the maximum of turns that
+    /// have not ended.
     awaitable<void> settleHolds(held_program_ptr p, turn_claim claim);
     awaitable<void> releaseHolds(held_program_ptr p, std::shared_ptr<int> remaining);
 
