Token holds: keep the account's row while turns run on held tokens

Cause: the row of a program's account is removed after its retention time, which only a write extended. A program whose turns ran on held tokens for longer lost its row, and another dispatcher could hold the whole budget again.

Change: each turn that is reserved extends the retention time, without a store call.

Measured (budget_holder_test): after 90 s with a turn every 15 s the account had 0 committed tokens, now 500. It is still removed afterwards.

--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -64,6 +64,7 @@
     held_program_ptr p = programOf(claim);
     if (!p->budget.tryReserve(claim.id, claim.maxOutputTokens))
         return false;
+    m_ledger.retainRows(claim);
     const bool isLow = p->budget.needsHoldFor(claim.maxOutputTokens);
     if (isLow && !p->isChanging && p->budget.nextHold(claim.maxOutputTokens) > 0)
         spawn(m_executor, "holdAhead", holdAhead(std::move(p)));
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -146,6 +146,10 @@
     /// scarce budget keeps the other half for what its turns really use.
     bool mayKeepHold(const turn_claim &claim) const;
 
+    /// \brief Retains the rows of the claim's program for its retention time from now, although the
+    /// claim writes none, as its tokens are held already.
+    void retainRows(const turn_claim &claim) { extendRetention(claim, 0); }
+
     /// \returns the timing of \p program according to its cached account.
     program_timing timingOf(const program_id &program) const;
 
