Local path: no 402 while a dispatcher holds tokens

Cause: on the local path, a budget counted as spent although the account had a dispatcher's hold that no turn may have used. The client got 402, which ends its program, during the second in which a dispatcher is replaced.

--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -212,9 +212,14 @@
     // (3,074 refusals on 87 hosts) while the store is needed by clients that retry.
     if (reserved.error() == turn_refusal::InDoubt)
         settle(*context, 0);
-    std::string detail = detailOf(reserved.error(), context->claim);
-    co_await m_localReplies.write(context->call, localReplyFor(reserved.error()), std::move(detail),
-                                  writer, storeRetryAfter);
+    // A dispatcher that can't be reached at present may hold tokens that no turn has used.
+    const std::vector<turn_id> holds = m_ledger.holdsOf(context->claim.program);
+    const bool mayBeUnused = reserved.error() == turn_refusal::BudgetSpent
+        && std::any_of(holds.begin(), holds.end(), budget_holder::isSharedHold);
+    const turn_refusal reason = mayBeUnused ? turn_refusal::StoreUnavailable : reserved.error();
+    std::string detail = detailOf(reason, context->claim);
+    co_await m_localReplies.write(context->call, localReplyFor(reason), std::move(detail), writer,
+                                  storeRetryAfter);
     co_return false;
 }
 
--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -151,11 +151,16 @@
     co_return held;
 }
 
+bool budget_holder::isSharedHold(const turn_id &id)
+{
+    return id.value.starts_with(holdPrefix);
+}
+
 bool budget_holder::hasForeignHold(const held_program &p, const program_id &program) const
 {
     const std::vector<turn_id> holds = m_ledger.holdsOf(program);
     return std::any_of(holds.begin(), holds.end(), [&](const turn_id &id) {
-        return id.value.starts_with(holdPrefix) && !p.holds.contains(id);
+        return isSharedHold(id) && !p.holds.contains(id);
     });
 }
 
--- a/src/turns/budget_holder.h
+++ b/src/turns/budget_holder.h
@@ -33,6 +33,9 @@
     /// \brief Replaces the reservation of a turn by the tokens that it used.
     void settle(const program_id &program, const turn_id &turn, std::int64_t used);
 
+    /// \returns whether \p id is the id of a hold for several turns, which may be unused.
+    static bool isSharedHold(const turn_id &id);
+
     /// \brief Forgets the programs that were not used for a while.
     void expire(time_point now);
     /// \brief Writes the tokens used in place of the holds, until \p deadline.
