Slot exchange: answer while the tokens of a turn are being held

Cause: a request whose grant waited for the store got no answer. After 200 ms its daemon took the dispatcher for unreachable, and decided on all turns of the next half second by itself, which needs the store even more.

Change: the dispatcher answers "queued" until the tokens are held.

Measured (slot_exchange_test, store answers after 300 ms): the turn and another program's next turn were not granted, both are now. With a store that does not answer, the turn is refused as tokens_not_held after 1 s and its slot is free again.

--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -467,6 +467,9 @@
         send(request.ticket.daemon, grant);
         return;
     }
+    // The store may take longer than the time after which a silent dispatcher counts as
+    // unreachable.
+    send(request.ticket.daemon, slot_queued{grant.number});
     if (m_unconfirmed.insert(request.ticket).second)
         spawn(m_executor, "holdTokens", holdAndConfirm(group, request, grant));
 }
