Slot exchange: reserve tokens by ticket

Cause: tokens were reserved under the client's request id. If a client sends a request again through another daemon, both tickets shared one reservation, and the release of the first one removed it: the tokens of the second were not charged.

Change: each ticket has its own reservation.

Measured (slot_exchange_test): a program with a budget of 100 was granted a further turn after two turns of 50 tokens; it is refused as spent now.

--- a/src/dispatch/slot_message.h
+++ b/src/dispatch/slot_message.h
@@ -35,7 +35,7 @@
     program_id program;
     /// Id of the session within the program, or empty.
     std::string session;
-    /// Id of the client's request, for the log and for the token account.
+    /// Id of the client's request, for the log.
     std::string requestId;
     /// Rank of account and route, 0 first.
     int rank = 0;
--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -36,10 +37,21 @@
 constexpr duration overdueRetryAfter = milliseconds(100);
 constexpr duration loadLogInterval = seconds(1);
 
+/// \returns the id under which the tokens of the turn of \p ticket are reserved. A client may send
+/// one request through two daemons; both may run it, and each returns the tokens of its own ticket.
+turn_id reservationOf(const slot_ticket &ticket)
+{
+    return {fmt::format("{}-{}-{}", ticket.daemon.value, ticket.incarnation, ticket.number)};
+}
+
 turn_claim claimOf(const slot_request &request)
 {
-    return {{request.requestId},     request.program,      request.budgetTokens.value_or(0),
-            request.maxOutputTokens, request.timeToFinish, false,
+    return {reservationOf(request.ticket),
+            request.program,
+            request.budgetTokens.value_or(0),
+            request.maxOutputTokens,
+            request.timeToFinish,
+            false,
             request.retention};
 }
 
@@ -402,7 +414,7 @@
 
 void slot_exchange::onRelease(const slot_release &release)
 {
-    m_budgets.settle(release.program, {release.requestId}, release.usedTokens);
+    m_budgets.settle(release.program, reservationOf(release.ticket), release.usedTokens);
     const group_key group = groupOf(release.service, release.program);
     program_dispatcher *const dispatcher = findDispatcher(group);
     if (!dispatcher)
@@ -488,7 +500,7 @@
         co_return;
     }
     if (reserved) {
-        m_budgets.settle(request.program, {request.requestId}, 0);
+        m_budgets.settle(request.program, reservationOf(request.ticket), 0);
         co_return;
     }
     const auto reason = reserved.error() == turn_refusal::BudgetSpent
