--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -1,4 +1,5 @@
 #include "core/log.h"
+#include "dispatch/slot_message.h"
 #include "http/sse.h"
 #include "members/members.h"
 #include "platform/base64.h"
@@ -289,6 +290,28 @@
         });
     }
 
+    // Guards against values of other daemons that overflow in sums or divide by zero.
+    TEST_CASE("messages about engine slots")
+    {
+        fuzz("slot_message", [](const std::string &text) {
+            const auto message = decodeSlotMessage(text);
+            if (!message)
+                return;
+            if (const auto *request = std::get_if<slot_request>(&*message)) {
+                RC_ASSERT(request->accountWeight > 0);
+                RC_ASSERT(request->timeLeft >= duration::zero());
+                RC_ASSERT(request->promptTokens >= 0);
+                RC_ASSERT(request->maxOutputTokens >= 0);
+            }
+            if (const auto *release = std::get_if<slot_release>(&*message))
+                RC_ASSERT(release->usedTokens >= 0);
+            const std::string encoded = encodeSlotMessage(*message);
+            const auto again = decodeSlotMessage(encoded);
+            RC_ASSERT(again.has_value());
+            RC_ASSERT(encodeSlotMessage(*again) == encoded);
+        });
+    }
+
     TEST_CASE("clients' headers")
     {
         fuzz("request", [](const std::string &text) {
