--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 
 #include <boost/asio/redirect_error.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 
@@ -38,10 +39,21 @@
 constexpr duration overdueRetryAfter = milliseconds(100);
 constexpr duration loadLogInterval = seconds(1);
 
+/// \returns the id under which the tokens of the turn of \p ticket are reserved. A client may send
+/// one request through two daemons; both may run it, and each returns the tokens of its own ticket.
+turn_id reservationOf(const slot_ticket &ticket)
+{
+    return {fmt::format("{}-{}-{}", ticket.daemon.value, ticket.incarnation, ticket.number)};
+}
+
 turn_claim claimOf(const slot_request &request)
 {
-    return {{request.requestId},     request.program,      request.budgetTokens.value_or(0),
-            request.maxOutputTokens, request.timeToFinish, false,
+    return {reservationOf(request.ticket),
+            request.program,
+            request.budgetTokens.value_or(0),
+            request.maxOutputTokens,
+            request.timeToFinish,
+            false,
             request.retention};
 }
 
@@ -404,7 +416,7 @@
 
 void slot_exchange::onRelease(const slot_release &release)
 {
-    m_budgets.settle(release.program, {release.requestId}, release.usedTokens);
+    m_budgets.settle(release.program, reservationOf(release.ticket), release.usedTokens);
     const group_key group = groupOf(release.service, release.program);
     program_dispatcher *const dispatcher = findDispatcher(group);
     if (!dispatcher)
@@ -470,8 +482,9 @@
         send(request.ticket.daemon, grant);
         return;
     }
-    // Its daemon would otherwise count this one as unreachable while the store is slow.
-    send(request.ticket.daemon, slot_queued{request.ticket.number});
+    // The store may take longer than the time after which a silent dispatcher counts as
+    // unreachable.
+    send(request.ticket.daemon, slot_queued{grant.number});
     if (m_unconfirmed.insert(request.ticket).second)
         spawn(m_executor, "holdTokens", holdAndConfirm(group, request, grant));
 }
@@ -490,7 +503,7 @@
         co_return;
     }
     if (reserved) {
-        m_budgets.settle(request.program, {request.requestId}, 0);
+        m_budgets.settle(request.program, reservationOf(request.ticket), 0);
         co_return;
     }
     const auto reason = reserved.error() == turn_refusal::BudgetSpent
--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -75,6 +75,7 @@
     held_program_ptr p = programOf(claim);
     if (!p->budget.tryReserve(claim.id, claim.maxOutputTokens))
         return false;
+    m_ledger.retainRows(claim);
     const bool isLow = p->budget.needsHoldFor(claim.maxOutputTokens);
     if (isLow && !p->isChanging && p->budget.nextHold(claim.maxOutputTokens) > 0)
         spawn(m_executor, "holdAhead", holdAhead(std::move(p)));
@@ -132,7 +133,7 @@
         if (hasForeignHold(*p, claim.program))
             held = tl::unexpected(turn_refusal::StoreUnavailable);
         else if (!p->budget.hasOutstanding())
-            co_await settleHold(p, claim);
+            spawn(m_executor, "settleHold", settleHold(p, claim));
     }
     p->isChanging = false;
     p->changed->notifyAll();
@@ -168,12 +169,16 @@
     co_return held;
 }
 
+bool budget_holder::isSharedHold(const turn_id &id)
+{
+    return id.value.starts_with(holdPrefix);
+}
+
 bool budget_holder::hasForeignHold(const held_program &p, const program_id &program) const
 {
     const std::vector<turn_id> holds = m_ledger.holdsOf(program);
-    return std::any_of(holds.begin(), holds.end(), [&](const turn_id &id) {
-        return id.value.starts_with(holdPrefix) && id != p.hold;
-    });
+    return std::any_of(holds.begin(), holds.end(),
+                       [&](const turn_id &id) { return isSharedHold(id) && id != p.hold; });
 }
 
 awaitable<void> budget_holder::settleHold(held_program_ptr p, turn_claim claim)
@@ -182,7 +187,8 @@
         co_return;
     claim.id = std::exchange(p->hold, {});
     claim.maxOutputTokens = p->budget.held();
-    const std::int64_t used = p->budget.used();
+    // Turns that have not ended may still use their maximum.
+    const std::int64_t used = p->budget.used() + p->budget.outstanding();
     p->budget = program_budget(p->budget.budget());
     co_await m_ledger.settleHold(std::move(claim), used);
 }
@@ -205,7 +211,7 @@
 {
     auto remaining = std::make_shared<int>(0);
     for (const auto &[program, p] : m_programs) {
-        if (p->isChanging || p->budget.hasOutstanding() || p->hold.empty())
+        if (p->hold.empty())
             continue;
         ++*remaining;
         spawn(m_executor, "releaseHolds", releaseHolds(p, remaining));
--- a/src/turns/budget_holder.h
+++ b/src/turns/budget_holder.h
@@ -33,6 +33,9 @@
     /// \brief Replaces the reservation of a turn by the tokens that it used.
     void settle(const program_id &program, const turn_id &turn, std::int64_t used);
 
+    /// \returns whether \p id is the id of a hold for several turns, which may be unused.
+    static bool isSharedHold(const turn_id &id);
+
     /// \brief Forgets the programs that were not used for a while.
     void expire(time_point now);
     /// \brief Writes the tokens used in place of the holds, until \p deadline.
@@ -57,7 +60,8 @@
     /// \returns whether the account of \p program has a hold of another daemon, or of an earlier
     /// run of this one, of which turns may have used less.
     bool hasForeignHold(const held_program &p, const program_id &program) const;
-    /// \brief Writes the tokens used in place of the hold of \p p.
+    /// \brief Writes the tokens used in place of the hold of \p p, and the maximum of turns that
+    /// have not ended.
     awaitable<void> settleHold(held_program_ptr p, turn_claim claim);
     awaitable<void> releaseHolds(held_program_ptr p, std::shared_ptr<int> remaining);
 
--- a/src/turns/program_budget.h
+++ b/src/turns/program_budget.h
@@ -39,6 +39,8 @@
     std::int64_t held() const { return m_held; }
     /// \returns the tokens that ended turns used of the present hold.
     std::int64_t used() const { return m_used; }
+    /// \returns the tokens that were charged when holds were replaced.
+    std::int64_t charged() const { return m_charged; }
     /// \returns the sum of the reservations of turns that have not ended.
     std::int64_t outstanding() const;
     bool hasOutstanding() const { return !m_reservations.empty(); }
@@ -47,7 +49,6 @@
     std::int64_t m_budget;
     std::int64_t m_held = 0;
     std::int64_t m_used = 0;
-    /// Tokens that were charged when holds were replaced.
     std::int64_t m_charged = 0;
     std::map<turn_id, std::int64_t> m_reservations;
 };
