--- a/src/turns/program_budget.cpp
+++ b/src/turns/program_budget.cpp
@@ -10,7 +10,7 @@
 /// and last longer while the store is away; what a dispatcher that dies had not used stays held.
 constexpr std::int64_t firstHoldDivisor = 2;
 constexpr std::int64_t nextHoldDivisor = 4;
-/// Turns that a hold covers at least.
+/// Turns that a hold after the first covers at least.
 constexpr std::int64_t turnsPerHold = 2;
 
 } // namespace
@@ -69,7 +69,8 @@
         return 0;
     const bool isFirst = m_held == 0;
     const std::int64_t part = m_budget / (isFirst ? firstHoldDivisor : nextHoldDivisor);
-    const std::int64_t preferred = outstanding() + std::max(part, turnsPerHold * maxOutputTokens);
+    const std::int64_t turns = isFirst ? 1 : turnsPerHold;
+    const std::int64_t preferred = outstanding() + std::max(part, turns * maxOutputTokens);
     return std::clamp(preferred, smallest, rest);
 }
 
