Slot renewals in parts of 100 tickets; names of the exchange

Cause: a daemon with hundreds of tickets would send a renewal larger than the receive buffer, which counts as none, so that its slots were given out twice after 1.5 s. A stop wrote holds before it handed quota rows over and could spend its whole time on them. Change: a renewal states the range of numbers that it covers; holds and rows are released side by side. Not measured.

--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -73,7 +73,7 @@
     }
     enqueue(request, now);
     grantQueued(now);
-    refuseIfHopeless(request.ticket, now);
+    refuseIfInfeasible(request.ticket, now);
     if (m_queue.find(request.ticket))
         m_decisions.push_back({request, slot_queued{request.ticket.number}, duration::zero()});
 }
@@ -118,7 +118,7 @@
     return priority;
 }
 
-void program_dispatcher::refuseIfHopeless(const slot_ticket &ticket, time_point now)
+void program_dispatcher::refuseIfInfeasible(const slot_ticket &ticket, time_point now)
 {
     const queued_turn *const turn = m_queue.find(ticket);
     const auto *const p = turn ? m_programs.find(turn->request.program) : nullptr;
@@ -348,10 +348,12 @@
     std::set<std::uint64_t> listed;
     for (const active_ticket &active : renewal.tickets)
         listed.insert(active.number);
-    const slot_ticket first{renewal.daemon, renewal.incarnation, 0};
+    const slot_ticket first{renewal.daemon, renewal.incarnation, renewal.firstNumber};
     for (auto item = m_tickets.lower_bound(first); item != m_tickets.end(); ++item) {
         const auto &[ticket, state] = *item;
-        if (ticket.daemon != renewal.daemon || ticket.incarnation != renewal.incarnation)
+        const bool isSameDaemon
+            = ticket.daemon == renewal.daemon && ticket.incarnation == renewal.incarnation;
+        if (!isSameDaemon || ticket.number > renewal.lastNumber)
             break;
         ticket_state &t = item->second;
         const bool isRecent = now < t.since + renewalGrace;
@@ -409,9 +411,9 @@
     grantQueued(now);
     const auto expired = m_queue.select([&](const queued_turn &turn) {
         const auto *const p = m_programs.find(turn.request.program);
-        const bool isHopeless = turn.isFirst && p
+        const bool isInfeasible = turn.isFirst && p
             && m_programs.feasibility(*p, duration::zero(), now) == deadline_feasibility::Lost;
-        return now >= turn.expiresAt || isHopeless;
+        return now >= turn.expiresAt || isInfeasible;
     });
     for (const slot_ticket &ticket : expired) {
         const bool isFirst = m_queue.find(ticket)->isFirst;
--- a/src/dispatch/program_dispatcher.h
+++ b/src/dispatch/program_dispatcher.h
@@ -89,7 +89,7 @@
 
     void enqueue(const slot_request &request, time_point now);
     /// \brief Refuses the queued \p ticket if waiting is of no use.
-    void refuseIfHopeless(const slot_ticket &ticket, time_point now);
+    void refuseIfInfeasible(const slot_ticket &ticket, time_point now);
     void grantQueued(time_point now);
     /// \returns whether a turn was granted.
     bool grantNext(bool isFirst, time_point now);
--- a/src/dispatch/slot_message.cpp
+++ b/src/dispatch/slot_message.cpp
@@ -90,6 +90,8 @@
         a.emplace_back(m.incarnation);
         a.emplace_back(m.service);
         a.emplace_back(m.group);
+        a.emplace_back(m.firstNumber);
+        a.emplace_back(m.lastNumber);
         for (const active_ticket &t : m.tickets) {
             json::array fields;
             fields.emplace_back(t.number);
@@ -209,6 +211,8 @@
     m.incarnation = in.number<std::int64_t>();
     m.service = in.text();
     m.group = in.number<std::uint32_t>();
+    m.firstNumber = in.number<std::uint64_t>();
+    m.lastNumber = in.number<std::uint64_t>();
     while (!in.atEnd()) {
         array_reader fields(in.next().as_array());
         active_ticket t;
--- a/src/dispatch/slot_message.h
+++ b/src/dispatch/slot_message.h
@@ -4,6 +4,7 @@
 #include "core/core.h"
 #include "replicas/replica_load_balancer.h"
 
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -124,7 +125,8 @@
     std::int64_t maxOutputTokens = 0;
 };
 
-/// \brief Lists all tickets of a daemon at the receiver's group.
+/// \brief Lists all tickets of a daemon at the receiver's group whose numbers are in a range. A
+/// daemon with many tickets sends several, since a datagram has a limited size.
 struct slot_renewal
 {
     daemon_id daemon;
@@ -132,6 +134,8 @@
     std::string service;
     std::uint32_t group = 0;
     std::vector<active_ticket> tickets;
+    std::uint64_t firstNumber = 0;
+    std::uint64_t lastNumber = std::numeric_limits<std::uint64_t>::max();
 };
 
 /// \brief Answers a renewal of the group of \c service.
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -133,7 +133,7 @@
 
 awaitable<void> entry_service::release(time_point deadline)
 {
-    co_await m_budgets.release(deadline);
+    spawn(m_executor, "releaseHolds", m_budgets.release(deadline));
     co_await m_credits.release(deadline);
 }
 
--- a/src/replicas/concurrency_limiter.h
+++ b/src/replicas/concurrency_limiter.h
@@ -89,8 +89,8 @@
     /// \returns whether the request is admitted at once. If not, it is queued until admitQueued()
     /// returns its number.
     bool tryAdmit(const admission_request &request);
-    /// \brief Counts a request that a dispatcher has admitted, so that this daemon's reports include
-    /// it.
+    /// \brief Counts a request that a dispatcher has admitted, so that this daemon's reports
+    /// include it.
     void countAdmitted() { ++m_inFlightRequests; }
     /// \brief Removes a request from the queue. \returns whether it was queued.
     bool cancelWait(std::uint64_t number);
--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -19,11 +19,13 @@
 constexpr duration renewalInterval = milliseconds(250);
 /// Silence of a dispatcher that has queued a request, after which it counts as unreachable.
 constexpr duration renewalTimeout = 3 * renewalInterval;
+/// Tickets of one renewal, which takes about 8 KB with them; larger datagrams are cut off.
+constexpr std::size_t ticketsPerRenewal = 100;
 /// Interval in which a dispatcher looks for what has become due.
 constexpr duration busyTick = milliseconds(10);
 constexpr duration idleTick = milliseconds(100);
 /// The same while there is nothing to dispatch or renew, as on deployments without dispatch.
-constexpr duration restTick = seconds(1);
+constexpr duration inactiveTick = seconds(1);
 /// Time for which a daemon goes on to dispatch a group although the members prefer another one:
 /// daemons learn of that at different times.
 constexpr duration handOverTime = seconds(2);
@@ -92,14 +94,14 @@
     std::for_each(m_others.begin(), m_others.end(), consider);
     updateDispatchers();
     const time_point now = runtime_clock::now();
-    for (auto &[group, led] : m_led) {
-        led.dispatcher->releaseUnless(
+    for (auto &[group, dispatched] : m_dispatched) {
+        dispatched.dispatcher->releaseUnless(
             [this](const slot_ticket &ticket) {
                 const member_state *const m = findMember(ticket.daemon);
                 return m && m->incarnation == ticket.incarnation;
             },
             now);
-        carryOut(group);
+        executeDecisions(group);
     }
     // Requests that wait at a dispatcher that is gone are sent to its successor.
     for (const auto &[number, ticket] : m_tickets) {
@@ -115,9 +117,9 @@
     for (const replica_entry &entry : m_listed)
         ++m_replicaCounts[entry.service];
     updateDispatchers();
-    for (const auto &[group, led] : m_led) {
-        setReplicasOf(group, *led.dispatcher);
-        carryOut(group);
+    for (const auto &[group, dispatched] : m_dispatched) {
+        setReplicasOf(group, *dispatched.dispatcher);
+        executeDecisions(group);
     }
 }
 
@@ -180,27 +182,27 @@
             const group_key group{service, g};
             if (m_self.name.empty() || dispatcherOf(group) != m_self.name)
                 continue;
-            led_group &led = m_led[group];
-            led.chosenAt = now;
-            if (led.dispatcher)
+            dispatched_group &dispatched = m_dispatched[group];
+            dispatched.chosenAt = now;
+            if (dispatched.dispatcher)
                 continue;
-            led.dispatcher
+            dispatched.dispatcher
                 = std::make_unique<program_dispatcher>(stableHash(m_self.name.value, g), now);
-            setReplicasOf(group, *led.dispatcher);
+            setReplicasOf(group, *dispatched.dispatcher);
             logDecision(log_event::DispatcherStarted,
                         {{"service", service},
                          {"group", std::int64_t(g)},
-                         {"slots", std::int64_t(led.dispatcher->gauges(now).slots)}});
+                         {"slots", std::int64_t(dispatched.dispatcher->gauges(now).slots)}});
         }
     }
-    std::erase_if(m_led,
+    std::erase_if(m_dispatched,
                   [now](const auto &item) { return now > item.second.chosenAt + handOverTime; });
 }
 
 program_dispatcher *slot_exchange::findDispatcher(const group_key &group)
 {
-    const auto found = m_led.find(group);
-    return found == m_led.end() ? nullptr : found->second.dispatcher.get();
+    const auto found = m_dispatched.find(group);
+    return found == m_dispatched.end() ? nullptr : found->second.dispatcher.get();
 }
 
 void slot_exchange::onDatagram(std::string_view text, const endpoint &from)
@@ -280,7 +282,7 @@
     found->second->wait->cancel();
 }
 
-bool slot_exchange::ask(own_ticket &ticket)
+bool slot_exchange::sendIfDue(own_ticket &ticket)
 {
     const time_point now = runtime_clock::now();
     const daemon_id dispatcher
@@ -324,7 +326,7 @@
     m_tickets[number] = ticket;
     bool isReachable = true;
     while (!ticket->result && isReachable && isWanted() && runtime_clock::now() < until) {
-        isReachable = ask(*ticket);
+        isReachable = sendIfDue(*ticket);
         if (ticket->result || !isReachable)
             break;
         const duration pause = ticket->isAcknowledged ? renewalInterval : firstRetryInterval;
@@ -376,7 +378,7 @@
 awaitable<void> slot_exchange::renewTickets()
 {
     while (true) {
-        co_await sleepFor(m_services.empty() ? restTick : renewalInterval);
+        co_await sleepFor(m_services.empty() ? inactiveTick : renewalInterval);
         sendRenewals();
     }
 }
@@ -397,10 +399,27 @@
         renewal.group = group.second;
         const daemon_id dispatcher = dispatcherOf(group);
         if (!dispatcher.empty())
-            send(dispatcher, renewal);
+            sendInParts(dispatcher, renewal);
     }
 }
 
+void slot_exchange::sendInParts(const daemon_id &dispatcher, const slot_renewal &renewal)
+{
+    slot_renewal part = renewal;
+    part.tickets.clear();
+    for (const active_ticket &ticket : renewal.tickets) {
+        part.tickets.push_back(ticket);
+        if (part.tickets.size() < ticketsPerRenewal)
+            continue;
+        part.lastNumber = ticket.number;
+        send(dispatcher, part);
+        part.tickets.clear();
+        part.firstNumber = ticket.number + 1;
+        part.lastNumber = renewal.lastNumber;
+    }
+    send(dispatcher, part);
+}
+
 void slot_exchange::onRequest(const slot_request &request)
 {
     const group_key group = groupOf(request.service, request.program);
@@ -411,7 +430,7 @@
         return;
     }
     dispatcher->onRequest(request, runtime_clock::now());
-    carryOut(group);
+    executeDecisions(group);
 }
 
 void slot_exchange::onRelease(const slot_release &release)
@@ -422,7 +441,7 @@
     if (!dispatcher)
         return;
     dispatcher->onRelease(release, runtime_clock::now());
-    carryOut(group);
+    executeDecisions(group);
 }
 
 void slot_exchange::onRenewal(const slot_renewal &renewal)
@@ -433,30 +452,30 @@
         return;
     dispatcher->onRenewal(renewal, runtime_clock::now());
     send(renewal.daemon, slot_renewed{renewal.service, renewal.group});
-    carryOut(group);
+    executeDecisions(group);
 }
 
 awaitable<void> slot_exchange::runDispatchers()
 {
     while (true) {
-        const bool isBusy = std::any_of(m_led.begin(), m_led.end(), [](const auto &item) {
-            return item.second.dispatcher->hasQueued();
-        });
-        const duration idlePause = m_led.empty() ? restTick : idleTick;
+        const bool isBusy
+            = std::any_of(m_dispatched.begin(), m_dispatched.end(),
+                          [](const auto &item) { return item.second.dispatcher->hasQueued(); });
+        const duration idlePause = m_dispatched.empty() ? inactiveTick : idleTick;
         m_tick.expires_after(isBusy ? busyTick : idlePause);
         boost::system::error_code code;
         co_await m_tick.async_wait(asio::redirect_error(use_awaitable, code));
         const time_point now = runtime_clock::now();
-        for (const auto &[group, led] : m_led) {
-            led.dispatcher->update(now);
-            carryOut(group);
+        for (const auto &[group, dispatched] : m_dispatched) {
+            dispatched.dispatcher->update(now);
+            executeDecisions(group);
         }
         m_budgets.expire(now);
         logLoad(now);
     }
 }
 
-void slot_exchange::carryOut(const group_key &group)
+void slot_exchange::executeDecisions(const group_key &group)
 {
     program_dispatcher *const dispatcher = findDispatcher(group);
     if (!dispatcher)
@@ -512,14 +531,14 @@
     if (dispatcher)
         dispatcher->revoke(request.ticket, reason, storeRetryAfter, runtime_clock::now());
     send(request.ticket.daemon, slot_refusal{grant.number, reason, storeRetryAfter});
-    carryOut(group);
+    executeDecisions(group);
 }
 
 dispatcher_gauges slot_exchange::gauges(time_point now) const
 {
     dispatcher_gauges sum;
-    for (const auto &[group, led] : m_led) {
-        const dispatcher_gauges g = led.dispatcher->gauges(now);
+    for (const auto &[group, dispatched] : m_dispatched) {
+        const dispatcher_gauges g = dispatched.dispatcher->gauges(now);
         sum.queuedFirstTurns += g.queuedFirstTurns;
         sum.queuedLaterTurns += g.queuedLaterTurns;
         sum.inFlight += g.inFlight;
@@ -535,8 +554,8 @@
     if (now < m_loadLoggedAt + loadLogInterval)
         return;
     m_loadLoggedAt = now;
-    for (const auto &[group, led] : m_led) {
-        const dispatcher_gauges g = led.dispatcher->gauges(now);
+    for (const auto &[group, dispatched] : m_dispatched) {
+        const dispatcher_gauges g = dispatched.dispatcher->gauges(now);
         if (g.inFlight + g.queuedFirstTurns + g.queuedLaterTurns == 0)
             continue;
         logDecision(log_event::DispatcherLoad,
--- a/src/slots/slot_exchange.h
+++ b/src/slots/slot_exchange.h
@@ -91,7 +91,7 @@
         std::optional<slot_result> result;
     };
     using own_ticket_ptr = std::shared_ptr<own_ticket>;
-    struct led_group
+    struct dispatched_group
     {
         std::unique_ptr<program_dispatcher> dispatcher;
         /// When this daemon was last known to dispatch the group.
@@ -111,9 +111,11 @@
 
     /// \brief Sends the request of \p ticket if that is due.
     /// \returns false if its dispatcher counts as unreachable.
-    bool ask(own_ticket &ticket);
+    bool sendIfDue(own_ticket &ticket);
     awaitable<void> renewTickets();
     void sendRenewals();
+    /// \brief Sends \p renewal, whose tickets are in order of their numbers, in one or more parts.
+    void sendInParts(const daemon_id &dispatcher, const slot_renewal &renewal);
 
     /// \returns the dispatcher of the group if this daemon dispatches it, or null.
     program_dispatcher *findDispatcher(const group_key &group);
@@ -125,7 +127,7 @@
     void setReplicasOf(const group_key &group, program_dispatcher &dispatcher) const;
     awaitable<void> runDispatchers();
     /// \brief Carries out the decisions of the dispatcher of \p group.
-    void carryOut(const group_key &group);
+    void executeDecisions(const group_key &group);
     /// \brief Tells the daemon of \p decision, which is a grant, once its tokens are held.
     void confirmGrant(const group_key &group, const slot_decision &decision);
     awaitable<void> holdAndConfirm(group_key group, slot_request request, slot_grant grant);
@@ -142,7 +144,7 @@
     std::vector<replica_entry> m_listed;
     /// Number of listed replicas by service.
     std::map<std::string, std::size_t, std::less<>> m_replicaCounts;
-    std::map<group_key, led_group> m_led;
+    std::map<group_key, dispatched_group> m_dispatched;
     /// Addresses of the daemons that sent messages.
     std::map<daemon_id, endpoint> m_addresses;
     /// Grants whose tokens are being held.
--- a/test/io/slot_message_test.cpp
+++ b/test/io/slot_message_test.cpp
@@ -90,6 +90,8 @@
     m.incarnation = *rc::gen::arbitrary<std::int64_t>();
     m.service = anyText();
     m.group = *rc::gen::arbitrary<std::uint32_t>();
+    m.firstNumber = *rc::gen::arbitrary<std::uint64_t>();
+    m.lastNumber = *rc::gen::arbitrary<std::uint64_t>();
     const int count = *rc::gen::inRange(0, 4);
     for (int i = 0; i < count; ++i) {
         active_ticket t;
@@ -137,7 +139,8 @@
     std::vector<decltype(fieldsOf(active_ticket()))> tickets;
     for (const active_ticket &t : m.tickets)
         tickets.push_back(fieldsOf(t));
-    return std::make_tuple(m.daemon, m.incarnation, m.service, m.group, tickets);
+    return std::make_tuple(m.daemon, m.incarnation, m.service, m.group, m.firstNumber, m.lastNumber,
+                           tickets);
 }
 auto fieldsOf(const slot_renewed &m)
 {
--- a/test/logic/program_dispatcher_test.cpp
+++ b/test/logic/program_dispatcher_test.cpp
@@ -271,6 +271,31 @@
         CHECK(f.refusalOf(held.ticket)->reason == slot_refusal_reason::TokensNotHeld);
     }
 
+    // Guards against tickets that count as released because a renewal in parts lists them in
+    // another part.
+    TEST_CASE("a part of a renewal says nothing of tickets outside its range")
+    {
+        dispatcher_fixture f(2);
+        const slot_ticket low = f.send("a");
+        const slot_ticket high = f.send("b");
+        REQUIRE(low.number < high.number);
+        slot_renewal part{low.daemon, low.incarnation, "model", 0, {}, 0, low.number};
+        part.tickets = {{low.number, {"a"}, "", f.replica(0), 100}};
+        for (int i = 0; i < 4; ++i) {
+            f.advance(milliseconds(250));
+            f.dispatcher.onRenewal(part, f.now);
+        }
+        CHECK(f.inFlight() == 2);
+
+        SUBCASE("and releases those inside it that it leaves out")
+        {
+            part.tickets.clear();
+            f.dispatcher.onRenewal(part, f.now);
+            f.dispatcher.onRenewal(part, f.now);
+            CHECK(f.inFlight() == 1);
+        }
+    }
+
     // Guards against a new dispatcher that fills engines which are full already.
     TEST_CASE("a new dispatcher adopts turns in flight from renewals")
     {
