Program dispatcher: less work for each queued turn

Cause: since an account over its share is looked up for each first turn of the queue, every grant under overload recomputed the shares of all accounts some hundred times.

Change: the mean share is kept and updated with each begin and four times a second; a group without room looks at no first turn; sessions, tickets and shares are looked through four times a second instead of twenty.

--- a/src/dispatch/account_shares.cpp
+++ b/src/dispatch/account_shares.cpp
@@ -31,6 +31,7 @@
     s.begins = beginsAt(s, now) + 1;
     s.weight = weight;
     s.updatedAt = now;
+    update(now);
 }
 
 bool account_shares::isOverShare(const account_id &account, time_point now) const
@@ -38,20 +39,20 @@
     const auto found = m_shares.find(account);
     if (found == m_shares.end() || beginsAt(found->second, now) < minBegins)
         return false;
+    return beginsAt(found->second, now) / found->second.weight > tolerance * m_mean;
+}
+
+void account_shares::update(time_point now)
+{
+    std::erase_if(m_shares,
+                  [now](const auto &item) { return beginsAt(item.second, now) < negligible; });
     double begins = 0;
     double weights = 0;
     for (const auto &[id, s] : m_shares) {
         begins += beginsAt(s, now);
         weights += s.weight;
     }
-    const double own = beginsAt(found->second, now) / found->second.weight;
-    return own > tolerance * begins / weights;
-}
-
-void account_shares::expire(time_point now)
-{
-    std::erase_if(m_shares,
-                  [now](const auto &item) { return beginsAt(item.second, now) < negligible; });
+    m_mean = weights > 0 ? begins / weights : 0;
 }
 
 } // namespace azurehill
--- a/src/dispatch/account_shares.h
+++ b/src/dispatch/account_shares.h
@@ -19,8 +19,9 @@
     void onBegin(const account_id &account, double weight, time_point now);
     /// \returns whether \p account has had clearly more than the mean of all accounts, by weight.
     bool isOverShare(const account_id &account, time_point now) const;
-    /// \brief Removes accounts without recent programs.
-    void expire(time_point now);
+    /// \brief Updates the mean of all accounts, and removes those without recent programs. To be
+    /// called some times per second: a queue asks for each of its turns who is over the mean.
+    void update(time_point now);
 
 private:
     struct share
@@ -34,6 +35,8 @@
     static double beginsAt(const share &s, time_point now);
 
     std::map<account_id, share> m_shares;
+    /// Mean of the recent begins by weight, at the last update.
+    double m_mean = 0;
 };
 
 } // namespace azurehill
--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -188,6 +188,19 @@
     return found == m_routes.end() ? nullptr : &found->second;
 }
 
+double program_admission::demand() const
+{
+    double sum = 0;
+    for (const auto &[name, r] : m_routes)
+        sum += r.programs * slotsPerProgram(r);
+    return sum;
+}
+
+bool program_admission::hasRoom(int slots, int freeSlots) const
+{
+    return freeSlots > idleFraction * slots || demand() <= maxUtilisation * slots;
+}
+
 bool program_admission::mayBegin(const std::string &route, bool isOverShare, int slots,
                                  int freeSlots) const
 {
@@ -195,11 +208,9 @@
         return false;
     if (freeSlots > (isOverShare ? overShareIdleFraction : idleFraction) * slots)
         return true;
-    const route_state *const own = findRoute(route);
-    double demand = own ? slotsPerProgram(*own) : defaultSlotsPerProgram;
-    for (const auto &[name, r] : m_routes)
-        demand += r.programs * slotsPerProgram(r);
-    return demand <= (isOverShare ? maxOverShareUtilisation : maxUtilisation) * slots;
+    const route_state *const r = findRoute(route);
+    const double own = r ? slotsPerProgram(*r) : defaultSlotsPerProgram;
+    return demand() + own <= (isOverShare ? maxOverShareUtilisation : maxUtilisation) * slots;
 }
 
 duration program_admission::expectedDuration(const program_state &p) const
--- a/src/dispatch/program_admission.h
+++ b/src/dispatch/program_admission.h
@@ -60,6 +60,8 @@
     /// \param isOverShare whether its account is over its share.
     /// \param slots slots of the group's available engines, of which \p freeSlots are free.
     bool mayBegin(const std::string &route, bool isOverShare, int slots, int freeSlots) const;
+    /// \returns whether a program of any route may begin; parameters as for mayBegin().
+    bool hasRoom(int slots, int freeSlots) const;
     /// \returns whether \p p can still end in time, if it has to wait for \p wait first.
     deadline_feasibility feasibility(const program_state &p, duration wait, time_point now) const;
     /// \returns how long the first turn at \p position of the queue is expected to wait.
@@ -94,6 +96,8 @@
     };
 
     static double slotsPerProgram(const route_state &r);
+    /// \returns the slots that the programs under way use on average.
+    double demand() const;
     static duration maxPause(const route_state &r);
     duration expectedDuration(const program_state &p) const;
     void begin(program_state &p, time_point now);
--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -30,6 +30,9 @@
 constexpr duration laterRetryAfter = milliseconds(100);
 /// Interval in which the order of the queue is brought up to date.
 constexpr duration reorderInterval = milliseconds(50);
+/// Interval in which sessions, shares and tickets of the last seconds are looked through. There are
+/// thousands of them.
+constexpr duration expiryInterval = milliseconds(250);
 /// Age from which on a granted ticket must be listed in renewals, and the renewals that may miss it
 /// before it counts as released.
 constexpr duration renewalGrace = milliseconds(300);
@@ -180,6 +183,9 @@
     const int slots = m_replicas.slots(now);
     // Slots that later turns wait for are not free for programs that begin.
     const int freeSlots = m_replicas.freeSlots(now) - m_queue.size(false);
+    // Under overload this spares the look at each first turn.
+    if (isFirst && !m_programs.hasRoom(slots, freeSlots))
+        return false;
     std::optional<replica_incarnation> replica;
     const queued_turn *const turn = m_queue.next(isFirst, [&](const queued_turn &candidate) {
         const slot_request &request = candidate.request;
@@ -403,9 +409,12 @@
     if (now >= m_reorderedAt + reorderInterval) {
         m_reorderedAt = now;
         m_programs.update(now);
-        m_sessions.expire(now);
-        m_shares.expire(now);
-        expireTickets(now);
+        if (now >= m_expiredAt + expiryInterval) {
+            m_expiredAt = now;
+            m_sessions.expire(now);
+            m_shares.update(now);
+            expireTickets(now);
+        }
         m_queue.reorder([&](const queued_turn &turn) { return priorityOf(turn, now); });
     }
     grantQueued(now);
--- a/src/dispatch/program_dispatcher.h
+++ b/src/dispatch/program_dispatcher.h
@@ -123,6 +123,7 @@
     std::map<slot_ticket, ticket_state> m_tickets;
     std::vector<slot_decision> m_decisions;
     time_point m_reorderedAt;
+    time_point m_expiredAt;
 };
 
 } // namespace azurehill
