Test of dispatched turns: a lost program's turn is refused while others wait

The test was written against a dispatcher that refused such a turn whenever it had to wait; rule 6 of docs/design/program-dispatch.md says "while others wait", and the merged dispatcher keeps to it.

Change: the test has a third turn waiting and checks the refusal as before, and a new section checks that the only one that waits is served.

--- a/test/io/dispatched_turn_test.cpp
+++ b/test/io/dispatched_turn_test.cpp
@@ -171,15 +171,24 @@
     }
 
     // Guards against slots that turns of no more use take from others.
-    TEST_CASE("a turn that would have to wait is refused if its program can't end in time")
+    TEST_CASE("while others wait, a turn is refused if its program can't end in time")
     {
         dispatch_world w(1);
-        w.entry.model.script = {scripted_replica::stream(2), slowStream()};
+        w.entry.model.script = {scripted_replica::stream(2), slowStream(),
+                                scripted_replica::stream(2), scripted_replica::stream(2)};
         CHECK(w.chat("t0", "q", "\r\nX-Azurehill-Finish-Ms: 200")->status() == 200);
         w.advance(milliseconds(500));
         const asked_turn_ptr first = w.begin("t1", "p");
         w.advance(milliseconds(100));
         REQUIRE(w.entry.model.arrived.size() == 2);
+        SUBCASE("and waits for a slot if it is the only one")
+        {
+            CHECK(w.chat("t2", "q", "\r\nX-Azurehill-Finish-Ms: 0")->status() == 200);
+            CHECK(first->status() == 200);
+            return;
+        }
+        const asked_turn_ptr waiting = w.begin("t3", "r");
+        w.advance(milliseconds(20));
         const time_point began = runtime_clock::now();
         const asked_turn_ptr lost = w.chat("t2", "q", "\r\nX-Azurehill-Finish-Ms: 0");
         CHECK(runtime_clock::now() - began < milliseconds(100));
@@ -189,6 +198,8 @@
         CHECK(w.entry.model.arrived.size() == 2);
         w.waitFor(*first);
         CHECK(first->status() == 200);
+        w.waitFor(*waiting);
+        CHECK(waiting->status() == 200);
     }
 
     // Guards against turns that run without a durable hold.
