--- a/src/dispatch/program_admission.cpp
+++ b/src/dispatch/program_admission.cpp
@@ -21,7 +21,7 @@
 constexpr double overShareIdleFraction = 0.4;
 /// Time over which the use of slots is averaged.
 constexpr double averagingSeconds = 4;
-/// Program seconds from which on a route's own figures are used.
+/// Minimum observed running time of a route's programs before its averages are used, in seconds.
 constexpr double minProgramSeconds = 2;
 constexpr double defaultSlotsPerProgram = 0.5;
 constexpr double sampleWeight = 0.05;
--- a/src/dispatch/program_dispatcher.cpp
+++ b/src/dispatch/program_dispatcher.cpp
@@ -14,7 +14,7 @@
 /// Fraction of its remaining time for which a turn may wait. After a longer wait the answer could
 /// no longer arrive in time.
 constexpr double waitShare = 0.4;
-/// Upper bound of the wait of a first turn. Its caller is told early, so that it can return while
+/// Maximum time that a first turn is queued. An early refusal lets its client retry while
 /// its program can still end in time.
 constexpr duration maxFirstWait = seconds(1);
 /// Prompt tokens that an engine reads per millisecond, roughly, and the factor by which reading
@@ -39,7 +39,7 @@
 constexpr int maxMissedRenewals = 2;
 /// Silence after which the tickets of a daemon count as released.
 constexpr duration renewalTimeout = milliseconds(1500);
-/// Time for which an ended ticket is remembered, so that a delayed request does not begin anew.
+/// Time for which an ended ticket is kept, so that a request that arrives late is not queued again.
 constexpr duration endedRetention = seconds(2);
 
 session_key sessionOf(const slot_request &request)
@@ -331,7 +331,7 @@
 void program_dispatcher::adopt(const slot_ticket &ticket, const active_ticket &active,
                                const std::string &service, time_point now)
 {
-    // A queued turn is requested anew by its daemon.
+    // The daemon of a queued turn sends its request to the new dispatcher.
     if (active.replica.id.empty())
         return;
     ticket_state &t = m_tickets[ticket];
--- a/src/dispatch/replica_pool.h
+++ b/src/dispatch/replica_pool.h
@@ -78,7 +78,7 @@
     bool isAvailable(const replica_state &r, time_point now) const;
     bool hasFreeSlot(const replica_state &r, time_point now) const;
     int freeSlots(const replica_state &r, time_point now) const;
-    /// \returns whether so many replicas fail that the cause is assumed to be the requests.
+    /// \returns whether so many replicas fail that the requests are assumed to cause the failures.
     bool failsEverywhere() const;
     void recordOutcome(replica_state &r, send_outcome outcome, time_point now);
     void eject(replica_state &r, time_point now);
--- a/src/slots/slot_exchange.h
+++ b/src/slots/slot_exchange.h
@@ -151,7 +151,7 @@
     std::set<slot_ticket> m_unconfirmed;
     std::uint64_t m_lastNumber = 0;
     std::map<std::uint64_t, own_ticket_ptr> m_tickets;
-    /// When each dispatcher was last heard, and until when it counts as unreachable.
+    /// Time of the latest message from each dispatcher, and the end of its unreachable period.
     std::map<daemon_id, time_point> m_heardAt;
     std::map<daemon_id, time_point> m_suspectUntil;
     time_point m_loadLoggedAt;
