Log what ended an answer: its framing, the read's error, an unfinished event

The line send_ended told an answered request from a broken one, but not on what ground.

http_connection reports what delimits the body (RFC 9112, section 6.3) in response_head::framing. send_ended has three fields more: framing, read_error and unfinished_bytes. No decision reads them.

--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -69,8 +69,10 @@
 {
     while (body.size() <= maxBufferedBytes) {
         const auto chunk = co_await reply.connection->readSome(call->deadline);
-        if (!chunk)
+        if (!chunk) {
+            reply.readError = chunk.error().detail;
             co_return false;
+        }
         if (chunk->empty())
             co_return true;
         call->lastByteAt = runtime_clock::now();
@@ -90,8 +92,10 @@
     while (isClientConnected) {
         isClientConnected = co_await writer.writeChunk(chunk);
         auto next = co_await reply.connection->readSome(call->deadline);
-        if (!next)
+        if (!next) {
+            reply.readError = next.error().detail;
             break;
+        }
         isComplete = next->empty();
         if (isComplete)
             break;
@@ -201,8 +205,10 @@
     const std::int64_t eventsBefore = stream.events;
     while (stream.isClientConnected && !events.isTooLong()) {
         auto chunk = co_await reply.connection->readSome(call->deadline);
-        if (!chunk)
+        if (!chunk) {
+            reply.readError = chunk.error().detail;
             break;
+        }
         if (chunk->empty()) {
             stream.isComplete = true;
             break;
@@ -223,6 +229,7 @@
         stream.msPerEvent = recordEventInterval(*call, stream.events - eventsBefore, *firstAt);
     const send_outcome end = stream.isComplete ? send_outcome::Answered
                                                : incompleteSendEnd(*call, stream.isClientConnected);
+    reply.unfinishedBytes = events.unfinished().size();
     m_sender.finish(*call, reply, end);
     co_return end;
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -183,7 +183,7 @@
     call->attemptDeadline.reset();
     m_loadBalancer.onSent(where, placementRequest, call->sentAt);
     m_inFlight.insert(call);
-    open_reply reply{where, {}, connection};
+    open_reply reply{where, {}, connection, {}};
 
     const bool isNew = !connection->isReusable();
     if (isNew) {
@@ -298,6 +298,9 @@
                                    ? reply.head.status
                                    : 0)},
                  {"cut", std::string(toName(call.abortReason))},
+                 {"framing", std::string(toName(reply.head.framing))},
+                 {"read_error", reply.readError},
+                 {"unfinished_bytes", std::int64_t(reply.unfinishedBytes)},
                  {"ms", toMilliseconds(now - call.sentAt)}});
 }
 
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+using response_parser = beast::http::response_parser<beast::http::buffer_body>;
+
 constexpr std::size_t maxResponseBody = 64U << 20U;
 constexpr std::size_t maxResponseHeader = 64U << 10U;
 constexpr std::size_t readBufferSize = 16U << 10U;
@@ -44,7 +46,7 @@
     tcp::socket socket;
     deadline_guard guard;
     beast::flat_buffer buffer;
-    std::optional<beast::http::response_parser<beast::http::buffer_body>> parser;
+    std::optional<response_parser> parser;
     std::string host;
     /// The request being written.
     beast::http::request<beast::http::string_body> out;
@@ -85,6 +87,16 @@
     return seconds(whole);
 }
 
+/// \returns what delimits the body of the response whose head \p parser has read.
+body_framing framingOf(const response_parser &parser)
+{
+    if (parser.is_done())
+        return body_framing::None;
+    if (parser.chunked())
+        return body_framing::Chunked;
+    return parser.content_length() ? body_framing::Length : body_framing::Connection;
+}
+
 void startWrite(const std::shared_ptr<http_connection::state> &s, http_request request)
 {
     namespace http = beast::http;
@@ -191,6 +203,7 @@
     }
     response_head result;
     result.status = parser.get().result_int();
+    result.framing = framingOf(parser);
     for (const auto &field : parser.get())
         result.headers.add(field.name_string(), field.value());
     s->keepAlive = parseKeepAliveTimeout(result.headers);
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtime_clock.h"
+#include "http/body_framing.h"
 #include "http/http_error.h"
 #include "http/http_message.h"
 #include "runtime/asio.h"
@@ -17,6 +18,7 @@
 {
     int status = 0;
     header_list headers;
+    body_framing framing = body_framing::None;
 };
 
 /// \brief An HTTP/1.1 client connection. Each operation has a deadline, measured by runtime_clock.
