A body is complete only if its framing and its events say so

What callers saw: two streams whose replica had crashed arrived as complete answers, with the last chunk, one event and the replica's signature.

Cause: http_connection::readSome told the end of a body by its framing alone. A response with neither a length nor chunks ends with its connection, and a process that crashes closes its connections in an orderly way. The same trust was given to a last chunk and to a length that were reached in the middle of an event. All readers of bodies took that end for complete: turns, resumable and dispatched streams, plain answers, and in azurehilld tool answers (journalled and repeated) and plain services.

body_completeness decides now, for all bodies that the daemon reads: readSome returns the empty string only after a complete body and an error of kind Incomplete otherwise, so no reader can take the one for the other without handling an error. An event stream, by its Content-Type or on a streaming route without one, is complete only between two events.

send_ended says cut_short or inside_event in read_error, which takes the place of unfinished_bytes.

--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -223,13 +223,13 @@
         if (!bytes.empty())
             stream.isClientConnected = co_await writer.writeChunk(bytes);
     }
+    // After a complete stream these are comment lines only.
     if (stream.isComplete && call->route->isResumable && !events.unfinished().empty())
         stream.isClientConnected = co_await writer.writeChunk(events.unfinished());
     if (firstAt)
         stream.msPerEvent = recordEventInterval(*call, stream.events - eventsBefore, *firstAt);
     const send_outcome end = stream.isComplete ? send_outcome::Answered
                                                : incompleteSendEnd(*call, stream.isClientConnected);
-    reply.unfinishedBytes = events.unfinished().size();
     m_sender.finish(*call, reply, end);
     co_return end;
 }
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -30,6 +30,7 @@
 constexpr duration minAttemptTimeout = milliseconds(250);
 constexpr int attemptsPerDeadline = 3;
 
+constexpr int statusOk = 200;
 /// Lowest HTTP status that means that the replica failed.
 constexpr int minFailureStatus = 500;
 
@@ -244,6 +245,8 @@
             m_loadBalancer.onFirstByte(where, placementRequest, call->lastByteAt - call->sentAt,
                                        call->lastByteAt);
         call->mayHaveRun = true;
+        if (call->route->kind == route_kind::Stream && head->status == statusOk)
+            connection->expectEventStream();
         reply.head = std::move(*head);
         co_return reply;
     }
@@ -300,7 +303,6 @@
                  {"cut", std::string(toName(call.abortReason))},
                  {"framing", std::string(toName(reply.head.framing))},
                  {"read_error", reply.readError},
-                 {"unfinished_bytes", std::int64_t(reply.unfinishedBytes)},
                  {"ms", toMilliseconds(now - call.sentAt)}});
 }
 
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -17,8 +17,6 @@
     std::shared_ptr<http_connection> connection;
     /// Why the body could not be read up to its end; empty if it was.
     std::string readError;
-    /// Bytes of an event that the stream ended in.
-    std::size_t unfinishedBytes = 0;
 };
 
 /// \brief Why no replica answered.
--- /dev/null
+++ b/src/http/body_completeness.cpp
@@ -0,0 +1,31 @@
+#include "http/body_completeness.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/trim.hpp>
+
+namespace azurehill {
+
+void body_completeness::onBytes(std::string_view bytes)
+{
+    if (m_syntax == body_syntax::EventStream)
+        m_events.scan(bytes);
+}
+
+body_end body_completeness::endOfBody(bool isFramingAtEnd) const
+{
+    if (!isFramingAtEnd)
+        return body_end::CutShort;
+    return m_events.isInsideEvent() ? body_end::InsideEvent : body_end::Complete;
+}
+
+body_syntax syntaxOf(std::string_view contentType, body_syntax fallback)
+{
+    if (contentType.empty())
+        return fallback;
+    const std::string_view mediaType = contentType.substr(0, contentType.find(';'));
+    const bool isEventStream
+        = boost::algorithm::iequals(boost::algorithm::trim_copy(mediaType), "text/event-stream");
+    return isEventStream ? body_syntax::EventStream : body_syntax::Opaque;
+}
+
+} // namespace azurehill
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -32,6 +32,11 @@
     return {kind, ran, code.message()};
 }
 
+http_error incompleteBody(body_end end)
+{
+    return {http_error_kind::Incomplete, outcome::Unknown, std::string(toName(end))};
+}
+
 http_error responseTooLarge()
 {
     return {http_error_kind::Malformed, outcome::Ran, "the response is too long"};
@@ -47,6 +52,7 @@
     deadline_guard guard;
     beast::flat_buffer buffer;
     std::optional<response_parser> parser;
+    body_completeness body{body_framing::None, body_syntax::Opaque};
     std::string host;
     /// The request being written.
     beast::http::request<beast::http::string_body> out;
@@ -204,12 +210,20 @@
     response_head result;
     result.status = parser.get().result_int();
     result.framing = framingOf(parser);
+    s->body
+        = {result.framing, syntaxOf(parser.get()[http::field::content_type], body_syntax::Opaque)};
     for (const auto &field : parser.get())
         result.headers.add(field.name_string(), field.value());
     s->keepAlive = parseKeepAliveTimeout(result.headers);
     co_return result;
 }
 
+void http_connection::expectEventStream()
+{
+    const auto contentType = m_state->parser->get()[beast::http::field::content_type];
+    m_state->body = {m_state->body.framing(), syntaxOf(contentType, body_syntax::EventStream)};
+}
+
 awaitable<tl::expected<std::string, http_error>> http_connection::readSome(time_point deadline)
 {
     namespace http = beast::http;
@@ -229,11 +243,22 @@
             break;
     }
     m_state->guard.finish();
+    body_completeness &body = m_state->body;
+    if (code == http::error::partial_message && !m_state->expired())
+        co_return tl::unexpected(incompleteBody(body.endOfBody(false)));
     if (code || m_state->expired())
         co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
-    if (parser.is_done())
-        m_state->reusable = parser.get().keep_alive() && !parser.get().need_eof();
-    co_return std::string(m_state->readBuffer.data(), length);
+    std::string bytes(m_state->readBuffer.data(), length);
+    body.onBytes(bytes);
+    if (!parser.is_done())
+        co_return bytes;
+    const body_end end = body.endOfBody(true);
+    // The bytes before the end are delivered first.
+    if (end != body_end::Complete && bytes.empty())
+        co_return tl::unexpected(incompleteBody(end));
+    m_state->reusable
+        = end == body_end::Complete && parser.get().keep_alive() && !parser.get().need_eof();
+    co_return bytes;
 }
 
 awaitable<tl::expected<http_response, http_error>> http_connection::exchange(http_request request,
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/runtime_clock.h"
-#include "http/body_framing.h"
+#include "http/body_completeness.h"
 #include "http/http_error.h"
 #include "http/http_message.h"
 #include "runtime/asio.h"
@@ -38,7 +38,12 @@
     /// \brief Sends \p request and reads the head of the response. readSome() reads its body.
     awaitable<tl::expected<response_head, http_error>> sendAndReadHead(http_request request,
                                                                        time_point deadline);
-    /// \brief Reads the next part of the body. \returns an empty string at the end of the body.
+    /// \brief Treats the body as an event stream if its head has no Content-Type. Call it after
+    /// sendAndReadHead().
+    void expectEventStream();
+    /// \brief Reads the next part of the body.
+    /// \returns an empty string after a complete body, or an error. If the body has ended without
+    /// being complete, the error is of kind Incomplete, and its detail is the name of a body_end.
     awaitable<tl::expected<std::string, http_error>> readSome(time_point deadline);
 
     /// \returns whether another request may be sent on this connection: the last response is
--- a/src/http/http_error.h
+++ b/src/http/http_error.h
@@ -7,13 +7,13 @@
 namespace azurehill {
 
 /// \brief Why an HTTP exchange failed.
-enum class http_error_kind { ConnectFailed, TimedOut, ConnectionLost, Malformed };
+enum class http_error_kind { ConnectFailed, TimedOut, ConnectionLost, Malformed, Incomplete };
 
 template <>
 struct enum_names<http_error_kind>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"connect_failed", "timed_out", "connection_lost", "malformed"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"connect_failed", "timed_out", "connection_lost", "malformed", "incomplete"};
 };
 
 /// \brief A failed exchange, and whether the peer may have acted on the request.
--- a/test/io/dispatched_turn_test.cpp
+++ b/test/io/dispatched_turn_test.cpp
@@ -115,6 +115,24 @@
 
 TEST_SUITE("turns on a dispatcher's slots")
 {
+    // Guards against a crashed replica whose stream is taken for complete when its connection ends.
+    TEST_CASE("a dispatched stream that ends with its connection inside an event goes on")
+    {
+        dispatch_world w;
+        const std::string head = "HTTP/1.1 200 OK\r\nX-Azurehill-Request-Id: ID\r\n"
+                                 "X-Azurehill-Server-Stamp: stamp\r\n"
+                                 "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+        w.entry.model.script = {head + "id: 1\ndata: e1\n\nid: 2\ndata: to<close>",
+                                head + "id: 2\ndata: e2\n\n<close>"};
+        const asked_turn_ptr turn = w.chat("t1");
+        CHECK(turn->status() == 200);
+        CHECK(turn->contains("data: e1\n\n"));
+        CHECK(turn->contains("data: e2\n\n"));
+        CHECK_FALSE(turn->contains("data: to"));
+        CHECK(turn->answer.ends_with("0\r\n\r\n"));
+        CHECK(w.entry.model.arrived.size() == 2);
+    }
+
     // Guards against a read and a write of the store for each turn.
     TEST_CASE("a turn is served without a store call of its own after the first")
     {
