--- a/test/logic/table_cache_test.cpp
+++ b/test/logic/table_cache_test.cpp
@@ -38,6 +38,18 @@
 
 TEST_SUITE("table cache")
 {
+    // Guards against a copy that lacks rows because a peer's answer broke off.
+    TEST_CASE("no part of a peer's changes is taken for all of them")
+    {
+        table_changes changes;
+        changes.rows = {row("a", 3), row("b", 4)};
+        changes.isSnapshot = true;
+        const std::string whole = encodeChanges(changes);
+        CHECK(decodeChanges(whole, "t"));
+        for (std::size_t size = 0; size < whole.size(); ++size)
+            CHECK_FALSE(decodeChanges(whole.substr(0, size), "t"));
+    }
+
     TEST_CASE("a copy is as old as the last moment at which it was certainly the table")
     {
         table_cache own;
