A stream that ends with its connection before its first event is broken off

A replica that crashes after the head of its stream and before its first event closes its connection in an orderly way. Without a length or chunks nothing of the body told that from a whole stream of no event: the caller got a complete, empty answer, and the turn was stored without output.

The decision has one more end, without_event: a stream that only its connection delimits needs an event to be complete. A stream of no event whose last chunk or length was reached is complete as before, since its replica said so.

--- a/src/http/body_completeness.cpp
+++ b/src/http/body_completeness.cpp
@@ -15,7 +15,11 @@
 {
     if (!isFramingAtEnd)
         return body_end::CutShort;
-    return m_events.isInsideEvent() ? body_end::InsideEvent : body_end::Complete;
+    if (m_events.isInsideEvent())
+        return body_end::InsideEvent;
+    const bool isUnframedStream
+        = m_syntax == body_syntax::EventStream && m_framing == body_framing::Connection;
+    return isUnframedStream && m_events.events() == 0 ? body_end::WithoutEvent : body_end::Complete;
 }
 
 body_syntax syntaxOf(std::string_view contentType, body_syntax fallback)
--- a/src/http/body_completeness.h
+++ b/src/http/body_completeness.h
@@ -14,14 +14,16 @@
     /// The connection ended before the announced length or the last chunk.
     CutShort,
     /// An event stream ended inside an event.
-    InsideEvent
+    InsideEvent,
+    /// An event stream ended with its connection before its first event.
+    WithoutEvent
 };
 
 template <>
 struct enum_names<body_end>
 {
-    static constexpr std::array<std::string_view, 3> names
-        = {"complete", "cut_short", "inside_event"};
+    static constexpr std::array<std::string_view, 4> names
+        = {"complete", "cut_short", "inside_event", "without_event"};
 };
 
 /// \brief What the bytes of a body show about its end.
--- a/test/io/broken_answer_test.cpp
+++ b/test/io/broken_answer_test.cpp
@@ -107,6 +107,23 @@
         }
     }
 
+    // Guards against a replica that crashes before its first event and closes its connection.
+    TEST_CASE("a stream that ends with its connection before its first event is broken off")
+    {
+        entry_fixture w;
+
+        SUBCASE("without any byte")
+        {
+            w.model.script = {unframedStream("")};
+        }
+        SUBCASE("after a comment")
+        {
+            w.model.script = {unframedStream(": ping\n\n")};
+        }
+        CHECK_FALSE(w.turn("t1", "", "one;").ends_with(lastChunk));
+        CHECK(w.turn("t2", "t1", "two;").starts_with("HTTP/1.1 404"));
+    }
+
     // Guards against a replica that ends its framing while it stops in the middle of an event.
     TEST_CASE("a stream that ends its framing inside an event is broken off")
     {
