An interim response is not the answer

A server may send any number of 1xx responses before the final one (RFC 9110, section 15.2). The client of the daemon took the first head for the answer: the caller got '103 Early Hints' or '100 Continue' as the whole answer of its replica, and the answer itself was dropped with the connection.

sendAndReadHead reads on until the final head, within the same deadline. 101 stays an answer, as the daemon never asks for an upgrade.

Evidence: the new case failed before (the caller got status 103).

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -123,6 +123,32 @@
     });
 }
 
+bool isInterim(const response_parser &parser)
+{
+    namespace http = beast::http;
+    return http::to_status_class(parser.get().result_int()) == http::status_class::informational
+        && parser.get().result() != http::status::switching_protocols;
+}
+
+/// \brief Reads the head of the final response. Interim responses before it are dropped.
+awaitable<beast::error_code> readFinalHead(std::shared_ptr<http_connection::state> s)
+{
+    namespace http = beast::http;
+    while (true) {
+        auto &parser = s->parser.emplace();
+        // Streamed bodies are unbounded, since finished books are large. exchange() has its own
+        // limit.
+        parser.body_limit(boost::none);
+        parser.skip(s->out.method() == http::verb::head);
+        parser.header_limit(maxResponseHeader);
+        beast::error_code code;
+        co_await http::async_read_header(s->socket, s->buffer, parser,
+                                         asio::redirect_error(use_awaitable, code));
+        if (code || !isInterim(parser))
+            co_return code;
+    }
+}
+
 } // namespace
 
 http_connection::http_connection(const asio::any_io_executor &executor)
@@ -192,21 +218,16 @@
     s->reusable = false;
     s->closeAt(deadline);
     startWrite(s, std::move(request));
-    auto &parser = s->parser.emplace();
-    // Streamed bodies are unbounded, since finished books are large. exchange() has its own limit.
-    parser.body_limit(boost::none);
-    parser.skip(s->out.method() == http::verb::head);
-    parser.header_limit(maxResponseHeader);
     // The peer may respond before it has read a long request, so the write runs concurrently with
     // the read.
-    co_await http::async_read_header(s->socket, s->buffer, parser,
-                                     asio::redirect_error(use_awaitable, code));
+    code = co_await readFinalHead(s);
     s->guard.finish();
     if (code || s->expired()) {
         const bool nothingSent = !s->writing && s->sent == 0;
         const outcome ran = nothingSent ? outcome::DidNotRun : outcome::Unknown;
         co_return tl::unexpected(makeError(code, s->expired(), ran));
     }
+    const response_parser &parser = *s->parser;
     response_head result;
     result.status = parser.get().result_int();
     result.framing = framingOf(parser);
--- a/test/io/broken_answer_test.cpp
+++ b/test/io/broken_answer_test.cpp
@@ -223,6 +223,18 @@
         }
     }
 
+    // Guards against an interim response that reaches the caller as the whole answer.
+    TEST_CASE("an interim response is not the answer")
+    {
+        entry_fixture w;
+        const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+        w.a.script = w.b.script
+            = {"HTTP/1.1 100 Continue\r\n\r\n" + interim + withLength("text/plain", "whole")};
+        const std::string answer = w.ask(unsafeHead());
+        CHECK(answer.starts_with("HTTP/1.1 200"));
+        CHECK(answer.ends_with("whole"));
+    }
+
     // Guards against the end of a large answer that is written although the rest never came.
     TEST_CASE("a large answer that breaks off after its first bytes were relayed shows no end")
     {
