Messages in a transfer coding other than chunked are refused

A request with 'Transfer-Encoding: gzip' has a body whose end its last coding does not give. Beast takes it for a request without a body, and the daemon read the body as the next request of the connection: a request of the client's making that no front of the daemon had seen. With 'gzip, chunked' the coded bytes were forwarded without the name of their coding, as headers of the connection are dropped. An answer of a replica in such a coding reached its caller likewise, as if it were the body.

RFC 9112, section 6.1, asks for a 400 and the end of the connection, or a 501; requests get 400, as those with a length and a coding do. Answers are failed sends. hasKnownTransferCoding decides for both sides.

Evidence: before, both sections of 'an answer in a transfer coding other than chunked is refused' failed, and the case of the server's suite did not end: the server had run the request and waited for the next one. Requests that break off in their head, before their length or before their last chunk were sound: the new case of them passed before.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "http/transfer_coding.h"
 #include "runtime/deadline_guard.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -37,6 +38,11 @@
     return {http_error_kind::Incomplete, outcome::Unknown, std::string(toName(end))};
 }
 
+http_error unknownTransferCoding()
+{
+    return {http_error_kind::Malformed, outcome::Unknown, "unknown transfer coding"};
+}
+
 http_error responseTooLarge()
 {
     return {http_error_kind::Malformed, outcome::Ran, "the response is too long"};
@@ -228,6 +234,8 @@
         co_return tl::unexpected(makeError(code, s->expired(), ran));
     }
     const response_parser &parser = *s->parser;
+    if (!hasKnownTransferCoding(parser.get()))
+        co_return tl::unexpected(unknownTransferCoding());
     response_head result;
     result.status = parser.get().result_int();
     result.framing = framingOf(parser);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,6 +3,7 @@
 #include "core/log.h"
 #include "http/problem.h"
 #include "http/server_writer.h"
+#include "http/transfer_coding.h"
 #include "runtime/spawn.h"
 #include "runtime/timer.h"
 
@@ -155,6 +156,10 @@
             co_return read_result::Malformed;
         if (!headParsed && parser.is_header_done()) {
             headParsed = true;
+            if (!hasKnownTransferCoding(parser.get())) {
+                code = http::error::bad_transfer_encoding;
+                co_return read_result::Malformed;
+            }
             fieldCount
                 = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
             if (!share.take(parser))
--- a/test/io/broken_answer_test.cpp
+++ b/test/io/broken_answer_test.cpp
@@ -235,6 +235,25 @@
         CHECK(answer.ends_with("whole"));
     }
 
+    // Guards against coded bytes that reach the caller as the body, without the name of their
+    // coding.
+    TEST_CASE("an answer in a transfer coding other than chunked is refused")
+    {
+        entry_fixture w;
+        std::string coding;
+        SUBCASE("alone")
+        {
+            coding = "gzip";
+        }
+        SUBCASE("before the chunks")
+        {
+            coding = "gzip, chunked";
+        }
+        w.a.script = w.b.script = {fmt::format("{}Transfer-Encoding: {}\r\n\r\n1\r\nx\r\n{}<close>",
+                                               head("text/plain"), coding, lastChunk)};
+        CHECK(w.ask(unsafeHead()).starts_with("HTTP/1.1 502"));
+    }
+
     // Guards against the end of a large answer that is written although the rest never came.
     TEST_CASE("a large answer that breaks off after its first bytes were relayed shows no end")
     {
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -1,6 +1,7 @@
 #include "io/loopback.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 using namespace azurehill;
 using namespace azurehill::test;
@@ -13,7 +14,8 @@
 public:
     explicit echo_server(http_limits limits)
         : server(context.get_executor(), limits,
-                 [](const http_request &r, response_writer &w) -> awaitable<void> {
+                 [this](const http_request &r, response_writer &w) -> awaitable<void> {
+                     ++requests;
                      if (r.path() == "/throws")
                          throw std::runtime_error("handler fault");
                      http_response response = jsonResponse(200, r.body);
@@ -25,8 +27,27 @@
     std::string exchange(const std::string &bytes)
     {
         std::string answer;
-        auto body
-            = [&]() -> awaitable<void> { answer = co_await exchangeRaw(context, port, bytes); };
+        auto body = [&]() -> awaitable<void> {
+            raw_client client(context);
+            co_await client.connect(port);
+            co_await client.send(bytes);
+            answer = co_await client.readToEnd();
+        };
+        runIn(context, body());
+        return answer;
+    }
+
+    /// \brief Sends \p bytes and ends the sending side of the connection.
+    std::string exchangeHalf(const std::string &bytes)
+    {
+        std::string answer;
+        auto body = [&]() -> awaitable<void> {
+            raw_client client(context);
+            co_await client.connect(port);
+            co_await client.send(bytes);
+            client.socket().shutdown(asio::ip::tcp::socket::shutdown_send);
+            answer = co_await client.readToEnd();
+        };
         runIn(context, body());
         return answer;
     }
@@ -42,6 +63,8 @@
     }
 
     asio::io_context context;
+    /// Requests that reached the handler.
+    int requests = 0;
     http_server server;
     std::uint16_t port;
 };
@@ -161,6 +184,31 @@
     }
 }
 
+// Guards against the part of a request that is run as the whole one.
+TEST_CASE("A request that breaks off is not handled")
+{
+    echo_server echo(smallLimits());
+    CHECK(echo.exchangeHalf(head + "Content-Length: 5\r\n\r\nabcd").empty());
+    CHECK(echo.exchangeHalf(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n").empty());
+    CHECK(echo.exchangeHalf(head + "Transfer-Encoding: chunked\r\n\r\n4\r\nab").empty());
+    CHECK(echo.exchangeHalf("POST /echo HTTP/1.1\r\nHost: a\r\n").empty());
+    CHECK(echo.requests == 0);
+}
+
+// Guards against a body that is taken for the next request, or is forwarded without its coding.
+TEST_CASE("A request in a transfer coding other than chunked is refused")
+{
+    echo_server echo(smallLimits());
+    const std::string smuggled = "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n";
+    for (const std::string coding : {"gzip", "identity", "gzip, chunked", "chunked, gzip"}) {
+        CAPTURE(coding);
+        const std::string request
+            = fmt::format("{}Transfer-Encoding: {}\r\n\r\n{}", head, coding, smuggled);
+        CHECK(isProblem(echo.exchangeHalf(request), "400"));
+    }
+    CHECK(echo.requests == 0);
+}
+
 TEST_CASE("A handler's fault is told to the caller")
 {
     echo_server echo(smallLimits());
