A streamed response to an HTTP/1.0 client ends with its connection

An HTTP/1.0 client knows no chunks. It got them all the same, as a part of the body, and the end of a response that broke off looked to it like the end of a whole one, as its connection ended in an orderly way.

Such a client gets the bytes alone. Until the response has ended, closing its socket resets the connection, so that no abort, time-out or exception can end it in an orderly way; the end of a whole response takes that back. HTTP/1.1 clients get what they got.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -45,6 +45,8 @@
 constexpr std::size_t readSize = 16U << 10U;
 constexpr duration refusalTimeout = seconds(1);
 constexpr duration overloadRetryAfter = seconds(1);
+/// HTTP/1.1 in the notation of Beast.
+constexpr unsigned firstVersionWithChunks = 11;
 /// Bodies up to this size don't count towards maxTotalBodyBytes: the header limit already admits
 /// memory of this order per connection.
 constexpr std::uint64_t maxUncountedBodyBytes = 64U << 10U;
@@ -184,9 +186,13 @@
 awaitable<bool> answer(http_server::state &server, timed_socket &socket,
                        http::request<http::string_body> in, std::size_t fieldCount)
 {
-    const bool keepAlive = in.keep_alive() && !server.stopping && !server.announcingClose;
+    const bool knowsChunks = in.version() >= firstVersionWithChunks;
+    const bool keepAlive
+        = knowsChunks && in.keep_alive() && !server.stopping && !server.announcingClose;
     const bool headOnly = in.method() == http::verb::head;
     server_writer writer(socket, keepAlive, headOnly, server.limits.writeTimeout);
+    if (!knowsChunks)
+        writer.setStreamFraming(body_framing::Connection);
     ++server.inProgress;
     bool failed = false;
     try {
@@ -201,6 +207,10 @@
         co_await writer.write(std::move(reply));
     }
     socket.stopWatchingForDisconnect();
+    if (!knowsChunks && !writer.finished()) {
+        beast::error_code ignored;
+        socket.socket.close(ignored);
+    }
     --server.inProgress;
     co_return keepAlive &&writer.finished();
 }
--- a/src/http/server_writer.cpp
+++ b/src/http/server_writer.cpp
@@ -48,7 +48,11 @@
     for (const auto &[name, value] : headers)
         out.insert(name, value);
     out.keep_alive(m_keepAlive);
-    out.chunked(true);
+    const bool endsWithConnection = m_streamFraming == body_framing::Connection;
+    out.chunked(!endsWithConnection);
+    // Until end(), an orderly end of the connection would be the end of the body.
+    if (endsWithConnection)
+        m_socket.setResetOnClose(true);
     http::response_serializer<http::empty_body> serializer(out);
     beast::error_code code;
     m_responseStarted = true;
@@ -63,13 +67,20 @@
 {
     if (bytes.empty() || m_headOnly)
         co_return true;
+    if (m_streamFraming == body_framing::Connection) {
+        const asio::const_buffer buffer(bytes.data(), bytes.size());
+        co_return co_await writeBuffers(m_socket, m_writeTimeout, buffer);
+    }
     const auto chunk = http::make_chunk(asio::const_buffer(bytes.data(), bytes.size()));
     co_return co_await writeBuffers(m_socket, m_writeTimeout, chunk);
 }
 
 awaitable<bool> server_writer::end()
 {
-    if (m_headOnly) {
+    const bool endsWithConnection = m_streamFraming == body_framing::Connection;
+    if (endsWithConnection)
+        m_socket.setResetOnClose(false);
+    if (m_headOnly || endsWithConnection) {
         m_finished = true;
         co_return true;
     }
--- a/src/http/server_writer.h
+++ b/src/http/server_writer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/body_framing.h"
 #include "http/http_server.h"
 #include "http/timed_socket.h"
 
@@ -23,6 +24,10 @@
         m_socket.watchForDisconnect(gone);
     }
 
+    /// \brief Sets what delimits the body of a streamed response: Chunked, the default, or
+    /// Connection. For the latter, closing the socket before end() resets the connection.
+    void setStreamFraming(body_framing framing) { m_streamFraming = framing; }
+
     /// \returns whether a response has been started.
     bool responseStarted() const { return m_responseStarted; }
     /// \returns whether a complete response was written, so that the connection can be reused.
@@ -33,6 +38,7 @@
     bool m_keepAlive;
     bool m_headOnly;
     duration m_writeTimeout;
+    body_framing m_streamFraming = body_framing::Chunked;
     bool m_responseStarted = false;
     bool m_finished = false;
 };
--- a/src/http/timed_socket.cpp
+++ b/src/http/timed_socket.cpp
@@ -71,6 +71,12 @@
     socket.cancel(ignored);
 }
 
+void timed_socket::setResetOnClose(bool resets)
+{
+    boost::system::error_code ignored;
+    socket.set_option(asio::socket_base::linger(resets, 0), ignored);
+}
+
 awaitable<void> timed_socket::linger()
 {
     boost::system::error_code code;
--- a/src/http/timed_socket.h
+++ b/src/http/timed_socket.h
@@ -40,6 +40,9 @@
     /// connection, and the peer would lose what it has not read yet.
     awaitable<void> linger();
 
+    /// \brief Sets whether closing the socket resets the connection, in place of an orderly end.
+    void setResetOnClose(bool resets);
+
     asio::ip::tcp::socket socket;
 
 private:
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -18,13 +18,18 @@
                      ++requests;
                      if (r.path() == "/throws")
                          throw std::runtime_error("handler fault");
+                     if (r.path() == "/stream" || r.path() == "/broken") {
+                         co_await stream(w, r.path() == "/stream");
+                         co_return;
+                     }
                      http_response response = jsonResponse(200, r.body);
                      co_await w.write(std::move(response));
                  }),
           port(server.listen({"127.0.0.1", 0}))
     { }
 
-    std::string exchange(const std::string &bytes)
+    /// \param isReset set to whether the connection was reset, not ended in an orderly way.
+    std::string exchange(const std::string &bytes, bool *isReset = nullptr)
     {
         std::string answer;
         auto body = [&]() -> awaitable<void> {
@@ -32,6 +37,8 @@
             co_await client.connect(port);
             co_await client.send(bytes);
             answer = co_await client.readToEnd();
+            if (isReset)
+                *isReset = client.endedBy() == asio::error::connection_reset;
         };
         runIn(context, body());
         return answer;
@@ -67,6 +74,18 @@
     int requests = 0;
     http_server server;
     std::uint16_t port;
+
+private:
+    static awaitable<void> stream(response_writer &writer, bool isWhole)
+    {
+        header_list headers;
+        co_await writer.begin(200, std::move(headers));
+        co_await writer.writeChunk("first ");
+        if (!isWhole)
+            co_return;
+        co_await writer.writeChunk("second");
+        co_await writer.end();
+    }
 };
 
 http_limits smallLimits()
@@ -209,6 +228,29 @@
     CHECK(echo.requests == 0);
 }
 
+// Guards against an HTTP/1.0 client that takes chunks for the body, or the end of a broken
+// response for the end of its body.
+TEST_CASE("A streamed response to an HTTP/1.0 client ends with its connection")
+{
+    echo_server echo(smallLimits());
+    bool isReset = false;
+    const std::string whole = echo.exchange("GET /stream HTTP/1.0\r\n\r\n", &isReset);
+    CHECK(whole.find("Transfer-Encoding") == std::string::npos);
+    CHECK(whole.ends_with("\r\n\r\nfirst second"));
+    CHECK_FALSE(isReset);
+
+    SUBCASE("and is reset if it breaks off")
+    {
+        const std::string broken = echo.exchange("GET /broken HTTP/1.0\r\n\r\n", &isReset);
+        CHECK(isReset);
+    }
+    SUBCASE("while an HTTP/1.1 client sees that the last chunk is missing")
+    {
+        const std::string broken = echo.exchange("GET /broken HTTP/1.1\r\nHost: a\r\n\r\n");
+        CHECK(broken.ends_with("first \r\n"));
+    }
+}
+
 TEST_CASE("A handler's fault is told to the caller")
 {
     echo_server echo(smallLimits());
--- a/test/io/loopback.h
+++ b/test/io/loopback.h
@@ -109,8 +109,11 @@
         const std::size_t n = co_await m_socket.async_read_some(
             asio::buffer(chunk), asio::redirect_error(use_awaitable, code));
         chunk.resize(n);
+        m_endedBy = code;
         co_return chunk;
     }
+    /// \returns what ended the stream.
+    boost::system::error_code endedBy() const { return m_endedBy; }
     /// \returns the bytes received up to and including the read that completes \p text.
     awaitable<std::string> readUntil(std::string text)
     {
@@ -128,6 +131,7 @@
 
 private:
     asio::ip::tcp::socket m_socket;
+    boost::system::error_code m_endedBy;
 };
 
 /// \brief Sends \p bytes on a new connection. \returns all bytes received.
