The log and the metrics tell an answer that reached its client in part

azurehill_answers_total counted a stream that broke off at its client with an empty cause, as it counts whole answers, and the line 'answered' did not tell them apart.

response_writer says whether a complete response was written. 'answered' has the field complete, and the metric the cause broken_off.

--- a/bench/capacity_platform.cpp
+++ b/bench/capacity_platform.cpp
@@ -88,6 +88,7 @@
     }
     awaitable<bool> writeChunk(std::string_view bytes) override { return m_next.writeChunk(bytes); }
     awaitable<bool> end() override { return m_next.end(); }
+    bool finished() const override { return m_next.finished(); }
 
 private:
     response_writer &m_next;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -285,7 +285,7 @@
         if (call->credit && !call->mayHaveRun)
             m_credits.returnCredit(call->accountName(), *call->credit);
     }
-    recordAnswered(*call);
+    recordAnswered(*call, writer.finished());
 }
 
 awaitable<void> entry_service::serveRouted(entry_call_ptr call, const http_request &request,
@@ -323,14 +323,16 @@
     co_return false;
 }
 
-void entry_service::recordAnswered(const entry_call &call)
+void entry_service::recordAnswered(const entry_call &call, bool isComplete)
 {
     const duration elapsed = runtime_clock::now() - call.arrivedAt;
     m_metrics.onPhase(call.route->name, request_phase::Total, elapsed);
     if (call.account)
         m_metrics.onAccount(call.account->name.value, call.isLocalReply, elapsed);
-    if (!call.isLocalReply)
-        m_metrics.onAnswer("replica", call.clientDisconnected() ? "client_left" : "");
+    if (!call.isLocalReply) {
+        const std::string_view cause = isComplete ? "" : "broken_off";
+        m_metrics.onAnswer("replica", call.clientDisconnected() ? "client_left" : cause);
+    }
     logDecision(log_event::Answered,
                 {{"request", call.request.id},
                  {"program", call.request.program.value},
@@ -339,6 +341,7 @@
                  {"config", std::int64_t(call.routes->version())},
                  {"sends", std::int64_t(call.sends)},
                  {"client_left", call.clientDisconnected()},
+                 {"complete", isComplete},
                  {"ms", toMilliseconds(elapsed)}});
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -79,7 +79,8 @@
 
     static bool mayRetry(const entry_call &call);
     std::string pickService(const route_rule &route);
-    void recordAnswered(const entry_call &call);
+    /// \param isComplete whether a complete response was written.
+    void recordAnswered(const entry_call &call, bool isComplete);
 
     host_settings m_settings;
     entry_metrics &m_metrics;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -44,6 +44,8 @@
     virtual awaitable<bool> writeChunk(std::string_view bytes) = 0;
     /// \brief Writes the last chunk.
     virtual awaitable<bool> end() = 0;
+    /// \returns whether a complete response was written.
+    virtual bool finished() const = 0;
     /// \brief Calls \p gone if the peer closes its connection while the request is being handled.
     virtual void onPeerDisconnect(const std::function<void()> &gone) { static_cast<void>(gone); }
 };
--- a/src/http/server_writer.h
+++ b/src/http/server_writer.h
@@ -30,8 +30,7 @@
 
     /// \returns whether a response has been started.
     bool responseStarted() const { return m_responseStarted; }
-    /// \returns whether a complete response was written, so that the connection can be reused.
-    bool finished() const { return m_finished; }
+    bool finished() const override { return m_finished; }
 
 private:
     timed_socket &m_socket;
--- a/standin/fault.cpp
+++ b/standin/fault.cpp
@@ -23,6 +23,7 @@
     awaitable<bool> begin(int, header_list) override { co_return true; }
     awaitable<bool> writeChunk(std::string_view) override { co_return true; }
     awaitable<bool> end() override { co_return true; }
+    bool finished() const override { return true; }
 };
 
 /// \brief Passes an answer on, as far as the fault lets it.
@@ -62,6 +63,7 @@
         co_await standStill();
         co_return co_await m_next.end();
     }
+    bool finished() const override { return m_next.finished(); }
 
 private:
     awaitable<void> standStill()
--- a/test/io/broken_answer_test.cpp
+++ b/test/io/broken_answer_test.cpp
@@ -77,6 +77,13 @@
             CHECK(w.turn("t2", "t1", "two;").starts_with("HTTP/1.1 404"));
             CHECK(w.model.arrived.size() == 1);
         }
+        SUBCASE("the metrics count it apart from whole answers")
+        {
+            w.turn("t1", "", "one;");
+            CHECK(contains(w.metrics.toText({}),
+                           "azurehill_answers_total{answer=\"replica\",cause=\"broken_off\"} 1"));
+            CHECK(contains(w.metrics.toText({}), "azurehill_sends_total{end=\"broken\"} 1"));
+        }
         SUBCASE("its program is charged for what may have reached the caller")
         {
             // An event stands for two tokens. One event arrived, and a part of the next.
--- a/test/io/config_store_test.cpp
+++ b/test/io/config_store_test.cpp
@@ -58,6 +58,7 @@
         awaitable<bool> write(http_response) override { co_return true; }
         awaitable<bool> begin(int, header_list) override { co_return true; }
         awaitable<bool> writeChunk(std::string_view) override { co_return true; }
+        bool finished() const override { return true; }
         awaitable<bool> end() override { co_return true; }
     };
 
