--- a/test/io/broken_answer_test.cpp
+++ b/test/io/broken_answer_test.cpp
@@ -203,6 +203,27 @@
         }
     }
 
+    // Guards against a failure's body that breaks off and is framed with the length of its part.
+    TEST_CASE("a failure in place of a stream is passed on only if it is complete")
+    {
+        entry_fixture w;
+        const std::string failure = "HTTP/1.1 500 X\r\nX-Azurehill-Request-Id: ID\r\n"
+                                    "X-Azurehill-Server-Stamp: stamp\r\nContent-Length: 4\r\n\r\n";
+
+        SUBCASE("not before its length")
+        {
+            w.model.script = {failure + "par<close>"};
+            CHECK(w.turn("t1", "", "one;").starts_with("HTTP/1.1 502"));
+        }
+        SUBCASE("a whole one is")
+        {
+            w.model.script = {failure + "part"};
+            const std::string answer = w.turn("t1", "", "one;");
+            CHECK(answer.starts_with("HTTP/1.1 500"));
+            CHECK(answer.ends_with("part"));
+        }
+    }
+
     // Guards against a plain answer that was reset and reaches its caller with a length.
     TEST_CASE("a plain answer without a framing ends with an orderly end of its connection")
     {
