Log what is the same in all attempts of a request, and what became of a replica that lost one

request_fingerprint is a digest of what a client asks for; 'sent' carries it. crash_watch determines of each lost send whether the process ended: by the entry that lapses, another process at the address, or a later sign of life; 'send_lost' tells. No decision uses either yet.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -47,6 +47,7 @@
     RequestNotAdmitted,
     Sent,
     SendEnded,
+    SendLost,
     SilentReplicaProbed,
     TurnDurable,
     TurnNotDurable,
@@ -65,7 +66,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 50> names = {"started",
+    static constexpr std::array<std::string_view, 51> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -102,6 +103,7 @@
                                                                "place_not_granted",
                                                                "sent",
                                                                "send_ended",
+                                                               "send_lost",
                                                                "silence_checked",
                                                                "turn_durable",
                                                                "turn_not_durable",
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -3,6 +3,7 @@
 #include "entry/client_request.h"
 #include "entry/request_rank.h"
 #include "http/http_client.h"
+#include "quarantine/request_fingerprint.h"
 #include "quota/credit_ledger.h"
 #include "routes/routes.h"
 #include "runtime/timer.h"
@@ -34,6 +35,8 @@
     /// Keeps the configuration alive that \c route points into.
     routing_config_ptr routes;
     const route_rule *route = nullptr;
+    /// The same in all attempts of the request.
+    request_fingerprint fingerprint;
     /// Path of the request.
     std::string path;
     /// The account of the request's key, part of \c routes, or null.
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -68,6 +68,26 @@
     return services;
 }
 
+/// \returns the fingerprint of \p call, from all that defines what it asks for. Fields that differ
+/// between the attempts of one request, as its id and its time left, don't count.
+request_fingerprint identify(const entry_call &call, const http_request &request)
+{
+    const client_request &client = call.request;
+    const account_id account = call.accountName();
+    std::vector<std::string_view> fields{account.value,
+                                         request.method,
+                                         client.hostname,
+                                         request.target,
+                                         client.program.value,
+                                         client.session,
+                                         client.previousTurn.value,
+                                         client.affinityKey,
+                                         request.body};
+    for (const prompt_part &part : client.promptParts)
+        fields.emplace_back(part.id);
+    return fingerprintOf(fields);
+}
+
 ledger_settings ledgerSettings(const host_settings &s)
 {
     return {s.rowBytes, s.storeSpansParts,
@@ -258,6 +278,7 @@
         call->account = allowed.account;
         call->rank = rankOf(call->account, *call->route);
         call->request.program = accountScopedProgram(call->accountName(), call->request.program);
+        call->fingerprint = identify(*call, request);
         co_return true;
     }
     co_await m_localReplies.write(call, rejection, std::move(detail), writer);
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -70,7 +70,7 @@
     while (body.size() <= maxBufferedBytes) {
         const auto chunk = co_await reply.connection->readSome(call->deadline);
         if (!chunk) {
-            reply.readError = chunk.error().detail;
+            reply.setFailure(chunk.error());
             co_return false;
         }
         if (chunk->empty())
@@ -93,7 +93,7 @@
         isClientConnected = co_await writer.writeChunk(chunk);
         auto next = co_await reply.connection->readSome(call->deadline);
         if (!next) {
-            reply.readError = next.error().detail;
+            reply.setFailure(next.error());
             break;
         }
         isComplete = next->empty();
@@ -206,7 +206,7 @@
     while (stream.isClientConnected && !events.isTooLong()) {
         auto chunk = co_await reply.connection->readSome(call->deadline);
         if (!chunk) {
-            reply.readError = chunk.error().detail;
+            reply.setFailure(chunk.error());
             break;
         }
         if (chunk->empty()) {
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -30,6 +30,9 @@
 constexpr duration minAttemptTimeout = milliseconds(250);
 constexpr int attemptsPerDeadline = 3;
 
+/// Interval between updates of what is known of the replicas that lost sends.
+constexpr duration lostSendInterval = milliseconds(200);
+
 constexpr int statusOk = 200;
 /// Lowest HTTP status that means that the replica failed.
 constexpr int minFailureStatus = 500;
@@ -66,6 +69,22 @@
     return error.kind == http_error_kind::TimedOut ? send_outcome::Cancelled : send_outcome::Broken;
 }
 
+/// \returns how the replica lost the send of \p reply, or nothing if it did not.
+std::optional<send_loss> lossOf(const entry_call &call, const open_reply &reply, send_outcome end)
+{
+    if (!reply.isSent)
+        return std::nullopt;
+    const bool isGivenUp
+        = call.abortReason != abort_reason::None || reply.failure == http_error_kind::TimedOut;
+    if (end == send_outcome::Silent || (isGivenUp && end != send_outcome::Answered))
+        return send_loss::Unanswered;
+    const bool isConnectionEnded = reply.failure == http_error_kind::ConnectionLost
+        || reply.failure == http_error_kind::Incomplete;
+    return end == send_outcome::Broken && isConnectionEnded
+        ? std::optional(send_loss::ConnectionEnded)
+        : std::nullopt;
+}
+
 } // namespace
 
 placement_request placementRequestFor(const entry_call &call)
@@ -127,6 +146,7 @@
 void upstream_sender::sweep(time_point now)
 {
     m_pool.expire(now);
+    updateLostSends(now);
     const std::set<entry_call_ptr> calls = m_inFlight;
     for (const entry_call_ptr &call : calls) {
         if (call->abortReason != abort_reason::None)
@@ -140,6 +160,39 @@
     }
 }
 
+replica_sight upstream_sender::sightOf(const replica_incarnation &who) const
+{
+    return {m_loadBalancer.isListed(who), m_loadBalancer.isDraining(who),
+            m_loadBalancer.lastReceivedAt(who)};
+}
+
+void upstream_sender::watchLostSend(const entry_call &call, const open_reply &reply,
+                                    send_outcome end, time_point now)
+{
+    const auto loss = lossOf(call, reply, end);
+    if (!loss)
+        return;
+    const lost_send lost{call.fingerprint, reply.where.replica.incarnation,
+                         stableHash(call.request.id, ++m_sends)};
+    m_crashes.onSendLost(
+        lost, *loss, [this](const replica_incarnation &who) { return sightOf(who); }, now);
+}
+
+void upstream_sender::updateLostSends(time_point now)
+{
+    if (now < m_crashesUpdatedAt + lostSendInterval)
+        return;
+    m_crashesUpdatedAt = now;
+    m_crashes.update([this](const replica_incarnation &who) { return sightOf(who); }, now);
+    for (const crash_finding &finding : m_crashes.takeFindings()) {
+        logDecision(log_event::SendLost,
+                    {{"fingerprint", toText(finding.lost.request)},
+                     {"replica", finding.lost.replica.id.value},
+                     {"fate", std::string(toName(finding.fate))},
+                     {"after_ms", toMilliseconds(finding.after)}});
+    }
+}
+
 void upstream_sender::probeReplica(const entry_call &call)
 {
     if (m_probedReplicas.insert(call.replica).second)
@@ -184,7 +237,9 @@
     call->attemptDeadline.reset();
     m_loadBalancer.onSent(where, placementRequest, call->sentAt);
     m_inFlight.insert(call);
-    open_reply reply{where, {}, connection, {}};
+    open_reply reply;
+    reply.where = where;
+    reply.connection = connection;
 
     const bool isNew = !connection->isReusable();
     if (isNew) {
@@ -212,6 +267,7 @@
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
                  {"program", call->request.program.value},
+                 {"fingerprint", toText(call->fingerprint)},
                  {"attempt", std::int64_t(placementRequest.tried.size())},
                  {"replica", where.replica.incarnation.id.value},
                  {"outstanding", std::int64_t(where.outstanding)},
@@ -225,10 +281,13 @@
                  {"new_connection", isNew},
                  {"after_event", call->lastEventId},
                  {"left_ms", toMilliseconds(fields.timeLeft)}});
+    reply.isSent = true;
     auto head = co_await connection->sendAndReadHead(std::move(out), call->deadline);
     if (!head) {
+        reply.setFailure(head.error());
         // A request certainly did not run only if none of its bytes was sent.
         const bool didNotRun = head.error().ran == outcome::DidNotRun;
+        reply.isSent = !didNotRun;
         const send_outcome end = didNotRun && !call->clientDisconnected()
             ? send_outcome::NotRun
             : failedSendEnd(*call, head.error());
@@ -256,10 +315,12 @@
         finish(*call, reply, send_outcome::Broken);
         co_return tl::unexpected(send_failure{send_outcome::Broken, "not the replica's answer"});
     }
-    if (kind == reply_kind::WrongReplica)
+    if (kind == reply_kind::WrongReplica) {
         m_loadBalancer.setLeaving(where.replica.incarnation);
-    else if (m_hasSharedReplicas)
+        m_crashes.onAddressTaken(where.replica.incarnation, call->lastByteAt);
+    } else if (m_hasSharedReplicas) {
         m_loadBalancer.onShed(where, placementRequest, call->lastByteAt);
+    }
     // The rest of a refusal is read so that the connection can be reused.
     while (true) {
         const auto chunk = co_await connection->readSome(call->deadline);
@@ -291,6 +352,7 @@
         reply.connection->close();
     if (end == send_outcome::Unreachable || end == send_outcome::Silent)
         m_pool.drop(reply.where.replica.address);
+    watchLostSend(call, reply, end, now);
     m_metrics.onSend(toName(end));
     logDecision(log_event::SendEnded,
                 {{"request", call.request.id},
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -3,6 +3,7 @@
 #include "entry/entry_call.h"
 #include "entry/entry_metrics.h"
 #include "http/connection_pool.h"
+#include "quarantine/quarantine.h"
 #include "replicas/replicas.h"
 
 #include <set>
@@ -17,6 +18,16 @@
     std::shared_ptr<http_connection> connection;
     /// Why the body could not be read up to its end; empty if it was.
     std::string readError;
+    /// Whether bytes of the request were sent.
+    bool isSent = false;
+    /// How the answer could not be read; nothing if no read failed.
+    std::optional<http_error_kind> failure;
+
+    void setFailure(const http_error &error)
+    {
+        failure = error.kind;
+        readError = error.detail;
+    }
 };
 
 /// \brief Why no replica answered.
@@ -95,6 +106,12 @@
     /// since it was last checked.
     bool isStillAllowed(const entry_call &call) const;
     bool isSilent(const entry_call &call, time_point now) const;
+    replica_sight sightOf(const replica_incarnation &who) const;
+    /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
+    void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end,
+                       time_point now);
+    /// \brief Updates what is known of the replicas that lost sends.
+    void updateLostSends(time_point now);
     /// \brief Starts to probe whether the silent replica of \p call still accepts connections.
     void probeReplica(const entry_call &call);
     /// \brief Opens a connection to \p address. If that fails, the silent sends to \p who are
@@ -110,6 +127,9 @@
     std::set<entry_call_ptr> m_inFlight;
     /// Silent replicas that are being probed.
     std::set<replica_incarnation> m_probedReplicas;
+    crash_watch m_crashes;
+    time_point m_crashesUpdatedAt;
+    std::uint64_t m_sends = 0;
 };
 
 } // namespace azurehill
--- /dev/null
+++ b/src/quarantine/crash_watch.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "core/enum_names.h"
+#include "quarantine/request_fingerprint.h"
+#include "replicas/replica_incarnation.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief How a send to a replica was lost.
+enum class send_loss {
+    /// The replica's side ended the connection before the answer was complete.
+    ConnectionEnded,
+    /// The replica had not answered when this daemon gave up the send.
+    Unanswered
+};
+
+/// \brief What is known of the process of a replica that lost a send.
+enum class replica_fate {
+    /// It may have ended.
+    Suspected,
+    /// It ended while it ran the request.
+    Ended,
+    /// It lived on, or ended as announced, or nothing more became known of it.
+    Cleared
+};
+
+template <>
+struct enum_names<replica_fate>
+{
+    static constexpr std::array<std::string_view, 3> names = {"suspected", "ended", "cleared"};
+};
+
+/// \brief One send that a replica lost. \c send distinguishes the sends of one request.
+struct lost_send
+{
+    request_fingerprint request;
+    replica_incarnation replica;
+    std::uint64_t send = 0;
+
+    friend auto operator<=>(const lost_send &, const lost_send &) = default;
+};
+
+/// \brief A change of what is known of a lost send.
+struct crash_finding
+{
+    lost_send lost;
+    replica_fate fate = replica_fate::Suspected;
+    /// Time since the send was lost.
+    duration after = duration::zero();
+};
+
+/// \brief What this daemon sees of a replica at present.
+struct replica_sight
+{
+    /// Whether this process of the replica is listed.
+    bool isListed = false;
+    /// Whether it has announced that it leaves.
+    bool isDraining = false;
+    /// When bytes of it last arrived on any connection.
+    time_point lastReceivedAt;
+};
+
+using replica_lookup = std::function<replica_sight(const replica_incarnation &)>;
+
+/// \brief Determines of each send that a replica lost whether its process ended.
+///
+/// A lost connection alone does not show that: replicas break answers off, and connections are cut.
+/// A process has ended once its entry is gone, another process has its address, or a newer one its
+/// id, unless it showed a sign of life after the loss or had announced that it leaves. An entry
+/// that comes back after an outage of the store is a sign of life too.
+class crash_watch
+{
+public:
+    /// \brief Records that the replica of \p lost lost a send. Without effect for a replica that
+    /// \p lookup does not list or that drains: it ends as planned.
+    void onSendLost(const lost_send &lost, send_loss loss, const replica_lookup &lookup,
+                    time_point now);
+    /// \brief Another process answered at the address of \p who.
+    void onAddressTaken(const replica_incarnation &who, time_point now);
+    /// \brief Updates what is known by what \p lookup tells of each watched replica.
+    void update(const replica_lookup &lookup, time_point now);
+
+    /// \returns the changes since the last call. A send without an answer is reported only once its
+    /// replica is known to have ended.
+    std::vector<crash_finding> takeFindings();
+    /// \returns the number of lost sends that are watched.
+    std::size_t size() const { return m_watched.size(); }
+
+    /// Maximum number of watched sends; further ones are not watched.
+    static constexpr std::size_t maxWatched = 1024;
+
+private:
+    struct watched_send
+    {
+        send_loss loss = send_loss::ConnectionEnded;
+        time_point lostAt;
+        replica_fate fate = replica_fate::Suspected;
+        /// Whether the entry of the replica was gone.
+        bool wasUnlisted = false;
+    };
+
+    void setFate(const lost_send &lost, watched_send &w, replica_fate fate, time_point now);
+    void updateOne(const lost_send &lost, watched_send &w, const replica_sight &sight,
+                   time_point now);
+
+    std::map<lost_send, watched_send> m_watched;
+    std::vector<crash_finding> m_findings;
+};
+
+} // namespace azurehill
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -186,6 +186,12 @@
     return const_cast<replica_state *>(std::as_const(*this).find(who));
 }
 
+bool replica_load_balancer::isDraining(const replica_incarnation &who) const
+{
+    const replica_state *const r = find(who);
+    return r && r->entry.draining;
+}
+
 bool replica_load_balancer::isReplaced(const replica_incarnation &who) const
 {
     return m_replicas.contains(who.id) && !find(who);
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -113,6 +113,8 @@
     void setLeaving(const replica_incarnation &who);
     /// \returns whether \p who is listed, that is, not known to have ended.
     bool isListed(const replica_incarnation &who) const { return find(who) != nullptr; }
+    /// \returns whether \p who is listed and has announced that it leaves.
+    bool isDraining(const replica_incarnation &who) const;
     /// \returns whether a different process is listed under the id of \p who.
     bool isReplaced(const replica_incarnation &who) const;
 
