--- a/standin/main.cpp
+++ b/standin/main.cpp
@@ -1,5 +1,5 @@
-// Plays one system that azurehill is built on or serves: the platform, an engine, a tool, a
-// service.
+// Plays one system that azurehill is built on or serves: the platform, an engine, a tool, a replica
+// of the users' platform, a service.
 
 #include "core/log.h"
 #include "http/http_client.h"
@@ -7,6 +7,7 @@
 #include "standin/engine_standin.h"
 #include "standin/fault.h"
 #include "standin/platform_standin.h"
+#include "standin/replica_standin.h"
 #include "standin/tool_standin.h"
 
 #include <boost/json.hpp>
@@ -19,7 +20,7 @@
 
 namespace {
 
-enum class role { Platform, Engine, Tool, Plain };
+enum class role { Platform, Engine, Tool, Plain, Replica };
 
 struct options
 {
@@ -47,8 +48,8 @@
 template <>
 struct enum_names<standin::role>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"platform", "engine", "tool", "plain"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"platform", "engine", "tool", "plain", "replica"};
 };
 
 } // namespace azurehill
@@ -77,6 +78,8 @@
     case role::Tool:
     case role::Plain:
         return makeTool(milliseconds(o.callMs));
+    case role::Replica:
+        return makeReplica(o.name ? o.name : "");
     }
     return {};
 }
@@ -150,8 +153,8 @@
 {
     azurehill::standin::options o;
     const poptOption table[] = {
-        {"role", 0, POPT_ARG_STRING, &o.role, 0, "what to play: platform, engine, tool, plain",
-         "ROLE"},
+        {"role", 0, POPT_ARG_STRING, &o.role, 0,
+         "what to play: platform, engine, tool, plain, replica", "ROLE"},
         {"listen", 0, POPT_ARG_STRING, &o.listen, 0, "address to listen on", "HOST:PORT"},
         {"port-file", 0, POPT_ARG_STRING, &o.portFile, 0, "write the port here", "PATH"},
         {"platform", 0, POPT_ARG_STRING, &o.platform, 0, "enter the host list there", "HOST:PORT"},
