A request under which three replicas ended is not sent again

What callers saw: a request that ended the replica it ran on was sent to the next one, at each attempt of its client and by each host.

Cause: nothing outlived a client attempt or left a host, and inside an attempt the count left out the sends to replicas that ended (resume takes them back, sendAndRepeat doesn't count its second send).

crash_ledger decides before every send, in upstream_sender::sendOnce, from the replicas that ended, or may have, under the request over all of its attempts. crash_exchange shares each lost send with three custodians of the request, and a request at the limit with all daemons, before the client gets its answer and so before its next attempt. A lost connection counts as a crash only once the replica's entry lapsed or another process has its address; until then a request at the limit is refused with Retry-After, and after that without. Operators list and lift it on the metrics port.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -48,6 +48,8 @@
     Sent,
     SendEnded,
     SendLost,
+    RequestQuarantined,
+    QuarantineLifted,
     SilentReplicaProbed,
     TurnDurable,
     TurnNotDurable,
@@ -66,7 +68,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 51> names = {"started",
+    static constexpr std::array<std::string_view, 53> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -104,6 +106,8 @@
                                                                "sent",
                                                                "send_ended",
                                                                "send_lost",
+                                                               "request_quarantined",
+                                                               "quarantine_lifted",
                                                                "silence_checked",
                                                                "turn_durable",
                                                                "turn_not_durable",
@@ -145,6 +149,7 @@
     case log_event::LogDropped:
     case log_event::DispatcherUnreachable:
     case log_event::SlotRefused:
+    case log_event::RequestQuarantined:
         return log_level::Warning;
     default:
         return log_level::Info;
--- /dev/null
+++ b/src/crashes/request_quarantine.cpp
@@ -0,0 +1,122 @@
+#include "crashes/request_quarantine.h"
+
+#include "core/log_event.h"
+
+namespace azurehill {
+
+namespace {
+
+constexpr duration updateInterval = milliseconds(200);
+
+/// \brief Visitor that names a verdict in the log.
+struct verdict_name
+{
+    std::string_view operator()(const send_allowed &) const { return "allowed"; }
+    std::string_view operator()(const send_deferred &) const { return "deferred"; }
+    std::string_view operator()(const send_rejected &) const { return "rejected"; }
+};
+
+} // namespace
+
+request_quarantine::request_quarantine(const asio::any_io_executor &executor, std::uint64_t seed)
+    : m_executor(executor),
+      m_exchange(executor, m_ledger, seed,
+                 [this](const request_fingerprint &request) { logVerdict(request); })
+{ }
+
+send_verdict request_quarantine::verdict(const request_fingerprint &request) const
+{
+    return m_ledger.verdict(request, runtime_clock::now());
+}
+
+awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
+{
+    const auto sharing = m_sharing.find(request);
+    if (sharing != m_sharing.end()) {
+        const std::shared_ptr<notifier> done = sharing->second;
+        co_await done->waitForChangeSince(0);
+    }
+    co_return verdict(request);
+}
+
+void request_quarantine::onSendLost(const lost_send &lost, send_loss loss,
+                                    const replica_lookup &lookup)
+{
+    m_watch.onSendLost(lost, loss, lookup, runtime_clock::now());
+    processFindings();
+}
+
+void request_quarantine::onAddressTaken(const replica_incarnation &who)
+{
+    m_watch.onAddressTaken(who, runtime_clock::now());
+    processFindings();
+}
+
+void request_quarantine::update(const replica_lookup &lookup)
+{
+    const time_point now = runtime_clock::now();
+    if (now < m_updatedAt + updateInterval)
+        return;
+    m_updatedAt = now;
+    m_watch.update(lookup, now);
+    processFindings();
+}
+
+std::vector<crash_report> request_quarantine::quarantinedRequests() const
+{
+    return m_ledger.quarantined(runtime_clock::now());
+}
+
+bool request_quarantine::lift(const request_fingerprint &request)
+{
+    const bool isKnown = m_ledger.lift(request, runtime_clock::now());
+    if (isKnown)
+        startSharing(request, crash_audience::Everyone);
+    return isKnown;
+}
+
+void request_quarantine::processFindings()
+{
+    for (const crash_finding &finding : m_watch.takeFindings()) {
+        const request_fingerprint &request = finding.lost.request;
+        logDecision(log_event::SendLost,
+                    {{"fingerprint", toText(request)},
+                     {"replica", finding.lost.replica.id.value},
+                     {"fate", std::string(toName(finding.fate))},
+                     {"after_ms", toMilliseconds(finding.after)}});
+        const bool isNew = m_ledger.merge(reportOf(finding), runtime_clock::now());
+        if (!isNew)
+            continue;
+        logVerdict(request);
+        startSharing(request, crash_audience::AsNeeded);
+    }
+}
+
+void request_quarantine::startSharing(const request_fingerprint &request, crash_audience audience)
+{
+    auto done = std::make_shared<notifier>();
+    m_sharing[request] = done;
+    spawn(m_executor, "shareCrash", share(request, audience, std::move(done)));
+}
+
+awaitable<void> request_quarantine::share(request_fingerprint request, crash_audience audience,
+                                          std::shared_ptr<notifier> done)
+{
+    co_await m_exchange.share(request, audience);
+    const auto current = m_sharing.find(request);
+    if (current != m_sharing.end() && current->second == done)
+        m_sharing.erase(current);
+    done->notifyAll();
+}
+
+void request_quarantine::logVerdict(const request_fingerprint &request) const
+{
+    const send_verdict now = verdict(request);
+    if (isAllowed(now))
+        return;
+    logDecision(log_event::RequestQuarantined,
+                {{"fingerprint", toText(request)},
+                 {"verdict", std::string(std::visit(verdict_name(), now))}});
+}
+
+} // namespace azurehill
--- /dev/null
+++ b/src/crashes/request_quarantine.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "crashes/crash_exchange.h"
+#include "runtime/notifier.h"
+
+namespace azurehill {
+
+/// \brief Quarantine of requests under which replicas end. Every send of a request to a replica is
+/// decided here. Used on the traffic thread.
+///
+/// Three replicas may end under one request, over all of its attempts and all daemons. What is
+/// known of a lost send reaches the daemons that keep the request's record before its client gets
+/// an answer, and so before the client can send the next attempt, unless they don't acknowledge it
+/// in time. A daemon that is cut off from the others decides by what it knows itself.
+class request_quarantine
+{
+public:
+    /// \param seed seed of random choices.
+    request_quarantine(const asio::any_io_executor &executor, std::uint64_t seed);
+
+    std::uint16_t start(const endpoint &address) { return m_exchange.start(address); }
+    void setMembers(const member_state &self, std::vector<member_state> others)
+    {
+        m_exchange.setMembers(self, std::move(others));
+    }
+
+    /// \returns whether \p request may be sent to a replica, by what is known now.
+    send_verdict verdict(const request_fingerprint &request) const;
+    /// \brief Waits until the other daemons know what this one knows of \p request, and returns
+    /// whether the request may be sent.
+    awaitable<send_verdict> settledVerdict(request_fingerprint request);
+
+    /// \brief Records that the replica of \p lost lost a send.
+    void onSendLost(const lost_send &lost, send_loss loss, const replica_lookup &lookup);
+    /// \brief Another process answered at the address of \p who.
+    void onAddressTaken(const replica_incarnation &who);
+    /// \brief Updates what is known of the replicas that lost sends. Call it often.
+    void update(const replica_lookup &lookup);
+    /// \returns what is known of the requests that may not be sent at present.
+    std::vector<crash_report> quarantinedRequests() const;
+    /// \brief Lets \p request be sent again, through all daemons, whatever ended under it so far.
+    /// \returns whether anything was known of it.
+    bool lift(const request_fingerprint &request);
+
+private:
+    /// \brief Records the findings on lost sends, and shares them with the other daemons.
+    void processFindings();
+    void startSharing(const request_fingerprint &request, crash_audience audience);
+    awaitable<void> share(request_fingerprint request, crash_audience audience,
+                          std::shared_ptr<notifier> done);
+    void logVerdict(const request_fingerprint &request) const;
+
+    asio::any_io_executor m_executor;
+    crash_watch m_watch;
+    crash_ledger m_ledger;
+    crash_exchange m_exchange;
+    /// Requests that are being shared, and who waits for that.
+    std::map<request_fingerprint, std::shared_ptr<notifier>> m_sharing;
+    time_point m_updatedAt;
+};
+
+} // namespace azurehill
--- a/src/entry/client_request.h
+++ b/src/entry/client_request.h
@@ -96,6 +96,8 @@
     Refused,
     /// Like Refused, because the account exceeds its quota.
     OverQuota,
+    /// Like Refused, and the request will not be sent in a later attempt either.
+    Quarantined,
     /// The request may have run.
     UpstreamFailed,
     /// The request may have run; its deadline has passed.
@@ -105,9 +107,9 @@
 template <>
 struct enum_names<local_reply>
 {
-    static constexpr std::array<std::string_view, 10> names
-        = {"no_route",  "no_access", "no_such_turn", "budget_spent", "malformed",
-           "too_large", "refused",   "over_quota",   "broken",       "timed_out"};
+    static constexpr std::array<std::string_view, 11> names
+        = {"no_route", "no_access",  "no_such_turn", "budget_spent", "malformed", "too_large",
+           "refused",  "over_quota", "quarantined",  "broken",       "timed_out"};
 };
 
 } // namespace azurehill
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -18,14 +18,16 @@
     ClientDisconnected,
     DeadlineExceeded,
     ReplicaSilent,
-    AttemptTimeout
+    AttemptTimeout,
+    /// Replicas ended under the request, or may have.
+    Quarantined
 };
 
 template <>
 struct enum_names<abort_reason>
 {
-    static constexpr std::array<std::string_view, 5> names
-        = {"none", "client_left", "time_over", "replica_silent", "attempt_time_over"};
+    static constexpr std::array<std::string_view, 6> names = {
+        "none", "client_left", "time_over", "replica_silent", "attempt_time_over", "quarantined"};
 };
 
 /// \brief State of one client request while it is being served. Used on the traffic thread.
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -136,6 +136,12 @@
     m_state->setGauge("doubted_replicas", count);
 }
 
+void entry_metrics::setQuarantinedRequests(std::size_t count)
+{
+    const std::lock_guard lock(m_state->mutex);
+    m_state->setGauge("quarantined_requests", double(count));
+}
+
 std::string entry_metrics::toText(const entry_gauges &g)
 {
     const std::lock_guard lock(m_state->mutex);
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -64,6 +64,9 @@
     /// \brief Sets the number of ejected replicas, which get no requests because some failed there.
     void setEjectedReplicas(int count);
 
+    /// \brief Sets the number of requests that may not be sent, since replicas ended under them.
+    void setQuarantinedRequests(std::size_t count);
+
     /// \returns all metrics in Prometheus' text format.
     std::string toText(const entry_gauges &gauges);
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 #include "platform/ingress.h"
 
+#include <boost/json.hpp>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 constexpr duration sweepInterval = milliseconds(50);
 /// Interval between removals of rows that are no longer needed.
 constexpr duration removalInterval = seconds(1);
+/// Interval between counts of the quarantined requests, which takes a look at each.
+constexpr duration quarantineMeasureInterval = seconds(1);
 /// Interval between reports to the other daemons: one round of their gossip.
 constexpr duration reportPublishInterval = milliseconds(200);
 /// Divisor of a process's memory that gives the size of its turn cache. The rest is for connections
@@ -74,15 +77,10 @@
 {
     const client_request &client = call.request;
     const account_id account = call.accountName();
-    std::vector<std::string_view> fields{account.value,
-                                         request.method,
-                                         client.hostname,
-                                         request.target,
-                                         client.program.value,
-                                         client.session,
-                                         client.previousTurn.value,
-                                         client.affinityKey,
-                                         request.body};
+    std::vector<std::string_view> fields{
+        account.value,        request.method, client.hostname,           request.target,
+        client.program.value, client.session, client.previousTurn.value, client.affinityKey,
+        request.body};
     for (const prompt_part &part : client.promptParts)
         fields.emplace_back(part.id);
     return fingerprintOf(fields);
@@ -105,9 +103,11 @@
       m_store(m_transport), m_pacedStore(m_executor, m_store, settings.mechanisms),
       m_ledger(m_pacedStore, ledgerSettings(settings)), m_budgets(m_executor, m_ledger),
       m_slots(m_executor, m_budgets), m_credits(m_executor, m_pacedStore, settings.quota),
+      m_quarantine(m_executor, stableHash(settings.name.value)),
       m_loadBalancer(settings.dataCentre, stableHash(settings.name.value), settings.mechanisms),
-      m_sender(m_executor, m_loadBalancer, metrics),
-      m_engineAdmission(m_executor, settings.mechanisms, metrics), m_localReplies(metrics),
+      m_sender(m_executor, m_loadBalancer, m_quarantine, metrics),
+      m_engineAdmission(m_executor, settings.mechanisms, metrics),
+      m_localReplies(m_quarantine, metrics),
       m_relay(m_sender, m_loadBalancer, m_engineAdmission, m_localReplies, metrics),
       m_turns(m_executor, m_ledger, m_engineAdmission, m_sender, m_relay, m_localReplies, m_slots,
               metrics),
@@ -123,8 +123,8 @@
     spawn(m_executor, "watchOutages", m_store.probeDuringOutages());
     spawn(m_executor, "sweep", sweep());
     spawn(m_executor, "removeOldRows", removeExpiredRows());
-    const bool canExchange
-        = m_credits.start(m_settings.credits) != 0 && m_slots.start(m_settings.slots) != 0;
+    const bool canExchange = m_credits.start(m_settings.credits) != 0
+        && m_slots.start(m_settings.slots) != 0 && m_quarantine.start(m_settings.crashes) != 0;
     return canExchange ? m_server.listen(m_settings.clients) : std::uint16_t(0);
 }
 
@@ -157,6 +157,29 @@
     co_await m_credits.release(deadline);
 }
 
+std::string entry_service::quarantineText() const
+{
+    boost::json::array list;
+    for (const crash_report &report : m_quarantine.quarantinedRequests()) {
+        const auto ended
+            = std::count_if(report.evidence.begin(), report.evidence.end(),
+                            [](const auto &e) { return e.fate == replica_fate::Ended; });
+        list.push_back(boost::json::object{{"fingerprint", toText(report.request)},
+                                           {"age_ms", toMilliseconds(report.age)},
+                                           {"lost_sends", report.evidence.size()},
+                                           {"ended", ended}});
+    }
+    return boost::json::serialize(list);
+}
+
+bool entry_service::liftQuarantine(const request_fingerprint &fingerprint)
+{
+    const bool isKnown = m_quarantine.lift(fingerprint);
+    logDecision(log_event::QuarantineLifted,
+                {{"fingerprint", toText(fingerprint)}, {"known", isKnown}});
+    return isKnown;
+}
+
 void entry_service::updateDispatchedReplicas()
 {
     std::vector<replica_entry> listed;
@@ -186,6 +209,7 @@
 void entry_service::setMembers(member_state self, std::vector<member_state> others)
 {
     m_slots.setMembers(self, others);
+    m_quarantine.setMembers(self, others);
     m_credits.setMembers(std::move(self), std::move(others));
 }
 
@@ -206,6 +230,10 @@
         m_engineAdmission.update(m_loadBalancer, now);
         publishReports(now);
         m_metrics.setEjectedReplicas(m_loadBalancer.ejectedReplicas());
+        if (now >= m_quarantineMeasuredAt + quarantineMeasureInterval) {
+            m_quarantineMeasuredAt = now;
+            m_metrics.setQuarantinedRequests(m_quarantine.quarantinedRequests().size());
+        }
         if (!m_slots.services().empty())
             m_metrics.setDispatcherLoad(m_slots.gauges(now));
         co_await sleepFor(sweepInterval);
@@ -299,6 +327,11 @@
         call->abortReason = abort_reason::ClientDisconnected;
         call->abortSend(abort_reason::ClientDisconnected);
     });
+    const bool isPassed = co_await passesQuarantine(call, writer);
+    if (!isPassed) {
+        recordAnswered(*call, writer.finished());
+        co_return;
+    }
     const bool hasCredit = co_await acquireCredit(call, writer);
     if (hasCredit) {
         co_await serveRouted(call, request, writer);
@@ -306,6 +339,9 @@
         if (call->credit && !call->mayHaveRun)
             m_credits.returnCredit(call->accountName(), *call->credit);
     }
+    // The client of a stream that broke off sees its end, and may send the next attempt, only after
+    // this.
+    co_await m_quarantine.settledVerdict(call->fingerprint);
     recordAnswered(*call, writer.finished());
 }
 
@@ -318,6 +354,15 @@
         co_await servePlain(call, request, writer);
 }
 
+awaitable<bool> entry_service::passesQuarantine(entry_call_ptr call, response_writer &writer)
+{
+    const send_verdict verdict = m_quarantine.verdict(call->fingerprint);
+    if (isAllowed(verdict))
+        co_return true;
+    co_await m_localReplies.replyWithVerdict(call, verdict, writer);
+    co_return false;
+}
+
 awaitable<bool> entry_service::acquireCredit(entry_call_ptr call, response_writer &writer)
 {
     if (!call->account || !call->account->quota)
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -52,6 +52,13 @@
         m_publishAdmissionReport = std::move(publish);
     }
 
+    /// \returns the requests that may not be sent, as JSON text: fingerprint, age in milliseconds
+    /// and the number of replicas that ended under each. Call it on the traffic thread.
+    std::string quarantineText() const;
+    /// \brief Lifts the quarantine of the request with \p fingerprint on all daemons. Call it on
+    /// the traffic thread. \returns whether anything was known of it.
+    bool liftQuarantine(const request_fingerprint &fingerprint);
+
     /// \brief Stops lending credits, which only a daemon that keeps running may do, and writes the
     /// tokens used in place of the holds; gives up at \p deadline.
     awaitable<void> release(time_point deadline);
@@ -62,6 +69,9 @@
     /// \returns whether it may be served; otherwise it was answered.
     awaitable<bool> findRoute(entry_call_ptr call, const http_request &request,
                               response_writer &writer);
+    /// \brief Checks whether \p call may be sent to a replica at all.
+    /// \returns whether it may; otherwise it was answered.
+    awaitable<bool> passesQuarantine(entry_call_ptr call, response_writer &writer);
     /// \brief Borrows the credit that \p call needs.
     /// \returns whether it may be served; otherwise it was answered, unless its client has
     /// disconnected.
@@ -93,6 +103,7 @@
     budget_holder m_budgets;
     slot_exchange m_slots;
     credit_exchange m_credits;
+    request_quarantine m_quarantine;
     replica_load_balancer m_loadBalancer;
     upstream_sender m_sender;
     engine_admission m_engineAdmission;
@@ -105,6 +116,7 @@
     std::function<void(concurrency_reports)> m_publishAdmissionReport;
     std::function<void(replica_reports)> m_publishReplicaReport;
     time_point m_reportsPublishedAt;
+    time_point m_quarantineMeasuredAt;
 };
 
 } // namespace azurehill
--- a/src/entry/host_settings.h
+++ b/src/entry/host_settings.h
@@ -31,6 +31,8 @@
     endpoint credits;
     /// Where datagrams on engine slots arrive.
     endpoint slots;
+    /// Where datagrams on replicas that ended under requests arrive.
+    endpoint crashes;
     /// Peer addresses of a few hosts, which may be stale.
     std::vector<endpoint> seeds;
 
--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -3,6 +3,8 @@
 #include "core/log_event.h"
 #include "platform/ingress.h"
 
+#include <fmt/format.h>
+
 namespace azurehill {
 
 namespace {
@@ -13,6 +15,34 @@
     return answer == local_reply::Refused || answer == local_reply::OverQuota;
 }
 
+/// \brief The local reply to a request that may not be sent.
+struct quarantine_reply
+{
+    local_reply answer = local_reply::Refused;
+    std::string detail;
+    duration retryAfter = busyRetryAfter;
+};
+
+/// \brief Visitor that chooses the reply to a request by the verdict on it.
+struct verdict_reply
+{
+    quarantine_reply operator()(const send_allowed &) const
+    {
+        return {local_reply::Refused, "allowed again", busyRetryAfter};
+    }
+    quarantine_reply operator()(const send_deferred &verdict) const
+    {
+        return {local_reply::Refused, "replicas may have ended under the request",
+                verdict.retryAfter};
+    }
+    quarantine_reply operator()(const send_rejected &verdict) const
+    {
+        return {local_reply::Quarantined,
+                fmt::format("replicas ended under the request: {}", verdict.endedReplicas),
+                duration::zero()};
+    }
+};
+
 } // namespace
 
 awaitable<void> local_reply_writer::write(entry_call_ptr call, local_reply answer,
@@ -26,6 +56,7 @@
          {"previous", call->request.previousTurn.value},
          {"answer", std::string(toName(answer))},
          {"detail", detail},
+         {"fingerprint", toText(call->fingerprint)},
          {"account", call->accountName().value},
          {"route", call->route ? call->route->name : std::string()},
          {"sends", std::int64_t(call->sends)},
@@ -44,6 +75,13 @@
 {
     if (call->clientDisconnected() || call->responseStarted)
         co_return;
+    const send_verdict verdict = co_await m_quarantine.settledVerdict(call->fingerprint);
+    if (call->clientDisconnected())
+        co_return;
+    if (!call->mayHaveRun && call->abortReason == abort_reason::Quarantined) {
+        co_await replyWithVerdict(call, verdict, writer);
+        co_return;
+    }
     local_reply answer = local_reply::Refused;
     const bool isInTime = runtime_clock::now() < call->deadline;
     // An idempotent request may run again whatever happened to it, but gets no 503, which says that
@@ -53,4 +91,12 @@
     co_await write(call, answer, failure.detail, writer);
 }
 
+awaitable<void> local_reply_writer::replyWithVerdict(entry_call_ptr call, send_verdict verdict,
+                                                     response_writer &writer)
+{
+    quarantine_reply reply = std::visit(verdict_reply(), verdict);
+    std::string detail = std::move(reply.detail);
+    co_await write(call, reply.answer, std::move(detail), writer, reply.retryAfter);
+}
+
 } // namespace azurehill
--- a/src/entry/local_reply_writer.h
+++ b/src/entry/local_reply_writer.h
@@ -20,7 +20,9 @@
 class local_reply_writer
 {
 public:
-    explicit local_reply_writer(entry_metrics &metrics) : m_metrics(metrics) { }
+    local_reply_writer(request_quarantine &quarantine, entry_metrics &metrics)
+        : m_quarantine(quarantine), m_metrics(metrics)
+    { }
 
     /// \brief Answers \p call with \p answer.
     /// \param detail the cause, for log and metrics; what follows a colon are figures.
@@ -29,11 +31,17 @@
                           response_writer &writer, duration retryAfter = busyRetryAfter);
 
     /// \brief Answers \p call after \p failure, unless the client has disconnected or has part of
-    /// an answer.
+    /// an answer. What is known of a replica that lost the request is shared before that, as the
+    /// client's next attempt may reach any daemon.
     awaitable<void> replyWithFailure(entry_call_ptr call, send_failure failure,
                                      response_writer &writer);
 
+    /// \brief Answers \p call, which may not be sent by \p verdict.
+    awaitable<void> replyWithVerdict(entry_call_ptr call, send_verdict verdict,
+                                     response_writer &writer);
+
 private:
+    request_quarantine &m_quarantine;
     entry_metrics &m_metrics;
 };
 
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -146,16 +146,49 @@
         logDecision(log_event::ListenFailed, {{"detail", "can't write " + path}});
 }
 
-awaitable<void> answerMetrics(entry_metrics &metrics, const entry_control &control,
-                              const http_request &request, response_writer &writer)
+constexpr std::string_view quarantinePath = "/quarantine";
+
+/// \brief Answers an operator's request for the list of quarantined requests (GET), or to lift the
+/// quarantine of one (DELETE, with its fingerprint as the last part of the path).
+awaitable<http_response> answerQuarantine(entry_service &service, asio::any_io_executor traffic,
+                                          const http_request &request)
+{
+    if (request.method == "GET" && request.path() == quarantinePath) {
+        auto list = [&service] { return service.quarantineText(); };
+        std::string text = co_await runOn(traffic, list);
+        co_return jsonResponse(200, std::move(text));
+    }
+    const std::string_view rest = request.path().substr(quarantinePath.size());
+    const auto fingerprint = rest.empty() ? std::nullopt : parseFingerprint(rest.substr(1));
+    if (request.method != "DELETE" || !fingerprint)
+        co_return jsonResponse(400,
+                               R"({"error":"GET /quarantine or DELETE /quarantine/FINGERPRINT"})");
+    auto lift = [&service, fingerprint] { return service.liftQuarantine(*fingerprint); };
+    const bool isKnown = co_await runOn(traffic, lift);
+    co_return jsonResponse(isKnown ? 200 : 404, "{}");
+}
+
+/// \brief What the operators' port answers from.
+struct operator_view
+{
+    entry_metrics &metrics;
+    const entry_control &control;
+    entry_service &service;
+    asio::any_io_executor traffic;
+};
+
+awaitable<void> answerOperator(operator_view view, const http_request &request,
+                               response_writer &writer)
 {
     http_response response;
-    if (request.path() == "/metrics") {
-        entry_gauges gauges = control.gauges();
+    if (request.path().starts_with(quarantinePath)) {
+        response = co_await answerQuarantine(view.service, view.traffic, request);
+    } else if (request.path() == "/metrics") {
+        entry_gauges gauges = view.control.gauges();
         if (const log_sink *sink = currentLogSink())
             gauges.logLinesDropped = sink->dropped();
         response.headers.add("Content-Type", "text/plain; version=0.0.4");
-        response.body = metrics.toText(gauges);
+        response.body = view.metrics.toText(gauges);
     } else {
         response.status = 404;
     }
@@ -205,9 +238,10 @@
         asio::post(controlContext,
                    [&control, w = std::move(report)] { control.setReplicaReport(w); });
     });
+    const operator_view view{metrics, control, service, trafficContext.get_executor()};
     http_server metricsServer(controlContext.get_executor(), {},
-                              [&](const http_request &request, response_writer &writer) {
-                                  return answerMetrics(metrics, control, request, writer);
+                              [&view](const http_request &request, response_writer &writer) {
+                                  return answerOperator(view, request, writer);
                               });
     if (options.metricsPort != 0 && metricsServer.listen({s.ip, options.metricsPort}) == 0)
         logDecision(log_event::ListenFailed,
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -30,9 +30,6 @@
 constexpr duration minAttemptTimeout = milliseconds(250);
 constexpr int attemptsPerDeadline = 3;
 
-/// Interval between updates of what is known of the replicas that lost sends.
-constexpr duration lostSendInterval = milliseconds(200);
-
 constexpr int statusOk = 200;
 /// Lowest HTTP status that means that the replica failed.
 constexpr int minFailureStatus = 500;
@@ -63,6 +60,7 @@
         return send_outcome::Silent;
     case abort_reason::AttemptTimeout:
         return send_outcome::Broken;
+    case abort_reason::Quarantined:
     case abort_reason::None:
         break;
     }
@@ -100,9 +98,10 @@
 }
 
 upstream_sender::upstream_sender(const asio::any_io_executor &executor,
-                                 replica_load_balancer &loadBalancer, entry_metrics &metrics)
-    : m_executor(executor), m_loadBalancer(loadBalancer), m_metrics(metrics),
-      m_pool(executor, maxIdle, maxIdlePerReplica)
+                                 replica_load_balancer &loadBalancer,
+                                 request_quarantine &quarantine, entry_metrics &metrics)
+    : m_executor(executor), m_loadBalancer(loadBalancer), m_quarantine(quarantine),
+      m_metrics(metrics), m_pool(executor, maxIdle, maxIdlePerReplica)
 { }
 
 bool upstream_sender::isSilent(const entry_call &call, time_point now) const
@@ -146,7 +145,7 @@
 void upstream_sender::sweep(time_point now)
 {
     m_pool.expire(now);
-    updateLostSends(now);
+    m_quarantine.update([this](const replica_incarnation &who) { return sightOf(who); });
     const std::set<entry_call_ptr> calls = m_inFlight;
     for (const entry_call_ptr &call : calls) {
         if (call->abortReason != abort_reason::None)
@@ -167,30 +166,24 @@
 }
 
 void upstream_sender::watchLostSend(const entry_call &call, const open_reply &reply,
-                                    send_outcome end, time_point now)
+                                    send_outcome end)
 {
     const auto loss = lossOf(call, reply, end);
     if (!loss)
         return;
     const lost_send lost{call.fingerprint, reply.where.replica.incarnation,
                          stableHash(call.request.id, ++m_sends)};
-    m_crashes.onSendLost(
-        lost, *loss, [this](const replica_incarnation &who) { return sightOf(who); }, now);
+    m_quarantine.onSendLost(lost, *loss,
+                            [this](const replica_incarnation &who) { return sightOf(who); });
 }
 
-void upstream_sender::updateLostSends(time_point now)
+awaitable<bool> upstream_sender::passesQuarantine(entry_call_ptr call)
 {
-    if (now < m_crashesUpdatedAt + lostSendInterval)
-        return;
-    m_crashesUpdatedAt = now;
-    m_crashes.update([this](const replica_incarnation &who) { return sightOf(who); }, now);
-    for (const crash_finding &finding : m_crashes.takeFindings()) {
-        logDecision(log_event::SendLost,
-                    {{"fingerprint", toText(finding.lost.request)},
-                     {"replica", finding.lost.replica.id.value},
-                     {"fate", std::string(toName(finding.fate))},
-                     {"after_ms", toMilliseconds(finding.after)}});
-    }
+    const send_verdict verdict = co_await m_quarantine.settledVerdict(call->fingerprint);
+    const bool isPassed = isAllowed(verdict);
+    if (!isPassed && call->abortReason == abort_reason::None)
+        call->abortReason = abort_reason::Quarantined;
+    co_return isPassed;
 }
 
 void upstream_sender::probeReplica(const entry_call &call)
@@ -226,6 +219,11 @@
                           const placement_request &placementRequest, const http_request &original,
                           std::string body)
 {
+    const bool isPassed = co_await passesQuarantine(call);
+    if (!isPassed || call->clientDisconnected()) {
+        co_return tl::unexpected(
+            send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
+    }
     const endpoint address = where.replica.address;
     auto connection = std::make_shared<http_connection>(
         m_pool.take(address, runtime_clock::now(), maxIdleFor(*call)));
@@ -317,7 +315,7 @@
     }
     if (kind == reply_kind::WrongReplica) {
         m_loadBalancer.setLeaving(where.replica.incarnation);
-        m_crashes.onAddressTaken(where.replica.incarnation, call->lastByteAt);
+        m_quarantine.onAddressTaken(where.replica.incarnation);
     } else if (m_hasSharedReplicas) {
         m_loadBalancer.onShed(where, placementRequest, call->lastByteAt);
     }
@@ -352,7 +350,7 @@
         reply.connection->close();
     if (end == send_outcome::Unreachable || end == send_outcome::Silent)
         m_pool.drop(reply.where.replica.address);
-    watchLostSend(call, reply, end, now);
+    watchLostSend(call, reply, end);
     m_metrics.onSend(toName(end));
     logDecision(log_event::SendEnded,
                 {{"request", call.request.id},
@@ -419,6 +417,8 @@
         }
         if (call->sends >= call->route->maxAttempts || refusals > maxRefusals)
             break;
+        placementRequest.mayEndReplica
+            = crash_ledger::isLastAllowed(m_quarantine.verdict(call->fingerprint));
         const auto where = choose(*call, placementRequest);
         if (!where)
             break;
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "crashes/crashes.h"
 #include "entry/entry_call.h"
 #include "entry/entry_metrics.h"
 #include "http/connection_pool.h"
-#include "quarantine/quarantine.h"
 #include "replicas/replicas.h"
 
 #include <set>
@@ -46,7 +46,7 @@
 {
 public:
     upstream_sender(const asio::any_io_executor &executor, replica_load_balancer &loadBalancer,
-                    entry_metrics &metrics);
+                    request_quarantine &quarantine, entry_metrics &metrics);
 
     /// \brief Sends \p call to replicas until one answers.
     /// \param placementRequest requirements on the replica; the replicas that were tried are added
@@ -108,10 +108,9 @@
     bool isSilent(const entry_call &call, time_point now) const;
     replica_sight sightOf(const replica_incarnation &who) const;
     /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
-    void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end,
-                       time_point now);
-    /// \brief Updates what is known of the replicas that lost sends.
-    void updateLostSends(time_point now);
+    void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end);
+    /// \brief Decides whether \p call may be sent. If not, its abort reason is Quarantined.
+    awaitable<bool> passesQuarantine(entry_call_ptr call);
     /// \brief Starts to probe whether the silent replica of \p call still accepts connections.
     void probeReplica(const entry_call &call);
     /// \brief Opens a connection to \p address. If that fails, the silent sends to \p who are
@@ -120,6 +119,7 @@
 
     asio::any_io_executor m_executor;
     replica_load_balancer &m_loadBalancer;
+    request_quarantine &m_quarantine;
     entry_metrics &m_metrics;
     connection_pool m_pool;
     routing_config_ptr m_routes;
@@ -127,8 +127,6 @@
     std::set<entry_call_ptr> m_inFlight;
     /// Silent replicas that are being probed.
     std::set<replica_incarnation> m_probedReplicas;
-    crash_watch m_crashes;
-    time_point m_crashesUpdatedAt;
     std::uint64_t m_sends = 0;
 };
 
--- /dev/null
+++ b/src/quarantine/crash_ledger.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "quarantine/crash_watch.h"
+#include "quarantine/send_verdict.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace azurehill {
+
+/// \brief What is known of one lost send of a request. Both numbers are hashes that all daemons
+/// compute alike.
+struct crash_evidence
+{
+    std::uint64_t replica = 0;
+    std::uint64_t send = 0;
+    replica_fate fate = replica_fate::Suspected;
+
+    friend bool operator==(const crash_evidence &, const crash_evidence &) = default;
+};
+
+/// \brief What a daemon knows of the lost sends of one request.
+struct crash_report
+{
+    request_fingerprint request;
+    /// Time since the latest evidence.
+    duration age = duration::zero();
+    std::vector<crash_evidence> evidence;
+};
+
+/// \returns the report of a single finding.
+crash_report reportOf(const crash_finding &finding);
+
+/// \brief Record of the replicas that ended under each request, by which this daemon decides
+/// whether a request may be sent once more.
+///
+/// Reports may arrive more than once and in any order: for each lost send, a later fate replaces an
+/// earlier one (suspected, ended, cleared) and never the other way round, so that all daemons that
+/// have the same reports decide alike. Memory is bounded by the number of requests, of evidence
+/// per request, and a fixed lifetime.
+class crash_ledger
+{
+public:
+    /// Number of replicas that may end under one request.
+    static constexpr int maxEndedReplicas = 3;
+    static constexpr std::size_t maxRequests = 4096;
+    static constexpr std::size_t maxEvidence = 16;
+    /// Time after the latest evidence for which it counts.
+    static constexpr duration lifetime = std::chrono::minutes(10);
+
+    /// \brief Merges \p report. \returns whether it says anything new.
+    bool merge(const crash_report &report, time_point now);
+    /// \returns whether \p request may be sent to a replica.
+    send_verdict verdict(const request_fingerprint &request, time_point now) const;
+    /// \returns what is known of \p request, or nothing.
+    std::optional<crash_report> find(const request_fingerprint &request, time_point now) const;
+    /// \returns the reports of all requests that may not be sent.
+    std::vector<crash_report> quarantined(time_point now) const;
+    /// \brief Clears the evidence against \p request. \returns whether there was any.
+    bool lift(const request_fingerprint &request, time_point now);
+    /// \brief Removes evidence whose lifetime is over.
+    void expire(time_point now);
+    std::size_t size() const { return m_records.size(); }
+
+    /// \returns whether one more crash under a request with \p verdict reaches the limit.
+    static bool isLastAllowed(const send_verdict &verdict)
+    {
+        const auto *allowed = std::get_if<send_allowed>(&verdict);
+        return allowed && allowed->crashes + 1 >= maxEndedReplicas;
+    }
+
+private:
+    struct record
+    {
+        std::vector<crash_evidence> evidence;
+        time_point latestAt;
+    };
+    /// \brief Distinct replicas that ended under a request, and that may have.
+    struct crash_count
+    {
+        int ended = 0;
+        int suspected = 0;
+    };
+
+    static crash_count countOf(const record &r);
+    static bool mergeOne(record &r, const crash_evidence &evidence);
+    static crash_report reportOf(const request_fingerprint &request, const record &r,
+                                 time_point now);
+    /// \brief Removes the record of the request with the fewest crashes, the oldest of these.
+    void evictOne();
+
+    std::map<request_fingerprint, record> m_records;
+};
+
+} // namespace azurehill
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -58,6 +58,8 @@
 constexpr double minShedBackoffMs = 20;
 constexpr double maxShedBackoffMs = 2000;
 constexpr int maxShedDoublings = 2;
+/// Cost of another request in flight at a replica that may end: that request would be lost as well.
+constexpr double otherRequestMs = 1000;
 /// Upper bound of the learned slowness of a replica relative to its service.
 constexpr double maxSlowness = 8;
 
@@ -390,6 +392,8 @@
         if (!request.affinityKey.empty() && r.outstanding < r.entry.slots)
             candidateCost
                 *= 1 - 0.5 * double(stableHash(request.affinityKey + id.value) % 1000) / 1000;
+        if (request.mayEndReplica)
+            candidateCost += otherRequestMs * r.outstanding;
         const readiness ready = readinessOf(r, now);
         candidates += ready == readiness::Ejected ? 0 : 1;
         cheapest_replicas &cheapest = byReadiness.at(static_cast<std::size_t>(ready));
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -39,6 +39,8 @@
     std::int64_t promptTokens = 0;
     /// Replicas that the request has already been sent to.
     std::set<replica_incarnation> tried;
+    /// Whether the replica may end under the request, which then goes to one with few others.
+    bool mayEndReplica = false;
     /// Key of the object that the request refers to if its route prefers one replica per object; or
     /// empty.
     std::string affinityKey;
--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -8,6 +8,7 @@
 #include "platform/replica_codec.h"
 #include "platform/settings_file.h"
 #include "platform/store_codec.h"
+#include "quarantine/quarantine.h"
 #include "quota/quota.h"
 #include "turns/token_account.h"
 
@@ -257,6 +258,19 @@
         });
     }
 
+    TEST_CASE("messages on replicas that ended under requests")
+    {
+        fuzz("crash_message", [](const std::string &text) {
+            const auto message = decodeCrashMessage(text);
+            const auto *notice = message ? std::get_if<crash_notice>(&*message) : nullptr;
+            if (!notice)
+                return;
+            RC_ASSERT(notice->reports.size() <= maxReportsPerMessage);
+            for (const crash_report &report : notice->reports)
+                RC_ASSERT(report.age >= duration::zero() && report.age <= crash_ledger::lifetime);
+        });
+    }
+
     TEST_CASE("rows of other daemons")
     {
         fuzz("members", [](const std::string &text) {
--- a/test/io/entry_fixture.h
+++ b/test/io/entry_fixture.h
@@ -26,6 +26,7 @@
         settings.clients = {"127.0.0.1", port};
         settings.credits = {"127.0.0.1", 0};
         settings.slots = {"127.0.0.1", 0};
+        settings.crashes = {"127.0.0.1", 0};
         begin(makeRoutes());
     }
 
--- /dev/null
+++ b/test/logic/crash_ledger_test.cpp
@@ -0,0 +1,166 @@
+#include "quarantine/quarantine.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+namespace azurehill {
+
+namespace {
+
+const time_point start{seconds(1000)};
+
+request_fingerprint requestNumber(std::uint64_t number)
+{
+    const std::string text = std::to_string(number);
+    return fingerprintOf(std::array<std::string_view, 1>{text});
+}
+
+crash_report lossOf(std::uint64_t request, std::uint64_t replica, replica_fate fate)
+{
+    return {requestNumber(request), duration::zero(), {{replica, 10 * replica, fate}}};
+}
+
+template <class Verdict>
+bool is(const send_verdict &verdict)
+{
+    return std::holds_alternative<Verdict>(verdict);
+}
+
+} // namespace
+
+TEST_SUITE("crash ledger")
+{
+    TEST_CASE("a request may be sent until three replicas have ended under it")
+    {
+        crash_ledger ledger;
+        const auto verdict = [&](duration after = duration::zero()) {
+            return ledger.verdict(requestNumber(1), start + after);
+        };
+        const auto lose = [&](std::uint64_t replica, replica_fate fate) {
+            return ledger.merge(lossOf(1, replica, fate), start);
+        };
+        CHECK(is<send_allowed>(verdict()));
+        lose(1, replica_fate::Ended);
+        lose(2, replica_fate::Ended);
+        CHECK(std::get<send_allowed>(verdict()).crashes == 2);
+        CHECK(crash_ledger::isLastAllowed(verdict()));
+
+        SUBCASE("the third one ends it")
+        {
+            lose(3, replica_fate::Ended);
+            CHECK(std::get<send_rejected>(verdict()).endedReplicas == 3);
+            // Guards against one client's crashes being another request's.
+            CHECK(is<send_allowed>(ledger.verdict(requestNumber(2), start)));
+
+            SUBCASE("until an operator lifts it")
+            {
+                CHECK(ledger.lift(requestNumber(1), start));
+                CHECK(is<send_allowed>(verdict()));
+                SUBCASE("and reports from before that say nothing new")
+                {
+                    CHECK_FALSE(lose(3, replica_fate::Ended));
+                    CHECK(is<send_allowed>(verdict()));
+                }
+            }
+            SUBCASE("until its lifetime is over")
+            {
+                CHECK(is<send_rejected>(verdict(crash_ledger::lifetime - seconds(1))));
+                CHECK(is<send_allowed>(verdict(crash_ledger::lifetime)));
+                ledger.expire(start + crash_ledger::lifetime);
+                CHECK(ledger.size() == 0);
+            }
+        }
+        SUBCASE("while the third one may have ended, nobody can be sure")
+        {
+            lose(3, replica_fate::Suspected);
+            CHECK(std::get<send_deferred>(verdict()).retryAfter == seconds(5));
+            CHECK(std::get<send_deferred>(verdict(seconds(10))).retryAfter > duration::zero());
+
+            // Guards against a request that merely stood beside a broken answer being refused.
+            SUBCASE("and if it lived on, the request may be sent")
+            {
+                lose(3, replica_fate::Cleared);
+                CHECK(is<send_allowed>(verdict()));
+            }
+            SUBCASE("and if it ended, the request may not be sent")
+            {
+                lose(3, replica_fate::Ended);
+                CHECK(is<send_rejected>(verdict()));
+            }
+            SUBCASE("and if nothing more becomes known, the suspicion is dropped")
+            {
+                CHECK(is<send_allowed>(verdict(seconds(20))));
+            }
+        }
+        SUBCASE("one replica that lost two sends counts once")
+        {
+            ledger.merge({requestNumber(1), duration::zero(), {{2, 99, replica_fate::Ended}}},
+                         start);
+            CHECK(std::get<send_allowed>(verdict()).crashes == 2);
+        }
+    }
+
+    TEST_CASE("daemons that have the same reports decide alike")
+    {
+        CHECK(rc::check("whatever the order and the number of copies", [] {
+            const auto fates = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 3));
+            std::vector<crash_report> reports;
+            for (std::size_t i = 0; i < fates.size(); ++i) {
+                reports.push_back(lossOf(1, i % 5, static_cast<replica_fate>(fates[i])));
+            }
+            std::vector<crash_report> shuffled = reports;
+            shuffled.insert(shuffled.end(), reports.begin(), reports.end());
+            const auto seed = *rc::gen::arbitrary<std::uint32_t>();
+            std::shuffle(shuffled.begin(), shuffled.end(), std::minstd_rand(seed));
+            crash_ledger one;
+            crash_ledger other;
+            for (const crash_report &r : reports)
+                one.merge(r, start);
+            for (const crash_report &r : shuffled)
+                other.merge(r, start);
+            const send_verdict a = one.verdict(requestNumber(1), start);
+            const send_verdict b = other.verdict(requestNumber(1), start);
+            RC_ASSERT(a.index() == b.index());
+        }));
+    }
+
+    // Guards against a wave of crashes that makes the daemon forget the requests that it refuses.
+    TEST_CASE("its memory is bounded, and refused requests are the last to be forgotten")
+    {
+        crash_ledger ledger;
+        for (std::uint64_t replica = 1; replica <= 3; ++replica)
+            ledger.merge(lossOf(0, replica, replica_fate::Ended), start);
+        for (std::uint64_t i = 1; i < crash_ledger::maxRequests + 100; ++i)
+            ledger.merge(lossOf(i, 1, replica_fate::Ended), start + milliseconds(i));
+        CHECK(ledger.size() == crash_ledger::maxRequests);
+        CHECK(is<send_rejected>(ledger.verdict(requestNumber(0), start + seconds(10))));
+        for (std::uint64_t i = 1; i < 2 * crash_ledger::maxEvidence; ++i)
+            ledger.merge(lossOf(0, 100 + i, replica_fate::Suspected), start);
+        CHECK(ledger.find(requestNumber(0), start)->evidence.size() == crash_ledger::maxEvidence);
+    }
+
+    TEST_CASE("a message is decoded as it was encoded, or refused")
+    {
+        const crash_notice notice{
+            7, {{requestNumber(1), seconds(2), {{~0ULL, 3, replica_fate::Ended}}}}};
+        const auto decoded = decodeCrashMessage(encodeCrashMessage(notice));
+        REQUIRE(decoded);
+        const auto &again = std::get<crash_notice>(*decoded);
+        CHECK(again.number == 7);
+        CHECK(again.reports.front().request == requestNumber(1));
+        CHECK(again.reports.front().age == seconds(2));
+        CHECK(again.reports.front().evidence == notice.reports.front().evidence);
+        CHECK(std::holds_alternative<crash_query>(
+            *decodeCrashMessage(encodeCrashMessage(crash_query()))));
+        CHECK_FALSE(decodeCrashMessage("[9,1,[]]"));
+        CHECK_FALSE(decodeCrashMessage(R"([0,1,[["short",0,[]]]])"));
+        CHECK_FALSE(
+            decodeCrashMessage(R"([0,1,[["00000000000000000000000000000000",0,[[1,1,7]]]]])"));
+    }
+}
+
+} // namespace azurehill
--- a/test/process/replica_crash_test.cpp
+++ b/test/process/replica_crash_test.cpp
@@ -22,6 +22,7 @@
 /// Bound on the replicas that may end under one request.
 constexpr int maxEnded = 3;
 constexpr int replicas = 8;
+constexpr std::uint16_t operatorPort = 7130;
 
 constexpr const char *configuration = R"({"version":7,"routes":[
   {"name":"plain","hostname":"h.example","prefix":"/plain/","route_type":"idempotent",
@@ -66,6 +67,16 @@
         return exchange(portOf(host, 0), std::move(request));
     }
 
+    /// \brief Sends an operator's request to the host number \p host.
+    static http_response operate(std::size_t host, const std::string &method,
+                                 const std::string &target)
+    {
+        http_request request;
+        request.method = method;
+        request.target = target;
+        return exchange({ipOf(host), operatorPort}, std::move(request));
+    }
+
     /// \brief Sends client attempts of one request, whatever they are answered, to the hosts in
     /// turn. \returns the last answer.
     http_response askAgainAndAgain(const std::string &target)
@@ -98,14 +109,15 @@
     }
 
     /// \returns the lines of the event \p event that the hosts have logged.
-    std::vector<std::string> logged(std::string_view event) const
+    std::string logged(std::string_view event) const
     {
-        std::vector<std::string> found;
+        const std::string field = fmt::format(R"("event":"{}")", event);
+        std::string found;
         for (const child &host : m_hosts) {
             std::istringstream lines(host.log());
             for (std::string line; std::getline(lines, line);) {
-                if (line.find(fmt::format(R"("event":"{}")", event)) != std::string::npos)
-                    found.push_back(line);
+                if (line.find(field) != std::string::npos)
+                    found += "\n" + host.name() + " " + line;
             }
         }
         return found;
@@ -162,8 +174,10 @@
             "directory = '{1}:0'\n[provider]\naddress = '127.0.0.1:{2}'\n",
             name, ip, m_storePort);
         setenv("AZUREHILL_SETTINGS", path.c_str(), 1);
-        m_hosts.emplace_back(name, AZUREHILL_BINARIES "/azurehill-entry",
-                             std::vector<std::string>(), m_folder.path());
+        m_hosts.emplace_back(
+            name, AZUREHILL_BINARIES "/azurehill-entry",
+            std::vector<std::string>{"--metrics-port", std::to_string(operatorPort)},
+            m_folder.path());
         unsetenv("AZUREHILL_SETTINGS");
     }
 
@@ -222,6 +236,9 @@
                 CAPTURE(where);
                 crash_fixture fixture(hosts);
                 const http_response last = fixture.askAgainAndAgain(target);
+                INFO(fixture.logged("send_ended"));
+                INFO(fixture.logged("send_lost"));
+                INFO(fixture.logged("request_quarantined"));
                 CHECK(fixture.removeEndedReplicas() <= maxEnded);
                 CHECK(last.status == 503);
                 // Another request of the same route is served.
@@ -242,6 +259,22 @@
         }
     }
 
+    // Guards against a request that stays refused once its cause is mended.
+    TEST_CASE("an operator sees which requests are quarantined, and lifts that on all hosts")
+    {
+        crash_fixture fixture(3);
+        fixture.askAgainAndAgain("/plain/x?end=before_head");
+        const std::string listed = fixture.operate(1, "GET", "/quarantine").body;
+        const std::string_view key = R"("fingerprint":")";
+        const std::size_t at = listed.find(key);
+        REQUIRE(at != std::string::npos);
+        constexpr std::size_t digits = 32;
+        const std::string path = "/quarantine/" + listed.substr(at + key.size(), digits);
+        CHECK(fixture.operate(2, "DELETE", path).status == 200);
+        CHECK(fixture.operate(0, "GET", "/quarantine").body == "[]");
+        CHECK(fixture.operate(0, "DELETE", "/quarantine/short").status == 400);
+    }
+
     // Guards against a request that is refused because of replicas that ended after their answer.
     TEST_CASE("a replica that ends after its answer did not end under the request")
     {
