A daemon that has just joined is known to the traffic thread at once

The traffic thread learned of members once in a gossip round, up to 200 ms after the control thread.

--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -379,10 +379,12 @@
     send(m_membership.onMessage(message, from, runtime_clock::now()));
     for (const peer_digest &digest : m_membership.takeDigests())
         m_replicas.onDigest(digest);
-    logMembers();
+    // A daemon that has just joined may get the next attempt of a request at once.
+    if (logMembers())
+        publishMembers();
 }
 
-void entry_control::logMembers()
+bool entry_control::logMembers()
 {
     const std::vector<member_change> changes = m_membership.takeChanges();
     std::size_t logged = 0;
@@ -396,6 +398,7 @@
              {"version", static_cast<std::int64_t>(c.member.version)},
              {"alive", static_cast<std::int64_t>(m_membership.members().aliveCount() + 1)}});
     }
+    return !changes.empty();
 }
 
 void entry_control::send(const std::vector<probe_datagram> &datagrams)
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -96,7 +96,8 @@
     /// \brief Passes the digest of this daemon's copy of the replica table to the membership
     /// protocol, which sends it to the other daemons.
     void updateReplicaDigest();
-    void logMembers();
+    /// \brief Logs members that joined or failed. \returns whether there were any.
+    bool logMembers();
     void send(const std::vector<probe_datagram> &datagrams);
 
     asio::io_context &m_context;
