explain: what replicas did under earlier attempts of a request

send_lost and request_quarantined name a fingerprint only, and may stand in another daemon's log: the timeline of a refused request did not tell why. They belong to the timeline of each request with that fingerprint, and a fingerprint can be asked for itself.

--- a/src/explain/log_story.cpp
+++ b/src/explain/log_story.cpp
@@ -51,7 +51,7 @@
 
 bool mentionsId(const log_entry &e, std::string_view id)
 {
-    return e.field("request") == id || e.field("program") == id;
+    return e.field("request") == id || e.field("program") == id || e.field("fingerprint") == id;
 }
 
 /// \brief Daemons, replicas and time range in the log lines of a request or program. They select
@@ -60,6 +60,7 @@
 {
     std::set<std::string> sources;
     std::set<std::string> replicas;
+    std::set<std::string> fingerprints;
     std::string begin;
     std::string end;
 };
@@ -71,6 +72,8 @@
         scope.sources.insert(e->source);
         if (!e->field("replica").empty())
             scope.replicas.emplace(e->field("replica"));
+        if (!e->field("fingerprint").empty())
+            scope.fingerprints.emplace(e->field("fingerprint"));
     }
     scope.begin = own.front()->time;
     scope.end = own.back()->time;
@@ -82,6 +85,11 @@
 /// its configuration, its peers or the store within the time range.
 bool isContext(const log_entry &e, const timeline_scope &scope)
 {
+    // Other daemons may have lost the request as well, and earlier.
+    static const std::set<std::string, std::less<>> crashEvents
+        = {"send_lost", "request_quarantined", "quarantine_lifted"};
+    if (crashEvents.contains(e.event))
+        return scope.fingerprints.contains(std::string(e.field("fingerprint")));
     if (!scope.sources.contains(e.source) || e.time > scope.end)
         return false;
     static const std::set<std::string, std::less<>> replicaEvents
--- a/test/logic/log_story_test.cpp
+++ b/test/logic/log_story_test.cpp
@@ -59,6 +59,23 @@
         }
     }
 
+    TEST_CASE("a request that was refused since replicas ended under its earlier attempts")
+    {
+        std::istringstream in(
+            "1 host-2 "
+            "{\"time\":\"1\",\"event\":\"send_lost\",\"fingerprint\":\"f\",\"fate\":\"ended\"}\n"
+            "2 host-2 "
+            "{\"time\":\"2\",\"event\":\"send_lost\",\"fingerprint\":\"g\",\"fate\":\"ended\"}\n"
+            "3 host-1 "
+            "{\"time\":\"3\",\"event\":\"own_answer\",\"request\":\"r\",\"fingerprint\":\"f\"}\n");
+        parsed_log lines;
+        readLog(in, "file", lines);
+        const std::string story = formatTimeline(lines, "r");
+        CHECK(contains(story, "host-2"));
+        CHECK_FALSE(contains(story, "fingerprint=g"));
+        CHECK(contains(formatTimeline(lines, "f"), "own_answer"));
+    }
+
     TEST_CASE("what is missing is said")
     {
         std::istringstream in(
