A call under which three engines ended is not sent again

Model calls are charged each time, so only the program's budget bounds them.

call_quarantine uses the same watch and ledger: at the owner of the program, which all attempts of a call pass, and at the asked daemon for plain services. Its proof is the platform's list of hosts: an entry that is gone or has another address, without a later answer. The caller gets 503 replicas-in-doubt, then 422 quarantined, both did_not_run. Plain responses that break off in their body count as lost as well.

--- a/src/daemon/call_runner.cpp
+++ b/src/daemon/call_runner.cpp
@@ -123,6 +123,7 @@
     const upstream_end end = co_await callUpstream(owner, controlThread, call);
     const time_point ended = runtime_clock::now();
     const bool model = call.spec.request.kind == call_kind::Model;
+    call.loss = end.error ? lossOf(*end.error) : std::nullopt;
     const journal_record record = endRecord(call, end);
     const std::int64_t heldBefore = call.heldTokens;
     if (model && !end.error)
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -10,6 +10,7 @@
 #include "platform/platform.h"
 #include "program/programs.h"
 #include "runtime/runtime.h"
+#include "sched/call_quarantine.h"
 #include "sched/sched.h"
 
 #include <functional>
@@ -57,6 +58,8 @@
     /// Tokens of the program that engines have computed before.
     std::int64_t heldTokens = 0;
     std::shared_ptr<call_stream> stream;
+    /// How the replica lost the call, once it has ended; nothing if it answered.
+    std::optional<send_loss> loss;
 };
 
 /// \brief What a caller's request leads to: following a running call, or a stored answer.
@@ -117,6 +120,12 @@
     /// there.
     tl::expected<upstream_place, refusal> openPlainService(const std::string &service);
     void closeUpstream(call_number number);
+    /// \returns why a request without a program may not be sent to a replica, or nothing.
+    std::optional<refusal> checkQuarantine(const request_fingerprint &request) const;
+    /// \brief A send of such a request to \p place has ended.
+    /// \param loss how the replica lost it, or nothing if it answered.
+    void onPlainSendEnded(const request_fingerprint &request, const upstream_place &place,
+                          std::optional<send_loss> loss);
     /// \brief Notes that engines have computed \p tokens of \p id.
     void setHeldTokens(const program_id &id, std::int64_t tokens);
     /// \brief Moves a call that did not run from replica \p from to another one of \p service.
@@ -255,6 +264,7 @@
     commit_batcher m_batcher;
     program_registry m_book;
     scheduler m_scheduler;
+    call_quarantine m_quarantine;
     program_reaper m_reaper;
     release_planner m_releases;
     std::shared_ptr<const configuration> m_config;
--- a/src/daemon/control_calls.cpp
+++ b/src/daemon/control_calls.cpp
@@ -3,6 +3,7 @@
 #include "daemon/problems.h"
 
 #include <algorithm>
+#include <array>
 
 namespace azurehill {
 
@@ -41,6 +42,13 @@
     return result;
 }
 
+/// \returns the identity of \p call over its attempts.
+request_fingerprint identify(const call_request &call)
+{
+    const std::string turn = std::to_string(call.turn);
+    return fingerprintOf(std::array<std::string_view, 3>{call.program.value, turn, call.key});
+}
+
 refusal movesNow()
 {
     return makeRefusal(refusal_reason::NotOwner, "the program moves now", retrySoon);
@@ -216,6 +224,11 @@
         const auto *begin = std::get_if<begin_call>(&*decision);
         if (begin && !mayBegin(spec.request.program))
             co_return tl::unexpected(movesNow());
+        if (begin) {
+            const auto why = m_quarantine.check(identify(spec.request), runtime_clock::now());
+            if (why)
+                co_return tl::unexpected(*why);
+        }
         if (begin)
             co_return co_await beginCall(std::move(spec), begin->record);
         if (const auto *replay = std::get_if<replay_answer>(&*decision))
@@ -334,6 +347,10 @@
 
 awaitable<bool> control::finishCall(running_call call, journal_record end)
 {
+    if (call.loss || std::holds_alternative<call_finished>(end)) {
+        m_quarantine.onEnded(identify(call.spec.request), call.placement.replica,
+                             toText(call.upstream), call.loss, runtime_clock::now());
+    }
     m_scheduler.onEnd(call.placement.number, makeCallResult(call, end), runtime_clock::now());
     performScheduled();
     // Failure: the program went to another daemon and came back while the call ran. That daemon has
--- a/src/daemon/control_config.cpp
+++ b/src/daemon/control_config.cpp
@@ -240,6 +240,7 @@
                 replicas.push_back(
                     {{h.name}, h.service, {h.dataCentre}, toText(h.address), h.leaving, 0});
             m_scheduler.setReplicas(replicas, runtime_clock::now());
+            m_quarantine.setReplicas(replicas, runtime_clock::now());
             performScheduled();
         }
         co_await sleepFor(hostsPeriod);
--- a/src/daemon/control_upstreams.cpp
+++ b/src/daemon/control_upstreams.cpp
@@ -28,6 +28,17 @@
     performScheduled();
 }
 
+std::optional<refusal> control::checkQuarantine(const request_fingerprint &request) const
+{
+    return m_quarantine.check(request, runtime_clock::now());
+}
+
+void control::onPlainSendEnded(const request_fingerprint &request, const upstream_place &place,
+                               std::optional<send_loss> loss)
+{
+    m_quarantine.onEnded(request, place.id, toText(place.address), loss, runtime_clock::now());
+}
+
 std::optional<upstream_place> control::moveCall(const std::string &service, call_number number)
 {
     // Every try is an effect of its own: the lease may have lapsed while the first one failed.
--- a/src/daemon/pass_through.cpp
+++ b/src/daemon/pass_through.cpp
@@ -1,6 +1,7 @@
 #include "daemon/pass_through.h"
 
 #include "daemon/problems.h"
+#include "daemon/upstream_call.h"
 
 #include <boost/beast/core/string.hpp>
 
@@ -60,22 +61,43 @@
     return out;
 }
 
-/// \brief One try at one replica. \returns nothing once a response has been relayed.
-awaitable<std::optional<http_error>> tryOnce(upstream_place place, http_request request,
-                                             response_writer &writer)
+/// \returns the identity of \p request over its attempts.
+request_fingerprint identify(const http_request &request)
+{
+    return fingerprintOf(std::array<std::string_view, 4>{
+        request.headers.get("Authorization"), request.method, request.target, request.body});
+}
+
+/// \brief How one try at one replica ended.
+struct try_end
+{
+    std::optional<http_error> error;
+    /// Whether the caller has a part of the response, or all of it.
+    bool isRelayed = false;
+};
+
+/// \brief One try at one replica.
+awaitable<try_end> tryOnce(upstream_place place, http_request request, response_writer &writer)
 {
     const auto connection = std::make_shared<http_connection>(co_await asio::this_coro::executor);
     closeWhenCallerGoes(connection, writer);
+    try_end end;
     const auto connected
         = co_await connection->connect(place.address, runtime_clock::now() + connectLimit);
-    if (!connected)
-        co_return connected.error();
+    if (!connected) {
+        end.error = connected.error();
+        co_return end;
+    }
     auto head = co_await connection->sendAndReadHead(
         std::move(request), runtime_clock::now() + place.limits.callTimeout);
-    if (!head)
-        co_return head.error();
-    co_await relayResponse(*connection, std::move(*head), writer, place.limits.streamIdleTimeout);
-    co_return std::nullopt;
+    if (!head) {
+        end.error = head.error();
+        co_return end;
+    }
+    end.isRelayed = true;
+    end.error = co_await relayResponse(*connection, std::move(*head), writer,
+                                       place.limits.streamIdleTimeout);
+    co_return end;
 }
 
 } // namespace
@@ -93,8 +115,9 @@
     return result;
 }
 
-awaitable<void> relayResponse(http_connection &connection, response_head head,
-                              response_writer &writer, duration streamIdleTimeout)
+awaitable<std::optional<http_error>> relayResponse(http_connection &connection, response_head head,
+                                                   response_writer &writer,
+                                                   duration streamIdleTimeout)
 {
     header_list headers = endToEnd(head.headers);
     constexpr int noContent = 204;
@@ -102,19 +125,20 @@
     if (head.status == noContent || head.status == notModified) {
         http_response response{head.status, std::move(headers), {}};
         co_await writer.write(std::move(response));
-        co_return;
+        co_return std::nullopt;
     }
     bool open = co_await writer.begin(head.status, std::move(headers));
     while (open) {
         const auto piece = co_await connection.readSome(runtime_clock::now() + streamIdleTimeout);
         if (!piece)
-            co_return;
+            co_return piece.error();
         if (piece->empty())
             break;
         open = co_await writer.writeChunk(*piece);
     }
     if (open)
         co_await writer.end();
+    co_return std::nullopt;
 }
 
 void closeWhenCallerGoes(const std::shared_ptr<http_connection> &connection,
@@ -142,6 +166,13 @@
         co_await writer.write(std::move(reply));
         co_return;
     }
+    auto check = [&owner, identity = identify(request)] { return owner.checkQuarantine(identity); };
+    const auto quarantined = co_await runOn(controlThread, check);
+    if (quarantined) {
+        http_response reply = toResponse(toProblem(*quarantined));
+        co_await writer.write(std::move(reply));
+        co_return;
+    }
     const std::string service = serviceOf(request);
     auto find = [&owner, service] { return owner.openPlainService(service); };
     auto place = co_await runOn(controlThread, find);
@@ -150,11 +181,20 @@
         co_await writer.write(std::move(reply));
         co_return;
     }
-    std::optional<http_error> error;
+    const request_fingerprint identity = identify(request);
+    try_end end;
     for (int tries = 1; tries <= maxTries; ++tries) {
         http_request out = upstreamRequest(request);
-        error = co_await tryOnce(*place, std::move(out), writer);
-        if (!error || tries == maxTries)
+        end = co_await tryOnce(*place, std::move(out), writer);
+        const auto loss = end.error ? lossOf(*end.error) : std::nullopt;
+        const bool hasAnswered = !end.error;
+        auto record = [&owner, identity, at = *place, loss, hasAnswered] {
+            if (loss || hasAnswered)
+                owner.onPlainSendEnded(identity, at, loss);
+            return owner.checkQuarantine(identity);
+        };
+        const auto refused = co_await runOn(controlThread, record);
+        if (!end.error || end.isRelayed || tries == maxTries || refused)
             break;
         auto move
             = [&owner, service, number = place->number] { return owner.moveCall(service, number); };
@@ -165,9 +205,9 @@
     }
     auto close = [&owner, number = place->number] { owner.closeUpstream(number); };
     co_await runOn(controlThread, close);
-    if (!error)
+    if (!end.error || end.isRelayed)
         co_return;
-    http_response reply = toResponse(upstreamProblem(*error, true));
+    http_response reply = toResponse(upstreamProblem(*end.error, true));
     co_await writer.write(std::move(reply));
 }
 
--- a/src/daemon/pass_through.h
+++ b/src/daemon/pass_through.h
@@ -15,8 +15,9 @@
 ///
 /// When the upstream breaks off, the response stays without its last chunk and the connection
 /// closes, so that the caller sees that it is not whole.
-awaitable<void> relayResponse(http_connection &connection, response_head head,
-                              response_writer &writer, duration streamIdleTimeout);
+awaitable<std::optional<http_error>> relayResponse(http_connection &connection, response_head head,
+                                                   response_writer &writer,
+                                                   duration streamIdleTimeout);
 
 /// \brief Closes \p connection when the caller of \p writer goes away, so that its session does not
 /// wait for an answer that nobody reads.
--- a/src/daemon/problems.cpp
+++ b/src/daemon/problems.cpp
@@ -25,7 +25,10 @@
     case refusal_reason::StoreUnavailable:
     case refusal_reason::NoUpstream:
     case refusal_reason::Draining:
+    case refusal_reason::ReplicasInDoubt:
         return 503;
+    case refusal_reason::Quarantined:
+        return 422;
     }
     return 503;
 }
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -146,6 +146,23 @@
 
 } // namespace
 
+std::optional<send_loss> lossOf(const http_error &error)
+{
+    if (error.ran == outcome::DidNotRun)
+        return std::nullopt;
+    switch (error.kind) {
+    case http_error_kind::ConnectionLost:
+    case http_error_kind::Incomplete:
+        return send_loss::ConnectionEnded;
+    case http_error_kind::TimedOut:
+        return send_loss::Unanswered;
+    case http_error_kind::ConnectFailed:
+    case http_error_kind::Malformed:
+        break;
+    }
+    return std::nullopt;
+}
+
 tl::expected<bool, http_error> onModelEvent(call_stream &stream, const std::string &data,
                                             upstream_end &end)
 {
--- a/src/daemon/upstream_call.h
+++ b/src/daemon/upstream_call.h
@@ -29,6 +29,9 @@
     bool worthRetry = false;
 };
 
+/// \returns how a replica lost a call that ended with \p error, or nothing if it did not.
+std::optional<send_loss> lossOf(const http_error &error);
+
 /// \brief Makes a model call and relays its events into the call's stream as they come.
 awaitable<upstream_end> callModel(const running_call &call);
 /// \brief Makes a tool or plain call.
--- a/src/program/refusal.h
+++ b/src/program/refusal.h
@@ -21,16 +21,21 @@
     StoreUnavailable,
     Overloaded,
     NoUpstream,
-    Draining
+    Draining,
+    /// As many replicas as may end under a call may have ended under it.
+    ReplicasInDoubt,
+    /// As many have ended.
+    Quarantined
 };
 
 template <>
 struct enum_names<refusal_reason>
 {
-    static constexpr std::array<std::string_view, 12> names
+    static constexpr std::array<std::string_view, 14> names
         = {"unknown-program",   "program-ended",   "turn-out-of-order", "key-reused",
            "budget-exhausted",  "deadline-passed", "too-many-turns",    "not-owner",
-           "store-unavailable", "overloaded",      "no-upstream",       "draining"};
+           "store-unavailable", "overloaded",      "no-upstream",       "draining",
+           "replicas-in-doubt", "quarantined"};
 };
 
 struct refusal
--- a/standin/fault.cpp
+++ b/standin/fault.cpp
@@ -5,6 +5,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace azurehill::standin {
 
@@ -135,6 +136,8 @@
     case fault_mode::Leave:
         co_await writer.write(leavingResponse());
         co_return;
+    case fault_mode::EndProcess:
+        std::_Exit(EXIT_FAILURE);
     case fault_mode::Slow:
         co_await sleepFor(own.delay);
         co_return co_await inner(request, slowed);
--- a/standin/fault.h
+++ b/standin/fault.h
@@ -30,7 +30,9 @@
     /// Waits before each piece of a streamed answer.
     SlowPieces,
     /// Refuses new work and says that it leaves; work in progress goes on.
-    Leave
+    Leave,
+    /// Ends the process.
+    EndProcess
 };
 
 /// \brief A fault and its bounds, as "POST /fault" gives them.
@@ -78,9 +80,9 @@
 template <>
 struct enum_names<standin::fault_mode>
 {
-    static constexpr std::array<std::string_view, 10> names
-        = {"none",   "down",        "slow",       "lose_answers", "silent",
-           "freeze", "gone_silent", "cut_stream", "slow_pieces",  "leave"};
+    static constexpr std::array<std::string_view, 11> names
+        = {"none",        "down",       "slow",        "lose_answers", "silent",     "freeze",
+           "gone_silent", "cut_stream", "slow_pieces", "leave",        "end_process"};
 };
 
 } // namespace azurehill
--- a/standin/platform_standin.cpp
+++ b/standin/platform_standin.cpp
@@ -138,6 +138,10 @@
     http_response setHost(const json::value &body)
     {
         const std::string name = text(body.at("name"));
+        if (body.as_object().contains("gone")) {
+            m_hosts.erase(name);
+            return jsonResponse(200, "{}");
+        }
         m_hosts[name].push_back({body.as_object(), runtime_clock::now() + m_hostLag});
         return jsonResponse(200, "{}");
     }
--- a/test/process/upstream_test.cpp
+++ b/test/process/upstream_test.cpp
@@ -129,3 +129,35 @@
     REQUIRE_MESSAGE(again.content(), again.body);
     CHECK(c.wasSent(program, 1, *again.content()));
 }
+
+// Guards against a call that ends one engine after the other: repeated under its key, it was sent
+// again whatever had become of the engines before.
+TEST_CASE("A call that ends its engines is not sent once three have ended")
+{
+    constexpr int engines = 5;
+    cluster c({.engines = engines});
+    const program_id program = c.createProgram("daemon-0");
+    const auto name = [](int i) { return fmt::format("engine-{}", i); };
+    for (int i = 0; i < engines; ++i)
+        c.setFault(name(i), R"({"mode":"end_process","path_prefix":"/v1"})");
+    const auto ended = [&] {
+        int count = 0;
+        for (int i = 0; i < engines; ++i) {
+            if (!c.process(name(i)).exitStatus())
+                continue;
+            ++count;
+            postJson(c.address("platform"), "/hosts",
+                     fmt::format(R"({{"name":"{}","gone":true}})", name(i)));
+        }
+        return count;
+    };
+    const call_line call = modelCall(program, 1);
+    const auto isQuarantined = [&] {
+        const reply answer = ask(c.address("daemon-0"), call.request);
+        ended();
+        return answer.status == 422;
+    };
+    CHECK(holdsWithin(std::chrono::seconds(12), isQuarantined));
+    CHECK(ended() == 3);
+    CHECK(ask(c.address("daemon-0"), call.request).outcomeText() == "did_not_run");
+}
