Test: a request that may end its replica goes where few others would be lost

The choice was made with the quarantine and had no test. Without the cost of other requests in flight the cached replica is chosen, as the test's first check shows for a request that is not suspect.

--- a/test/logic/replica_load_balancer_test.cpp
+++ b/test/logic/replica_load_balancer_test.cpp
@@ -69,6 +69,23 @@
         }
     }
 
+    // Guards against a replica that ends with many requests in flight, though an idle one would do.
+    TEST_CASE("a request that may end its replica goes where few others would be lost")
+    {
+        replica_load_balancer balancer({"here"}, 1);
+        balancer.setReplicas({entry("a"), entry("b")}, at(0));
+        placement_request request = prompt({{"system", 2000}});
+        const auto first = balancer.choose(request, at(0));
+        REQUIRE(first);
+        // Its prompt is cached there, at which another request is in flight.
+        balancer.onSent(*first, request, at(0));
+        balancer.onDone(*first, send_outcome::Answered, at(100));
+        balancer.onSent(*first, request, at(200));
+        CHECK(chosenReplica(balancer, request, at(300)) == first->replica.incarnation.id.value);
+        request.mayEndReplica = true;
+        CHECK(chosenReplica(balancer, request, at(300)) != first->replica.incarnation.id.value);
+    }
+
     TEST_CASE("a replica that leaves gets nothing more")
     {
         replica_load_balancer balancer({"here"}, 1);
