A daemon that stood still waits for acknowledgements again

Trace: the daemon lost the third send at 18.113 s, three custodians had its notice and had answered by 18.161, and the daemon itself did not run again before 18.264. Its 120 ms had passed by then, so it went on with what it knew before it read their acknowledgements, and sent at 18.264.

Cause: the wait was bounded by time, in which the daemon may not run. Transmissions are counted instead: three, with 40 ms after each. A daemon that stood still sends once more and reads what came.

--- a/src/crashes/crash_exchange.cpp
+++ b/src/crashes/crash_exchange.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr duration retryInterval = milliseconds(40);
+constexpr int transmissions = 3;
+constexpr duration retryInterval = crash_exchange::shareTimeout / transmissions;
 /// Notices whose acknowledgements are awaited at one time; further ones are sent once.
 constexpr std::size_t maxPending = 256;
 /// Requests of which this daemon remembers to whom it reported them, and for how long: custodians
@@ -124,7 +125,6 @@
                                        std::map<endpoint, member_run> recipients,
                                        std::size_t optional)
 {
-    const time_point until = runtime_clock::now() + shareTimeout;
     const auto report = m_ledger.find(request, runtime_clock::now());
     if (!report)
         co_return;
@@ -137,12 +137,14 @@
     const auto wait = notice.wait;
     const bool isAwaited = m_pending.size() < maxPending;
     const auto pending = m_pending.emplace(number, std::move(notice)).first;
-    while (!pending->second.isDone() && runtime_clock::now() < until) {
+    // Transmissions are counted rather than time: a daemon that stood still has acknowledgements to
+    // read when it goes on.
+    for (int sent = 0; sent < transmissions && !pending->second.isDone(); ++sent) {
         for (const auto &[address, run] : pending->second.missing)
             m_socket.send(address, pending->second.text);
         if (!isAwaited)
             break;
-        wait->expires_at(std::min(until, runtime_clock::now() + retryInterval));
+        wait->expires_after(retryInterval);
         boost::system::error_code code;
         co_await wait->async_wait(asio::redirect_error(use_awaitable, code));
     }
--- a/src/crashes/crash_exchange.h
+++ b/src/crashes/crash_exchange.h
@@ -33,7 +33,7 @@
 public:
     /// Number of custodians of one request.
     static constexpr std::size_t custodians = 3;
-    /// Maximum time for which share() waits for acknowledgements.
+    /// Maximum time for which a daemon that does not stand still waits for acknowledgements.
     static constexpr duration shareTimeout = milliseconds(120);
 
     /// \param onChanged called with each request of which another daemon told something new.
--- a/test/io/crash_exchange_test.cpp
+++ b/test/io/crash_exchange_test.cpp
@@ -115,6 +115,37 @@
         }
     }
 
+    // Guards against a daemon that stood still, takes that for an answer that does not come, and
+    // sends a request to a fourth replica.
+    TEST_CASE("the time in which a daemon stood still does not count as waiting for others")
+    {
+        exchange_fixture fixture(2);
+        asio::io_context ownContext;
+        ledger_host stalled(ownContext, 2);
+        ledger_host &other = fixture.all[0];
+        stalled.exchange.setMembers(stalled.self, {other.self});
+        other.exchange.setMembers(other.self, {stalled.self});
+        const auto ended = [](std::uint64_t replica) {
+            return crash_report{request, duration::zero(), {{replica, 1, replica_fate::Ended}}};
+        };
+        other.ledger.merge(ended(1), runtime_clock::now());
+        other.ledger.merge(ended(2), runtime_clock::now());
+        stalled.ledger.merge(ended(3), runtime_clock::now());
+
+        const paused_clock pause;
+        bool isShared = false;
+        asio::co_spawn(ownContext, stalled.exchange.share(request),
+                       [&](const std::exception_ptr &) { isShared = true; });
+        ownContext.poll();
+        runtime_clock::advance(seconds(1));
+        ownContext.run_for(std::chrono::milliseconds(20));
+        CHECK_FALSE(isShared);
+        fixture.context.run_for(std::chrono::milliseconds(20));
+        ownContext.run_for(std::chrono::milliseconds(20));
+        CHECK(isShared);
+        CHECK(exchange_fixture::isRejected(stalled));
+    }
+
     // Guards against an answer that waits for a daemon that is gone.
     TEST_CASE("daemons that don't answer are waited for only so long")
     {
