Tests: the daemon of entry_fixture takes the port that it binds

The fixture looked for a free port, closed it, and had the daemon bind it later: any other process may have it by then, and the replays and process tests run beside. All other sockets of the daemon bind port 0. That this was the cause is by reading, and was not reproduced. The daemon binds port 0 now and the fixture asks it for the port; no check changed.

--- a/test/io/entry_fixture.h
+++ b/test/io/entry_fixture.h
@@ -23,7 +23,7 @@
         settings.dataCentre = {"dc"};
         settings.storeAddress = {"127.0.0.1", store.listen()};
         settings.storeSpansParts = true;
-        settings.clients = {"127.0.0.1", port};
+        settings.clients = {"127.0.0.1", 0};
         settings.credits = {"127.0.0.1", 0};
         settings.slots = {"127.0.0.1", 0};
         settings.crashes = {"127.0.0.1", 0};
@@ -31,11 +31,7 @@
     }
 
     /// \brief Replaces the daemon by a new one that has no state.
-    void restart(const routing_config_ptr &routes = makeRoutes())
-    {
-        settings.clients.port = port = freePort();
-        begin(routes);
-    }
+    void restart(const routing_config_ptr &routes = makeRoutes()) { begin(routes); }
 
     static routing_config_ptr makeRoutes()
     {
@@ -123,7 +119,8 @@
     scripted_replica b;
     scripted_replica model;
     entry_metrics metrics;
-    std::uint16_t port = freePort();
+    /// Port at which the current daemon listens for clients.
+    std::uint16_t port = 0;
     host_settings settings;
     /// The current daemon, the last one of \c services.
     entry_service *service = nullptr;
@@ -149,7 +146,8 @@
     {
         services.push_back(std::make_unique<entry_service>(context, settings, metrics));
         service = services.back().get();
-        REQUIRE(service->start() != 0);
+        port = service->start();
+        REQUIRE(port != 0);
         service->setReplicas({a.entry, b.entry, model.entry});
         if (routes)
             service->setRoutes(routes);
