--- a/src/quarantine/crash_watch.cpp
+++ b/src/quarantine/crash_watch.cpp
@@ -11,7 +11,7 @@
 /// Time after which nothing more becomes known of a lost send. Entries lapse after three of the
 /// replica's heartbeats, and a store that is away delays that.
 constexpr duration watchTime = seconds(15);
-/// Time for which an entry that lapsed with the store away may come back.
+/// Time after which an entry that lapsed in a store outage is no longer expected to return.
 constexpr duration returnTime = seconds(60);
 
 } // namespace
