--- a/review/1/scenario.cpp
+++ b/review/1/scenario.cpp
@@ -15,7 +15,8 @@
 constexpr int eventsPerTurn = turnTokens / tokensPerEvent;
 /// A tool call within its deadline of 6 s.
 constexpr long long toolMs = 4500;
-/// The store is down from shortly before the tool answers, for less than the 7 s of the site's days.
+/// The store is down from shortly before the tool answers, for less than the 7 s of the site's
+/// days.
 constexpr long long outageAfterLastTurnMs = 4200;
 constexpr long long outageMs = 6700;
 /// After a turn that failed it is sent again after .1 to .4 s, at most twice.
@@ -129,7 +130,8 @@
         return 2;
 
     sleepUntil(stopped + returnMs);
-    note("program: returns " + std::to_string(now() - stopped) + " ms after it was stopped; rows of "
+    note("program: returns " + std::to_string(now() - stopped)
+         + " ms after it was stopped; rows of "
          + "the program in the store: " + std::to_string(d.store().rowCount("turns", p.id)));
     connection third;
     std::string begun;
--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -52,8 +52,7 @@
             const attempt before = p.turn(c, "/page/1", "", std::string(200, 'a'));
             const long long offset = firstSendMs + i * sendStepMs;
             sleepUntil(term + offset);
-            const attempt a
-                = p.turn(c, "/page/1", "", std::string(workEndMs - offset, 'b'));
+            const attempt a = p.turn(c, "/page/1", "", std::string(workEndMs - offset, 'b'));
             if (before.status != 200 || !before.whole || !a.connected) {
                 isBad = true;
                 return;
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -2,7 +2,6 @@
 
 #include <cstdio>
 #include <random>
-
 #include <unistd.h>
 
 namespace review {
@@ -115,28 +114,39 @@
     const std::string turns = "\"hostname\":\"ficu95.example\",\"route_type\":\"streaming\","
                               "\"timeout_ms\":6000,\"target_latency_ms\":250,"
                               "\"service\":\"relatos\",\"max_attempts\":2,\"retain_context\":true,"
-                              "\"retention_s\":" + retention
-        + ",\"session_affinity\":true,\"resumable\":false,\"gap_aim_ms\":400";
+                              "\"retention_s\":"
+        + retention + ",\"session_affinity\":true,\"resumable\":false,\"gap_aim_ms\":400";
     const std::string plain = "\"hostname\":\"ficu95.example\",\"service\":\"biblioteca\","
                               "\"priority\":2";
-    return "{\"version\":" + std::to_string(version) + ",\"routes\":["
-        "{\"name\":\"page-draft\",\"prefix\":\"/page/\",\"priority\":1," + turns + "},"
-        "{\"name\":\"lesson-guide\",\"prefix\":\"/lesson/\",\"priority\":0," + turns + "},"
-        "{\"name\":\"catalogue\",\"prefix\":\"/catalogue/\",\"route_type\":\"idempotent\","
-        "\"timeout_ms\":1500,\"target_latency_ms\":250,\"max_attempts\":2," + plain + "},"
-        "{\"name\":\"book-download\",\"prefix\":\"/book/\",\"route_type\":\"non_idempotent\","
-        "\"timeout_ms\":6000,\"target_latency_ms\":800,\"max_attempts\":1," + plain + "},"
-        "{\"name\":\"proof-fetch\",\"prefix\":\"/proof/\",\"route_type\":\"non_idempotent\","
-        "\"timeout_ms\":3000,\"target_latency_ms\":600,\"max_attempts\":1," + plain + "}],"
-        "\"services\":[{\"name\":\"relatos\",\"health_path\":\"/health\",\"max_connections\":480,"
-        "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":96,\"kv_cache_tokens\":213037,"
-        "\"kv_token_bytes\":131072,\"link_mbps\":550000.0,\"moves\":true,\"backups\":true,"
-        "\"tokens_per_event\":2,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,"
-        "\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}},"
-        "{\"name\":\"biblioteca\",\"health_path\":\"/health\",\"max_connections\":96,"
-        "\"protocol\":\"h1\",\"tls\":false}],"
-        "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
-        "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+    return "{\"version\":" + std::to_string(version)
+        + ",\"routes\":["
+          "{\"name\":\"page-draft\",\"prefix\":\"/page/\",\"priority\":1,"
+        + turns
+        + "},"
+          "{\"name\":\"lesson-guide\",\"prefix\":\"/lesson/\",\"priority\":0,"
+        + turns
+        + "},"
+          "{\"name\":\"catalogue\",\"prefix\":\"/catalogue/\",\"route_type\":\"idempotent\","
+          "\"timeout_ms\":1500,\"target_latency_ms\":250,\"max_attempts\":2,"
+        + plain
+        + "},"
+          "{\"name\":\"book-download\",\"prefix\":\"/book/\",\"route_type\":\"non_idempotent\","
+          "\"timeout_ms\":6000,\"target_latency_ms\":800,\"max_attempts\":1,"
+        + plain
+        + "},"
+          "{\"name\":\"proof-fetch\",\"prefix\":\"/proof/\",\"route_type\":\"non_idempotent\","
+          "\"timeout_ms\":3000,\"target_latency_ms\":600,\"max_attempts\":1,"
+        + plain
+        + "}],"
+          "\"services\":[{\"name\":\"relatos\",\"health_path\":\"/health\",\"max_connections\":480,"
+          "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":96,\"kv_cache_tokens\":213037,"
+          "\"kv_token_bytes\":131072,\"link_mbps\":550000.0,\"moves\":true,\"backups\":true,"
+          "\"tokens_per_event\":2,\"most\":12,\"pin_ms\":4000.0,\"hold_ms\":2000.0,"
+          "\"handle_s\":5.0,\"models\":[{\"name\":\"m\"}]}},"
+          "{\"name\":\"biblioteca\",\"health_path\":\"/health\",\"max_connections\":96,"
+          "\"protocol\":\"h1\",\"tls\":false}],"
+          "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,"
+          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 }
 
 std::vector<std::pair<std::string, std::string>> stamped(const http_message &request)
--- a/review/standin/harness.cpp
+++ b/review/standin/harness.cpp
@@ -3,19 +3,18 @@
 #include <boost/json/src.hpp>
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <cstring>
-#include <iostream>
-#include <sstream>
-
-#include <arpa/inet.h>
 #include <fcntl.h>
+#include <iostream>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sstream>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -323,8 +322,7 @@
     return readHead(m) && readBody(m);
 }
 
-server::server(const std::string &ip, int port, handler h)
-    : m_ip(ip), m_handler(std::move(h))
+server::server(const std::string &ip, int port, handler h) : m_ip(ip), m_handler(std::move(h))
 {
     m_fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
@@ -458,7 +456,9 @@
         const std::int64_t version = found == m_rows.end() ? 0 : found->second.version;
         holds = holds && version == v.at("ver").to_number<std::int64_t>();
         if (found != m_rows.end())
-            current.push_back(json::object{{"table", n[0]}, {"part", n[1]}, {"key", n[2]},
+            current.push_back(json::object{{"table", n[0]},
+                                           {"part", n[1]},
+                                           {"key", n[2]},
                                            {"value", toBase64(found->second.value)},
                                            {"ver", version}});
     }
@@ -506,8 +506,11 @@
             break;
         }
         bytes += r.value.size();
-        rows.push_back(json::object{{"table", n[0]}, {"part", n[1]}, {"key", n[2]},
-                                    {"value", toBase64(r.value)}, {"ver", r.version}});
+        rows.push_back(json::object{{"table", n[0]},
+                                    {"part", n[1]},
+                                    {"key", n[2]},
+                                    {"value", toBase64(r.value)},
+                                    {"ver", r.version}});
     }
     json::object out{{"rows", rows}, {"has_more", more}, {"ver", m_version}, {"now_ms", now()}};
     return response(200, {{"Content-Type", "application/json"}}, json::serialize(out));
@@ -521,9 +524,8 @@
     const long long wait = waiting == query.end() ? 0 : std::stoll(waiting->second);
     std::unique_lock lock(m_mutex);
     const auto hasNew = [&] {
-        return std::any_of(m_changes.rbegin(), m_changes.rend(), [&](const change &c) {
-            return c.version > after && c.table == table;
-        });
+        return std::any_of(m_changes.rbegin(), m_changes.rend(),
+                           [&](const change &c) { return c.version > after && c.table == table; });
     };
     m_changed.wait_for(lock, ms(wait), hasNew);
     json::array rows;
--- a/review/standin/harness.h
+++ b/review/standin/harness.h
@@ -2,22 +2,22 @@
 // daemons as child processes. Plain threads and blocking sockets; loopback addresses only.
 #pragma once
 
+#include <array>
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <fstream>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
-#include <condition_variable>
 #include <string>
+#include <sys/types.h>
 #include <thread>
 #include <utility>
 #include <vector>
 
-#include <sys/types.h>
-
 namespace review {
 
 using steady = std::chrono::steady_clock;
