--- a/review/3/scenario.cpp
+++ b/review/3/scenario.cpp
@@ -1,4 +1,5 @@
-// A daemon that is stopped by SIGTERM ends before its grace time allows, and cuts answers off.
+// A kept turn is removed with its program's rows, at the end of the retention time of another
+// turn of the program.
 
 #include "deployment.h"
 
@@ -8,16 +9,23 @@
 
 namespace {
 
-constexpr int clients = 6;
-constexpr int events = 45;
+constexpr int turnTokens = 20;
 constexpr int tokensPerEvent = 2;
-/// A request is sent 1.0 to 2.5 s after SIGTERM, on a connection that was open before.
-constexpr long long firstSendMs = 1000;
-constexpr long long sendStepMs = 300;
-/// Each answer would end at this time after SIGTERM, before the last sixth of the grace time.
-constexpr long long workEndMs = 6540;
-constexpr long long lastSixthMs = 8000 * 5 / 6;
-constexpr long long deadlineMs = 6000;
+/// Retention of the turns on /page/ is 60 s, on /lesson/ 10 s.
+constexpr const char *retentionText = "\"retention_s\":60.000000";
+constexpr const char *shortRetention = "\"retention_s\":10.0";
+/// Time from the first turn's end to the turn that goes on from it: half of its retention.
+constexpr long long continueMs = 30'000;
+
+/// \returns the small configuration with a shorter retention on the lessons' route.
+std::string configuration()
+{
+    std::string text = smallConfiguration(7);
+    const std::size_t lesson = text.find("lesson-guide");
+    const std::string old = retentionText;
+    text.replace(text.find(old, lesson), old.size(), shortRetention);
+    return text;
+}
 
 } // namespace
 
@@ -25,62 +33,57 @@
 {
     openRecord(std::getenv("RECORD"));
     deployment d(3);
-    d.configure(smallConfiguration(7));
+    d.configure(configuration());
     for (int i = 0; i < 3; ++i) {
         d.addReplica("i-relatos-" + std::to_string(i), "relatos", 96,
                      [](const http_message &m, connection &c) {
-                         // The length of the turn's input stands for the time of its answer.
-                         return streamEvents(m, c, events, static_cast<long long>(m.body.size()));
+                         return streamEvents(m, c, turnTokens / tokensPerEvent, 100);
                      });
     }
     d.start();
-    sleepMs(1500);
+    sleepMs(1000);
 
-    const host &stopped = d.hosts()[0];
-    const long long term = now() + 1000;
-    std::atomic<int> cut{0};
-    std::atomic<int> whole{0};
-    std::atomic<bool> isBad{false};
-    std::vector<std::thread> threads;
-    for (int i = 0; i < clients; ++i) {
-        threads.emplace_back([&, i] {
-            program p;
-            p.budgetTokens = 1200;
-            p.turnTokens = events * tokensPerEvent;
-            connection c;
-            c.open(stopped.ip, stopped.front);
-            const attempt before = p.turn(c, "/page/1", "", std::string(200, 'a'));
-            const long long offset = firstSendMs + i * sendStepMs;
-            sleepUntil(term + offset);
-            const attempt a = p.turn(c, "/page/1", "", std::string(workEndMs - offset, 'b'));
-            if (before.status != 200 || !before.whole || !a.connected) {
-                isBad = true;
-                return;
-            }
-            const long long after = a.endedAt - term;
-            const bool isInTime = a.endedAt - a.sentAt < deadlineMs && after < lastSixthMs;
-            if (a.whole)
-                ++whole;
-            else if (isInTime && a.status == 200)
-                ++cut;
-            note("client: turn " + a.id + (a.whole ? " ended whole" : " was cut") + " "
-                 + std::to_string(after) + " ms after SIGTERM, "
-                 + std::to_string(a.endedAt - a.sentAt) + " ms after it was sent");
-        });
-    }
-    sleepUntil(term);
+    program p;
+    p.budgetTokens = 1200;
+    p.turnTokens = turnTokens;
+    connection first;
+    first.open(d.hosts()[0].ip, d.hosts()[0].front);
+    const attempt draft = p.turn(first, "/page/1", "", "a page to draft");
+    const long long ended = now();
+    if (draft.status != 200 || !draft.whole)
+        return 2;
+    note("the turn " + draft.id + " was answered whole; its route's retention_s is 60");
+
+    // Planned work: the daemon is stopped and started. The program goes on at another one.
     if (hasTrouble()) {
-        note("platform: SIGTERM to " + stopped.name + "; grace_s is 8");
+        note("platform: SIGTERM to " + d.hosts()[0].name);
         d.daemon(0).signal(SIGTERM);
+        if (!d.daemon(0).waitForEnd(8000))
+            return 2;
+        note("platform: " + d.hosts()[0].name + " ended by " + d.daemon(0).endText()
+             + " and is started again");
+        d.restart(0);
+        if (!waitReady(d.hosts()[0], 10'000))
+            return 2;
     }
-    for (std::thread &t : threads)
-        t.join();
-    d.daemon(0).waitForEnd(hasTrouble() ? 2000 : 0);
-    note("platform: " + stopped.name + " "
-         + (d.daemon(0).isRunning() ? "runs" : "ended by " + d.daemon(0).endText()));
-    note("answers whole: " + std::to_string(whole) + ", cut: " + std::to_string(cut));
-    if (isBad)
+    connection second;
+    const host &next = d.hosts()[hasTrouble() ? 1 : 0];
+    sleepUntil(ended + 5000);
+    second.open(next.ip, next.front);
+    const attempt lesson = p.turn(second, "/lesson/1", draft.id, "a question of a helper");
+    if (lesson.status != 200 || !lesson.whole)
+        return 2;
+
+    sleepUntil(ended + continueMs);
+    note("rows of the program in the store: " + std::to_string(d.store().rowCount("turns", p.id)));
+    connection third;
+    third.open(d.hosts()[2].ip, d.hosts()[2].front);
+    const attempt edit = p.turn(third, "/page/1", draft.id, "the translator's edit");
+    const bool isBroken = edit.status == 404 || edit.status == 410;
+    note("the turn that goes on from " + draft.id + ", " + std::to_string(edit.sentAt - ended)
+         + " ms after that was answered, gets " + std::to_string(edit.status));
+    if (!isBroken && edit.status != 200)
         return 2;
-    note(cut > 0 ? "LOST is broken" : "LOST held");
-    return cut > 0 ? 1 : 0;
+    note(isBroken ? "LOST is broken" : "LOST held");
+    return isBroken ? 1 : 0;
 }
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -1,5 +1,6 @@
 #include "deployment.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <random>
 #include <unistd.h>
@@ -199,15 +200,23 @@
     return count;
 }
 
+namespace {
+
+/// Time from a program's first turn until it should be finished.
+constexpr long long finishMs = 20'000;
+
+} // namespace
+
 attempt program::turn(connection &c, const std::string &path, const std::string &previous,
                       const std::string &body)
 {
+    const long long finish = std::max(0LL, began + finishMs - now());
     std::vector<std::pair<std::string, std::string>> headers{
         {"Host", "ficu95.example"},
         {"X-Azurehill-Request-Id", newId()},
         {"X-Azurehill-Program-Id", id},
         {"X-Azurehill-Session-Id", id},
-        {"X-Azurehill-Finish-Ms", "20000"},
+        {"X-Azurehill-Finish-Ms", std::to_string(finish)},
         {"X-Azurehill-Token-Budget", std::to_string(budgetTokens)},
         {"X-Azurehill-Token-Usage", "100," + std::to_string(turnTokens)},
         {"X-Azurehill-Request-Deadline", "6000"}};
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -78,6 +78,7 @@
 struct program
 {
     std::string id = newId();
+    long long began = now();
     int budgetTokens = 0;
     int turnTokens = 0; ///< most tokens of one turn
     /// Sends one turn on \p c and records it.
