--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -4,6 +4,7 @@
 #include "entry/entry_metrics.h"
 #include "entry/entry_options.h"
 #include "entry/entry_service.h"
+#include "entry/entry_shutdown.h"
 #include "platform/settings_file.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -23,39 +24,6 @@
 constexpr int exitBadSettings = 2;
 constexpr int exitCantListen = 71;
 
-/// Callers cache a look-up for its time to live, and some for three times as long; after that, no
-/// caller comes that could know a better address.
-constexpr duration lookupStaleTime = milliseconds(3500);
-/// Fraction of the grace time after which the process ends in any case.
-constexpr double graceShare = 0.8;
-constexpr duration drainPollInterval = milliseconds(50);
-
-awaitable<void> shutDown(entry_control &control, entry_service &service, const host_settings &s,
-                         asio::io_context &controlContext, asio::io_context &trafficContext)
-{
-    logDecision(log_event::Stopping, {{"in_progress", service.requestsInProgress()}});
-    const time_point began = runtime_clock::now();
-    control.leave();
-    asio::post(trafficContext, [&service] { service.announceClose(); });
-    const auto timeLimit = std::chrono::duration_cast<duration>(s.grace * graceShare);
-    spawn(trafficContext.get_executor(), "release", service.release(began + timeLimit));
-    co_await control.unregister(began + timeLimit);
-    const duration minDrainTime = std::min<duration>(lookupStaleTime, timeLimit);
-    int idlePolls = 0;
-    constexpr int requiredIdlePolls = 4;
-    while (runtime_clock::now() < began + timeLimit) {
-        idlePolls = service.requestsInProgress() == 0 ? idlePolls + 1 : 0;
-        if (runtime_clock::now() > began + minDrainTime && idlePolls >= requiredIdlePolls)
-            break;
-        co_await sleepFor(drainPollInterval);
-    }
-    logDecision(log_event::Stopped,
-                {{"in_progress", service.requestsInProgress()},
-                 {"ms", toMilliseconds(runtime_clock::now() - began)}});
-    trafficContext.stop();
-    controlContext.stop();
-}
-
 constexpr duration settingsPollInterval = seconds(2);
 
 /// \brief Reloads the settings file when it has changed. It may change without a signal, so it is
@@ -195,6 +163,16 @@
     co_await writer.write(std::move(response));
 }
 
+/// \brief Stops the daemon, and ends the event loops of both threads.
+awaitable<void> shutDown(entry_control &control, entry_service &service, duration grace,
+                         asio::io_context &controlContext, asio::io_context &trafficContext)
+{
+    entry_shutdown shutdown(control, service, trafficContext.get_executor());
+    co_await shutdown.run(grace);
+    trafficContext.stop();
+    controlContext.stop();
+}
+
 int run(const host_settings &s, const std::string &settingsText, const entry_options &options)
 {
     asio::io_context controlContext(1);
@@ -256,7 +234,7 @@
     signals.async_wait([&](boost::system::error_code code, int) {
         if (!code) {
             spawn(controlContext.get_executor(), "shutDown",
-                  shutDown(control, service, s, controlContext, trafficContext));
+                  shutDown(control, service, s.grace, controlContext, trafficContext));
         }
     });
     settings_watch watch(settingsText, control);
