An answer that begins after the stop was announced asks for the connection's close

What callers saw: the answer to a request that a stopping daemon had read before SIGTERM kept its connection open, so the client's next request came to that daemon again. Cause: http_server decided on keep-alive when it had read the request, not when it wrote the head. Fix: server_writer asks when it writes the head, the last moment at which the client can be told.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -187,10 +187,10 @@
                        http::request<http::string_body> in, std::size_t fieldCount)
 {
     const bool knowsChunks = in.version() >= firstVersionWithChunks;
-    const bool keepAlive
-        = knowsChunks && in.keep_alive() && !server.stopping && !server.announcingClose;
+    const bool keepAlive = knowsChunks && in.keep_alive();
     const bool headOnly = in.method() == http::verb::head;
     server_writer writer(socket, keepAlive, headOnly, server.limits.writeTimeout);
+    writer.setCloseRequested([&server] { return server.stopping || server.announcingClose; });
     if (!knowsChunks)
         writer.setStreamFraming(body_framing::Connection);
     ++server.inProgress;
@@ -212,7 +212,7 @@
         socket.socket.close(ignored);
     }
     --server.inProgress;
-    co_return keepAlive &&writer.finished();
+    co_return writer.keepsAlive() && writer.finished();
 }
 
 /// \brief Reads and answers one request. \returns whether the connection is kept alive.
--- a/src/http/server_writer.cpp
+++ b/src/http/server_writer.cpp
@@ -23,11 +23,18 @@
 
 } // namespace
 
+void server_writer::updateKeepAlive()
+{
+    if (m_isCloseRequested && m_isCloseRequested())
+        m_keepAlive = false;
+}
+
 awaitable<bool> server_writer::write(http_response response)
 {
     http::response<http::string_body> out(static_cast<http::status>(response.status), 11);
     for (const auto &[name, value] : response.headers)
         out.insert(name, value);
+    updateKeepAlive();
     out.keep_alive(m_keepAlive);
     out.body() = std::move(response.body);
     out.prepare_payload();
@@ -47,6 +54,7 @@
     http::response<http::empty_body> out(static_cast<http::status>(status), 11);
     for (const auto &[name, value] : headers)
         out.insert(name, value);
+    updateKeepAlive();
     out.keep_alive(m_keepAlive);
     const bool endsWithConnection = m_streamFraming == body_framing::Connection;
     out.chunked(!endsWithConnection);
--- a/src/http/server_writer.h
+++ b/src/http/server_writer.h
@@ -28,13 +28,25 @@
     /// Connection. For the latter, closing the socket before end() resets the connection.
     void setStreamFraming(body_framing framing) { m_streamFraming = framing; }
 
+    /// \brief Sets a predicate that tells, when the head of the response is written, whether the
+    /// connection is to be closed after it.
+    void setCloseRequested(std::function<bool()> isRequested)
+    {
+        m_isCloseRequested = std::move(isRequested);
+    }
+
+    /// \returns whether the response, if it was written, leaves the connection open.
+    bool keepsAlive() const { return m_keepAlive; }
     /// \returns whether a response has been started.
     bool responseStarted() const { return m_responseStarted; }
     bool finished() const override { return m_finished; }
 
 private:
+    void updateKeepAlive();
+
     timed_socket &m_socket;
     bool m_keepAlive;
+    std::function<bool()> m_isCloseRequested;
     bool m_headOnly;
     duration m_writeTimeout;
     body_framing m_streamFraming = body_framing::Chunked;
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -16,6 +16,8 @@
         : server(context.get_executor(), limits,
                  [this](const http_request &r, response_writer &w) -> awaitable<void> {
                      ++requests;
+                     if (onRequest)
+                         onRequest();
                      if (r.path() == "/throws")
                          throw std::runtime_error("handler fault");
                      if (r.path() == "/stream" || r.path() == "/broken") {
@@ -72,6 +74,8 @@
     asio::io_context context;
     /// Requests that reached the handler.
     int requests = 0;
+    /// Called before a request is answered.
+    std::function<void()> onRequest;
     http_server server;
     std::uint16_t port;
 
@@ -373,3 +377,13 @@
     };
     runIn(echo.context, body());
 }
+
+// Guards against clients that keep their connections to a daemon that stops.
+TEST_CASE("An answer that begins after the close was announced asks for it")
+{
+    echo_server echo(smallLimits());
+    echo.onRequest = [&] { echo.server.announceClose(); };
+    const std::string answer = echo.exchange(head + "Content-Length: 2\r\n\r\nok");
+    CHECK(answer.find("Connection: close\r\n") != std::string::npos);
+    CHECK(answer.ends_with("ok"));
+}
