No request begins between the last look at an idle daemon and its end

What callers saw: now and then a request that a stopping daemon had read got no answer; its connection ended when the process did (LOST). Cause: both daemons looked whether requests were in progress on one thread, and stopped the other thread some time later. A request that was read in between was passed on and cut off. Evidence: "no request begins once the stop has ended" failed before: the request reached a replica after the stop had ended. http_server had no way to close ("A server that closed while it was idle ..."). Fix: http_server::closeIfIdle() compares and closes in one step, on the counter that a request raises before it is handled. azurehilld closes its outer server before the inner one, as requests of the former make requests of the latter.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -45,7 +45,10 @@
     logEvent(log_level::Info, "draining");
     co_await owner.drain();
     outer.stopAccepting();
-    while (outer.requestsInProgress() > 0 || inner.requestsInProgress() > 0)
+    // Requests of clients make requests to other daemons, so this server closes first.
+    while (!outer.closeIfIdle())
+        co_await sleepFor(drainStep);
+    while (!inner.closeIfIdle())
         co_await sleepFor(drainStep);
     inner.stopAccepting();
     logEvent(log_level::Info, "drained");
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -26,6 +26,9 @@
     std::uint16_t start();
     /// \brief Asks clients to close their connections after the answers in progress.
     void announceClose();
+    /// \brief Stops taking requests if none is in progress. May be called from any thread.
+    /// \returns whether no request is taken any more.
+    bool closeIfIdle() { return m_server.closeIfIdle(); }
     /// \returns the number of requests being answered. May be called from any thread.
     int requestsInProgress() const { return m_server.requestsInProgress(); }
 
--- a/src/entry/entry_shutdown.cpp
+++ b/src/entry/entry_shutdown.cpp
@@ -30,14 +30,11 @@
     spawn(m_traffic, "release", m_service.release(began + timeLimit));
     co_await m_control.unregister(began + timeLimit);
     const duration minDrainTime = std::min<duration>(lookupStaleTime, timeLimit);
-    int idlePolls = 0;
-    constexpr int requiredIdlePolls = 4;
-    while (runtime_clock::now() < began + timeLimit) {
-        idlePolls = m_service.requestsInProgress() == 0 ? idlePolls + 1 : 0;
-        if (runtime_clock::now() > began + minDrainTime && idlePolls >= requiredIdlePolls)
-            break;
+    const auto now = [] { return runtime_clock::now(); };
+    while (now() < began + minDrainTime)
+        co_await sleepFor(drainPollInterval);
+    while (now() < began + timeLimit && !m_service.closeIfIdle())
         co_await sleepFor(drainPollInterval);
-    }
     logDecision(log_event::Stopped,
                 {{"in_progress", m_service.requestsInProgress()},
                  {"ms", toMilliseconds(runtime_clock::now() - began)}});
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -24,6 +24,19 @@
           acceptor(asio::make_strand(executor))
     { }
 
+    static constexpr int closedMark = -1;
+
+    /// \brief Counts one more request in progress. \returns false if the server is closed.
+    bool tryBegin()
+    {
+        int count = inProgress;
+        while (count != closedMark) {
+            if (inProgress.compare_exchange_weak(count, count + 1))
+                return true;
+        }
+        return false;
+    }
+
     asio::any_io_executor executor;
     http_limits limits;
     request_handler handler;
@@ -34,6 +47,7 @@
     std::atomic<bool> announcingClose{false};
     std::atomic<int> connections{0};
     std::atomic<int> refusing{0};
+    /// Requests in progress, or closedMark.
     std::atomic<int> inProgress{0};
     std::atomic<std::int64_t> bodyBytes{0};
 };
@@ -183,6 +197,7 @@
     }
 }
 
+/// \brief Answers a request that counts as in progress, until it no longer does.
 awaitable<bool> answer(http_server::state &server, timed_socket &socket,
                        http::request<http::string_body> in, std::size_t fieldCount)
 {
@@ -193,7 +208,6 @@
     writer.setCloseRequested([&server] { return server.stopping || server.announcingClose; });
     if (!knowsChunks)
         writer.setStreamFraming(body_framing::Connection);
-    ++server.inProgress;
     bool failed = false;
     try {
         co_await server.handler(toRequest(std::move(in), fieldCount), writer);
@@ -215,7 +229,8 @@
     co_return writer.keepsAlive() && writer.finished();
 }
 
-/// \brief Reads and answers one request. \returns whether the connection is kept alive.
+/// \brief Reads and answers one request, unless the server is closed in the meantime.
+/// \returns whether the connection is kept alive.
 awaitable<bool> serveRequest(http_server::state &server, timed_socket &socket,
                              beast::flat_buffer &buffer)
 {
@@ -239,6 +254,8 @@
     socket.stopTimeout();
     if (result == read_result::PeerClosed)
         co_return false;
+    if (result == read_result::Complete && !server.tryBegin())
+        co_return false;
     if (result == read_result::Complete)
         co_return co_await answer(server, socket, parser.release(), fieldCount);
     server_writer writer(socket, false, false, server.limits.writeTimeout);
@@ -362,9 +379,16 @@
     m_state->limits = limits;
 }
 
+bool http_server::closeIfIdle()
+{
+    int count = 0;
+    return m_state->inProgress.compare_exchange_strong(count, state::closedMark)
+        || count == state::closedMark;
+}
+
 int http_server::requestsInProgress() const
 {
-    return m_state->inProgress;
+    return std::max<int>(m_state->inProgress, 0);
 }
 
 int http_server::openConnections() const
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -69,6 +69,11 @@
     void announceClose();
     /// \brief Sets the limits for subsequent requests. Call it on the server's executor.
     void setLimits(const http_limits &limits);
+    /// \brief Closes the server if no request is in progress; no request is handled from then on.
+    /// Atomic, so that none begins between the check and the end of the process. May be called from
+    /// any thread.
+    /// \returns whether the server is closed.
+    bool closeIfIdle();
     /// \returns the number of requests in progress.
     int requestsInProgress() const;
     /// \returns the number of open connections.
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -378,6 +378,39 @@
     runIn(echo.context, body());
 }
 
+// Guards against a request that is read between the last look at an idle server and the end of its
+// process: it was passed on, and its connection then ended without an answer.
+TEST_CASE("A server that closed while it was idle handles no further request")
+{
+    echo_server echo(smallLimits());
+    raw_client client(echo.context);
+    std::string answer;
+    auto connect = [&]() -> awaitable<void> { co_await client.connect(echo.port); };
+    auto ask = [&]() -> awaitable<void> {
+        co_await client.send(head + "Content-Length: 2\r\n\r\nok");
+        answer = co_await client.readSome();
+    };
+    runIn(echo.context, connect());
+
+    SUBCASE("idle, with open connections")
+    {
+        CHECK(echo.server.closeIfIdle());
+        CHECK(echo.server.closeIfIdle());
+        runIn(echo.context, ask());
+        CHECK(answer.empty());
+        CHECK(echo.requests == 0);
+        CHECK(echo.server.requestsInProgress() == 0);
+    }
+    SUBCASE("but it does not close under a request in progress")
+    {
+        bool wasClosed = true;
+        echo.onRequest = [&] { wasClosed = echo.server.closeIfIdle(); };
+        runIn(echo.context, ask());
+        CHECK_FALSE(wasClosed);
+        CHECK(answer.ends_with("ok"));
+    }
+}
+
 // Guards against clients that keep their connections to a daemon that stops.
 TEST_CASE("An answer that begins after the close was announced asks for it")
 {
--- /dev/null
+++ b/test/io/shutdown_test.cpp
@@ -0,0 +1,250 @@
+#include <doctest/doctest.h>
+
+// entry_fixture.h uses doctest's macros.
+#include "entry/entry_shutdown.h"
+#include "entry_fixture.h"
+#include "turns/turn_rows.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace azurehill::test {
+
+namespace {
+
+constexpr duration step = milliseconds(20);
+constexpr duration grace = seconds(8);
+
+/// \brief Replica that takes as long for an answer as the last part of the request's path says, in
+/// milliseconds. Streams have two events, one at the start and one at the end.
+class timed_replica
+{
+public:
+    timed_replica(asio::io_context &context, std::string id, std::string service)
+        : m_server(context.get_executor(), {},
+                   [this](const http_request &r, response_writer &w) { return answer(r, w); })
+    {
+        entry.incarnation.id = {std::move(id)};
+        entry.service = std::move(service);
+        entry.address = {"127.0.0.1", m_server.listen({"127.0.0.1", 0})};
+        entry.dataCentre = {"dc"};
+        entry.slots = 8;
+    }
+
+    replica_entry entry;
+    int arrived = 0;
+
+private:
+    awaitable<void> answer(const http_request &request, response_writer &writer)
+    {
+        ++arrived;
+        const std::string path(request.path());
+        const milliseconds time(std::stoi(path.substr(path.rfind('/') + 1)));
+        http_response response;
+        const std::string_view idName = "X-Azurehill-Request-Id";
+        response.headers.add(std::string(idName), request.headers.get(idName));
+        response.headers.add("X-Azurehill-Server-Stamp", "stamp");
+        if (entry.service != "model") {
+            co_await sleepFor(time);
+            response.body = "whole";
+            co_await writer.write(std::move(response));
+            co_return;
+        }
+        response.headers.add("Content-Type", "text/event-stream");
+        co_await writer.begin(200, std::move(response.headers));
+        co_await writer.writeChunk("id: 1\ndata: first\n\n");
+        co_await sleepFor(time);
+        co_await writer.writeChunk("id: 2\ndata: last\n\n");
+        co_await writer.end();
+    }
+
+    http_server m_server;
+};
+
+/// \brief A connection of a client, with the answer to its request as far as it has arrived.
+struct client_connection
+{
+    explicit client_connection(asio::io_context &context) : client(context) { }
+
+    raw_client client;
+    std::string answer;
+    bool isClosed = false;
+
+    int status() const { return answer.size() > 12 ? std::stoi(answer.substr(9, 3)) : 0; }
+    bool contains(std::string_view text) const { return answer.find(text) != std::string::npos; }
+};
+
+using client_ptr = std::shared_ptr<client_connection>;
+
+/// \brief A daemon that is being stopped, on a paused clock.
+class stopping_daemon
+{
+public:
+    stopping_daemon()
+        : tool(entry.context, "i-tool", "tools"), model(entry.context, "i-model", "model"),
+          control(entry.context, entry.settings, {}),
+          shutdown(control, *entry.service, entry.context.get_executor())
+    {
+        std::vector<route_rule> routes = entry_fixture::makeRoutes()->routes();
+        for (route_rule &route : routes)
+            route.timeout = seconds(20);
+        service_rule engine;
+        engine.name = "model";
+        engine.engine = engine_rule{8, 100'000, 2};
+        entry.service->setRoutes(std::make_shared<routing_config>(
+            2, routes, std::vector<service_rule>{engine}, client_limits()));
+        setReplicas();
+    }
+
+    void setReplicas() { entry.service->setReplicas({tool.entry, model.entry}); }
+
+    /// \brief Opens a connection.
+    client_ptr connect()
+    {
+        auto c = std::make_shared<client_connection>(entry.context);
+        auto open = [](client_ptr opened, std::uint16_t port) -> awaitable<void> {
+            co_await opened->client.connect(port);
+        };
+        runInSteps(entry.context, open(c, entry.port), step);
+        return c;
+    }
+    /// \brief Sends a request on \p c without waiting for its answer.
+    /// \param more further headers, each after a line end.
+    void send(const client_ptr &c, const std::string &path, const std::string &more = "")
+    {
+        const std::string bytes
+            = fmt::format("POST {} HTTP/1.1\r\nHost: h.example\r\n"
+                          "X-Azurehill-Request-Id: r{}{}\r\nContent-Length: 2\r\n\r\nin",
+                          path, ++m_lastRequest, more);
+        auto ask = [](client_ptr asked, std::string request) -> awaitable<void> {
+            co_await asked->client.send(std::move(request));
+            while (true) {
+                const std::string chunk = co_await asked->client.readSome();
+                if (chunk.empty())
+                    break;
+                asked->answer += chunk;
+            }
+            asked->isClosed = true;
+        };
+        spawn(entry.context.get_executor(), "ask", ask(c, bytes));
+    }
+    /// \brief Sends a request on a new connection, and waits until it has reached a replica.
+    client_ptr begin(const std::string &path, const std::string &more = "")
+    {
+        client_ptr c = connect();
+        send(c, path, more);
+        advance(milliseconds(200));
+        return c;
+    }
+
+    /// \brief Begins the stop, as SIGTERM does.
+    void stop()
+    {
+        auto run = [](stopping_daemon &w) -> awaitable<void> {
+            w.m_stoppedAt = runtime_clock::now();
+            co_await w.shutdown.run(grace);
+            w.m_endedAt = runtime_clock::now();
+        };
+        spawn(entry.context.get_executor(), "stop", run(*this));
+        advance(step);
+    }
+    bool hasEnded() const { return m_endedAt.has_value(); }
+    /// \brief Waits for the end of the stop. \returns how long the stop took.
+    duration waitForEnd()
+    {
+        const time_point limit = runtime_clock::now() + 2 * grace;
+        while (!hasEnded() && runtime_clock::now() < limit)
+            advance(step);
+        REQUIRE(hasEnded());
+        return *m_endedAt - m_stoppedAt;
+    }
+    void advance(duration time)
+    {
+        auto wait = [](duration d) -> awaitable<void> { co_await sleepFor(d); };
+        runInSteps(entry.context, wait(time), step);
+    }
+
+    /// \returns the account of the program "p".
+    token_account account() const
+    {
+        const row_page page = entry.rows.read(turn_rows::programRange({"p"}));
+        for (const stored_row &row : page.rows) {
+            if (turn_rows::isAccountRow(row.name))
+                return decodeAccount(row.value).value();
+        }
+        return {};
+    }
+
+private:
+    const paused_clock m_clock;
+    time_point m_stoppedAt;
+    std::optional<time_point> m_endedAt;
+    int m_lastRequest = 0;
+
+public:
+    entry_fixture entry;
+    timed_replica tool;
+    timed_replica model;
+    entry_control control;
+    entry_shutdown shutdown;
+};
+
+const std::string programHeaders = "\r\nX-Azurehill-Program-Id: p\r\n"
+                                   "X-Azurehill-Session-Id: s\r\nX-Azurehill-Token-Budget: 1000\r\n"
+                                   "X-Azurehill-Token-Usage: 100,40";
+
+} // namespace
+
+TEST_SUITE("graceful stop")
+{
+    // Guards against a request that is read between the last look at the idle daemon and its end.
+    TEST_CASE("no request begins once the stop has ended")
+    {
+        stopping_daemon w;
+        const client_ptr c = w.connect();
+        w.stop();
+        w.waitForEnd();
+        w.send(c, "/unsafe/10");
+        w.advance(milliseconds(200));
+        CHECK(w.tool.arrived == 0);
+        CHECK(c->isClosed);
+        CHECK(c->answer.empty());
+    }
+}
+
+TEST_SUITE("planned changes under open answers")
+{
+    // Guards against answers that are cut off by a change of the configuration.
+    TEST_CASE("an answer in progress ends whole")
+    {
+        stopping_daemon w;
+        const client_ptr call = w.begin("/unsafe/2000");
+        const client_ptr turn = w.begin("/turn/2000", programHeaders);
+
+        SUBCASE("after its route was removed")
+        {
+            w.entry.service->setRoutes(std::make_shared<routing_config>(
+                3, std::vector<route_rule>(), std::vector<service_rule>(), client_limits()));
+        }
+        SUBCASE("after its route's timeout was cut short")
+        {
+            std::vector<route_rule> routes = entry_fixture::makeRoutes()->routes();
+            for (route_rule &route : routes)
+                route.timeout = milliseconds(100);
+            w.entry.service->setRoutes(std::make_shared<routing_config>(
+                3, routes, std::vector<service_rule>(), client_limits()));
+        }
+        SUBCASE("after its replica began to drain")
+        {
+            w.tool.entry.draining = w.model.entry.draining = true;
+            w.setReplicas();
+        }
+        w.stop();
+        w.waitForEnd();
+        CHECK(call->answer.ends_with("whole"));
+        CHECK(turn->answer.ends_with("0\r\n\r\n"));
+    }
+}
+
+} // namespace azurehill::test
