A stop lets answers end until shortly before the grace time does

Cause: the process ended at 0.8 of the grace time, whatever was in progress. Fix: shutdown_schedule keeps a fixed time free at the end, for what an end needs: requests that are still in progress are aborted, their tokens are settled in the store, the log is written. Until then, only the requests themselves decide when the process ends. An abort by the own stop counts neither against the replica nor as evidence against the request.

--- a/src/entry/dispatched_turn_handler.cpp
+++ b/src/entry/dispatched_turn_handler.cpp
@@ -84,9 +84,11 @@
 {
     for (int attempt = 1;; ++attempt) {
         slot_result result = co_await acquireSlot(call);
-        if (call->clientDisconnected()) {
+        if (!call->isWanted()) {
             if (const auto *slot = std::get_if<held_slot>(&result))
                 m_slots.release(slot->number, {});
+            if (!call->clientDisconnected())
+                co_await m_localReplies.write(call, local_reply::Refused, "", writer);
             co_return true;
         }
         if (auto *refusal = std::get_if<slot_refusal>(&result)) {
@@ -106,7 +108,7 @@
 {
     auto wait = std::make_shared<timer>(m_executor);
     call->admissionTimer = wait.get();
-    std::function<bool()> isWanted = [call] { return !call->clientDisconnected(); };
+    std::function<bool()> isWanted = [call] { return call->isWanted(); };
     slot_request slotRequest = slotRequestOf(*call);
     const time_point began = runtime_clock::now();
     slot_result result
@@ -160,7 +162,7 @@
     m_slots.release(slot.number, end);
     const bool didNotRun
         = failure.end == send_outcome::NotRun || failure.end == send_outcome::Unreachable;
-    if (didNotRun && !isLastAttempt && !call->clientDisconnected())
+    if (didNotRun && !isLastAttempt && call->isWanted())
         co_return false;
     co_await m_localReplies.replyWithFailure(call, std::move(failure), writer);
     co_return true;
--- a/src/entry/engine_admission.cpp
+++ b/src/entry/engine_admission.cpp
@@ -148,9 +148,9 @@
     const duration waited = runtime_clock::now() - began;
     logAdmission(*call, ticket, serviceLimiter, wait->granted, waited);
     m_metrics.onPhase(call->route->name, request_phase::Admission, waited);
-    if (call->clientDisconnected())
+    if (!call->isWanted())
         release(*call);
-    co_return wait->granted && !call->clientDisconnected();
+    co_return wait->granted && call->isWanted();
 }
 
 void engine_admission::countAdmitted(entry_call &call)
--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -20,14 +20,17 @@
     ReplicaSilent,
     AttemptTimeout,
     /// Replicas ended under the request, or may have.
-    Quarantined
+    Quarantined,
+    /// The daemon stops before the request can end.
+    ShuttingDown
 };
 
 template <>
 struct enum_names<abort_reason>
 {
-    static constexpr std::array<std::string_view, 6> names = {
-        "none", "client_left", "time_over", "replica_silent", "attempt_time_over", "quarantined"};
+    static constexpr std::array<std::string_view, 7> names
+        = {"none",        "client_left",  "time_over", "replica_silent", "attempt_time_over",
+           "quarantined", "shutting_down"};
 };
 
 /// \brief State of one client request while it is being served. Used on the traffic thread.
@@ -75,6 +78,8 @@
     bool holdsEngineSlot = false;
     /// Timer of the wait for admission, which ends when it is cancelled; or null.
     timer *admissionTimer = nullptr;
+    /// Whether the request was sent to a replica that did not refuse it.
+    bool wasSent = false;
     /// Whether a replica may have run the request.
     bool mayHaveRun = false;
     /// The credit of its account that the request uses, if its account has a quota.
@@ -83,6 +88,12 @@
     /// \returns the name of the request's account, or an empty one.
     account_id accountName() const { return account ? account->name : account_id(); }
     bool clientDisconnected() const { return abortReason == abort_reason::ClientDisconnected; }
+    /// \returns whether the request may still be sent: its client waits, and the daemon goes on.
+    bool isWanted() const
+    {
+        return abortReason != abort_reason::ClientDisconnected
+            && abortReason != abort_reason::ShuttingDown;
+    }
     /// \brief Aborts the current send and the wait for admission.
     void abortSend(abort_reason reason)
     {
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr duration sweepInterval = milliseconds(50);
+constexpr duration settlePollInterval = milliseconds(10);
 /// Interval between removals of rows that are no longer needed.
 constexpr duration removalInterval = seconds(1);
 /// Interval between counts of the quarantined requests, which takes a look at each.
@@ -86,6 +87,24 @@
     return fingerprintOf(fields);
 }
 
+/// \brief Keeps a call in a set during its lifetime.
+class call_registration
+{
+public:
+    call_registration(std::set<entry_call_ptr> &calls, entry_call_ptr call)
+        : m_calls(calls), m_call(std::move(call))
+    {
+        m_calls.insert(m_call);
+    }
+    ~call_registration() { m_calls.erase(m_call); }
+    call_registration(const call_registration &) = delete;
+    call_registration &operator=(const call_registration &) = delete;
+
+private:
+    std::set<entry_call_ptr> &m_calls;
+    entry_call_ptr m_call;
+};
+
 ledger_settings ledgerSettings(const host_settings &s)
 {
     return {s.rowBytes, s.storeSpansParts,
@@ -133,6 +152,13 @@
     m_server.announceClose();
 }
 
+void entry_service::abortRequests()
+{
+    const std::set<entry_call_ptr> calls = m_calls;
+    for (const entry_call_ptr &call : calls)
+        call->abortSend(abort_reason::ShuttingDown);
+}
+
 void entry_service::setRoutes(routing_config_ptr routes)
 {
     m_routes = std::move(routes);
@@ -157,6 +183,12 @@
     co_await m_credits.release(deadline);
 }
 
+awaitable<void> entry_service::returnHolds(time_point deadline)
+{
+    while (m_turns.settlesInProgress() > 0 && runtime_clock::now() < deadline)
+        co_await sleepFor(settlePollInterval);
+}
+
 std::string entry_service::quarantineText() const
 {
     boost::json::array list;
@@ -327,6 +359,13 @@
         call->abortReason = abort_reason::ClientDisconnected;
         call->abortSend(abort_reason::ClientDisconnected);
     });
+    const call_registration registration(m_calls, call);
+    co_await serveAllowed(call, request, writer);
+}
+
+awaitable<void> entry_service::serveAllowed(entry_call_ptr call, const http_request &request,
+                                            response_writer &writer)
+{
     const bool isPassed = co_await passesQuarantine(call, writer);
     if (!isPassed) {
         recordAnswered(*call, writer.finished());
@@ -414,7 +453,7 @@
 bool entry_service::mayRetry(const entry_call &call)
 {
     return call.route->kind == route_kind::Idempotent && call.sends < call.route->maxAttempts
-        && !call.clientDisconnected() && runtime_clock::now() < call.deadline;
+        && call.isWanted() && runtime_clock::now() < call.deadline;
 }
 
 awaitable<void> entry_service::servePlain(entry_call_ptr call, const http_request &request,
@@ -433,8 +472,7 @@
         const bool isComplete = co_await m_relay.readBody(call, *reply, answer);
         if (!isComplete) {
             m_sender.finish(*call, *reply,
-                            call->clientDisconnected() ? send_outcome::Cancelled
-                                                       : send_outcome::Broken);
+                            call->isWanted() ? send_outcome::Broken : send_outcome::Cancelled);
             ++call->sends;
             if (call->abortReason == abort_reason::AttemptTimeout)
                 call->abortReason = abort_reason::None;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <random>
+#include <set>
 
 namespace azurehill {
 
@@ -26,6 +27,8 @@
     std::uint16_t start();
     /// \brief Asks clients to close their connections after the answers in progress.
     void announceClose();
+    /// \brief Aborts all requests in progress. Those that were not sent are refused.
+    void abortRequests();
     /// \brief Stops taking requests if none is in progress. May be called from any thread.
     /// \returns whether no request is taken any more.
     bool closeIfIdle() { return m_server.closeIfIdle(); }
@@ -65,9 +68,14 @@
     /// \brief Stops lending credits, which only a daemon that keeps running may do, and writes the
     /// tokens used in place of the holds; gives up at \p deadline.
     awaitable<void> release(time_point deadline);
+    /// \brief Waits until the reservations of ended requests are settled; gives up at \p deadline.
+    awaitable<void> returnHolds(time_point deadline);
 
 private:
     awaitable<void> serve(const http_request &request, response_writer &writer);
+    /// \brief Serves \p call, which has its route, its service and its deadline.
+    awaitable<void> serveAllowed(entry_call_ptr call, const http_request &request,
+                                 response_writer &writer);
     /// \brief Decodes \p request and finds its route.
     /// \returns whether it may be served; otherwise it was answered.
     awaitable<bool> findRoute(entry_call_ptr call, const http_request &request,
@@ -115,6 +123,7 @@
     turn_handler m_turns;
     http_server m_server;
     routing_config_ptr m_routes;
+    std::set<entry_call_ptr> m_calls;
     int m_daemons = 1;
     std::function<void(concurrency_reports)> m_publishAdmissionReport;
     std::function<void(replica_reports)> m_publishReplicaReport;
--- a/src/entry/entry_shutdown.cpp
+++ b/src/entry/entry_shutdown.cpp
@@ -6,12 +6,7 @@
 
 namespace {
 
-/// Callers cache a look-up for its time to live, and some for three times as long; after that, no
-/// caller comes that could know a better address.
-constexpr duration lookupStaleTime = milliseconds(3500);
-/// Fraction of the grace time after which the process ends in any case.
-constexpr double graceShare = 0.8;
-constexpr duration drainPollInterval = milliseconds(50);
+constexpr duration drainPollInterval = milliseconds(20);
 
 } // namespace
 
@@ -22,22 +17,35 @@
 
 awaitable<void> entry_shutdown::run(duration grace)
 {
-    logDecision(log_event::Stopping, {{"in_progress", m_service.requestsInProgress()}});
     const time_point began = runtime_clock::now();
+    const shutdown_schedule schedule(began, grace);
+    logDecision(
+        log_event::Stopping,
+        {{"in_progress", m_service.requestsInProgress()}, {"grace_ms", toMilliseconds(grace)}});
     m_control.leave();
     asio::post(m_traffic, [this] { m_service.announceClose(); });
-    const auto timeLimit = std::chrono::duration_cast<duration>(grace * graceShare);
-    spawn(m_traffic, "release", m_service.release(began + timeLimit));
-    co_await m_control.unregister(began + timeLimit);
-    const duration minDrainTime = std::min<duration>(lookupStaleTime, timeLimit);
-    const auto now = [] { return runtime_clock::now(); };
-    while (now() < began + minDrainTime)
-        co_await sleepFor(drainPollInterval);
-    while (now() < began + timeLimit && !m_service.closeIfIdle())
-        co_await sleepFor(drainPollInterval);
+    spawn(m_traffic, "release", m_service.release(schedule.answerDeadline()));
+    co_await m_control.unregister(schedule.answerDeadline());
+    co_await awaitRequests(schedule);
+    auto returnHolds = [this, schedule] { return m_service.returnHolds(schedule.latestEnd()); };
+    co_await runOn(m_traffic, returnHolds);
     logDecision(log_event::Stopped,
                 {{"in_progress", m_service.requestsInProgress()},
                  {"ms", toMilliseconds(runtime_clock::now() - began)}});
 }
 
+awaitable<void> entry_shutdown::awaitRequests(const shutdown_schedule &schedule)
+{
+    const auto now = [] { return runtime_clock::now(); };
+    while (now() < schedule.earliestEnd())
+        co_await sleepFor(drainPollInterval);
+    while (now() < schedule.answerDeadline() && !m_service.closeIfIdle())
+        co_await sleepFor(drainPollInterval);
+    if (m_service.closeIfIdle())
+        co_return;
+    asio::post(m_traffic, [this] { m_service.abortRequests(); });
+    while (now() < schedule.latestEnd() && !m_service.closeIfIdle())
+        co_await sleepFor(drainPollInterval);
+}
+
 } // namespace azurehill
--- a/src/entry/entry_shutdown.h
+++ b/src/entry/entry_shutdown.h
@@ -2,11 +2,12 @@
 
 #include "entry/entry_control.h"
 #include "entry/entry_service.h"
+#include "entry/shutdown_schedule.h"
 
 namespace azurehill {
 
-/// \brief Graceful stop of the daemon. Withdraws it from look-ups and lets the requests in progress
-/// end. Runs on the control thread.
+/// \brief Graceful stop of the daemon. Withdraws it from look-ups, lets the requests in progress
+/// end, and returns what it holds in the store. Runs on the control thread.
 class entry_shutdown
 {
 public:
@@ -18,6 +19,9 @@
     awaitable<void> run(duration grace);
 
 private:
+    /// \brief Waits until the service is idle, and aborts what can't end in time.
+    awaitable<void> awaitRequests(const shutdown_schedule &schedule);
+
     entry_control &m_control;
     entry_service &m_service;
     asio::any_io_executor m_traffic;
--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Cause of a refusal by a daemon that stops.
+constexpr std::string_view shuttingDownDetail = "the daemon is shutting down";
+
 /// \returns whether \p answer tells the client when to retry.
 bool hasRetryAfter(local_reply answer)
 {
@@ -49,6 +52,11 @@
                                           std::string detail, response_writer &writer,
                                           duration retryAfter)
 {
+    if (answer == local_reply::Refused && call->abortReason == abort_reason::ShuttingDown) {
+        // Any other daemon may serve the request at once.
+        detail = shuttingDownDetail;
+        retryAfter = duration::zero();
+    }
     logDecision(
         log_event::LocalReply,
         {{"request", call->request.id},
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -15,7 +15,7 @@
 /// \returns whether \p stream may be resumed at a replica.
 bool mayResume(const entry_call &call, const stream_result &stream)
 {
-    const bool isClientGone = call.clientDisconnected() || !stream.isClientConnected;
+    const bool isClientGone = !call.isWanted() || !stream.isClientConnected;
     const bool isPastDeadline = call.abortReason == abort_reason::DeadlineExceeded
         || runtime_clock::now() >= call.deadline;
     const bool isPositionKnown = stream.events == 0 || !call.lastEventId.empty();
@@ -43,7 +43,7 @@
 /// \returns the outcome of a send whose answer was not relayed completely.
 send_outcome incompleteSendEnd(const entry_call &call, bool isClientConnected)
 {
-    if (call.clientDisconnected() || !isClientConnected
+    if (!call.isWanted() || !isClientConnected
         || call.abortReason == abort_reason::DeadlineExceeded)
         return send_outcome::Cancelled;
     return call.abortReason == abort_reason::ReplicaSilent ? send_outcome::Silent
--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -311,7 +311,14 @@
 void turn_handler::settle(const turn_context &context, std::int64_t used)
 {
     if (context.call->request.tokenBudget)
-        spawn(m_executor, "settle", m_ledger.settleHold(context.claim, used));
+        spawn(m_executor, "settle", settleHold(context.claim, used));
+}
+
+awaitable<void> turn_handler::settleHold(turn_claim claim, std::int64_t used)
+{
+    ++m_settlesInProgress;
+    co_await m_ledger.settleHold(std::move(claim), used);
+    --m_settlesInProgress;
 }
 
 void turn_handler::logReservation(const turn_context &context) const
--- a/src/entry/turn_handler.h
+++ b/src/entry/turn_handler.h
@@ -24,6 +24,8 @@
 
     awaitable<void> serve(entry_call_ptr call, const http_request &request,
                           response_writer &writer);
+    /// \returns the number of reservations that are being settled in the background.
+    int settlesInProgress() const { return m_settlesInProgress; }
 
 private:
     /// \brief State of one turn while it is being served.
@@ -60,6 +62,7 @@
 
     /// \brief Settles the reservation of a finished turn in the background.
     void settle(const turn_context &context, std::int64_t used);
+    awaitable<void> settleHold(turn_claim claim, std::int64_t used);
     void logReservation(const turn_context &context) const;
     std::string detailOf(turn_refusal refusal, const turn_claim &claim) const;
 
@@ -71,6 +74,7 @@
     local_reply_writer &m_localReplies;
     entry_metrics &m_metrics;
     dispatched_turn_handler m_dispatched;
+    int m_settlesInProgress = 0;
 };
 
 } // namespace azurehill
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -55,6 +55,7 @@
     switch (call.abortReason) {
     case abort_reason::ClientDisconnected:
     case abort_reason::DeadlineExceeded:
+    case abort_reason::ShuttingDown:
         return send_outcome::Cancelled;
     case abort_reason::ReplicaSilent:
         return send_outcome::Silent;
@@ -70,7 +71,8 @@
 /// \returns how the replica lost the send of \p reply, or nothing if it did not.
 std::optional<send_loss> lossOf(const entry_call &call, const open_reply &reply, send_outcome end)
 {
-    if (!reply.isSent)
+    // An abort by this daemon's own stop says nothing about the replica.
+    if (!reply.isSent || call.abortReason == abort_reason::ShuttingDown)
         return std::nullopt;
     const bool isGivenUp
         = call.abortReason != abort_reason::None || reply.failure == http_error_kind::TimedOut;
@@ -220,7 +222,7 @@
                           std::string body)
 {
     const bool isPassed = co_await passesQuarantine(call);
-    if (!isPassed || call->clientDisconnected()) {
+    if (!isPassed || !call->isWanted()) {
         co_return tl::unexpected(
             send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
     }
@@ -245,15 +247,15 @@
         const auto connected = co_await connection->connect(address, until);
         if (!connected) {
             finish(*call, reply,
-                   call->clientDisconnected() ? send_outcome::Cancelled
-                                              : send_outcome::Unreachable);
+                   call->isWanted() ? send_outcome::Unreachable : send_outcome::Cancelled);
             co_return tl::unexpected(
                 send_failure{send_outcome::Unreachable, connected.error().detail});
         }
     }
-    if (call->clientDisconnected()) {
+    if (!call->isWanted()) {
         finish(*call, reply, send_outcome::Cancelled);
-        co_return tl::unexpected(send_failure{send_outcome::Cancelled, "the client left"});
+        co_return tl::unexpected(
+            send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
     }
     const time_point now = runtime_clock::now();
     if (call->route->kind == route_kind::Idempotent)
@@ -280,15 +282,15 @@
                  {"after_event", call->lastEventId},
                  {"left_ms", toMilliseconds(fields.timeLeft)}});
     reply.isSent = true;
+    call->wasSent = true;
     auto head = co_await connection->sendAndReadHead(std::move(out), call->deadline);
     if (!head) {
         reply.setFailure(head.error());
         // A request certainly did not run only if none of its bytes was sent.
         const bool didNotRun = head.error().ran == outcome::DidNotRun;
         reply.isSent = !didNotRun;
-        const send_outcome end = didNotRun && !call->clientDisconnected()
-            ? send_outcome::NotRun
-            : failedSendEnd(*call, head.error());
+        const send_outcome end = didNotRun && call->isWanted() ? send_outcome::NotRun
+                                                               : failedSendEnd(*call, head.error());
         if (!didNotRun)
             call->mayHaveRun = true;
         finish(*call, reply, end);
@@ -336,6 +338,8 @@
         end = send_outcome::Failed;
     m_loadBalancer.onDone(reply.where, end, now);
     call.connection = nullptr;
+    if (end == send_outcome::NotRun)
+        call.wasSent = false;
     call.attemptDeadline.reset();
     std::erase_if(m_inFlight, [&](const entry_call_ptr &c) { return c.get() == &call; });
     // Connections to a process that has ended are dead, and the next request on one of them would
@@ -410,7 +414,7 @@
 {
     send_failure last{send_outcome::Unreachable, "no replica may take requests"};
     int refusals = 0;
-    while (runtime_clock::now() < call->deadline && !call->clientDisconnected()) {
+    while (runtime_clock::now() < call->deadline && call->isWanted()) {
         if (!isStillAllowed(*call)) {
             last = {send_outcome::NotRun, "the key or the route was taken away"};
             break;
--- a/test/io/shutdown_test.cpp
+++ b/test/io/shutdown_test.cpp
@@ -198,6 +198,45 @@
 
 TEST_SUITE("graceful stop")
 {
+    // Guards against answers that are cut off although the grace time is not over.
+    TEST_CASE("a stop waits for the answers in progress until shortly before the grace time ends")
+    {
+        stopping_daemon w;
+
+        SUBCASE("a call that ends at nine tenths of it")
+        {
+            const client_ptr call = w.begin("/unsafe/7300");
+            w.stop();
+            CHECK(w.waitForEnd() < grace);
+            CHECK(call->answer.ends_with("whole"));
+        }
+        SUBCASE("a turn that ends at nine tenths of it")
+        {
+            const client_ptr turn = w.begin("/turn/7300", programHeaders);
+            w.stop();
+            CHECK(w.waitForEnd() < grace);
+            CHECK(turn->contains("data: last\n\n"));
+            CHECK(turn->answer.ends_with("0\r\n\r\n"));
+        }
+        SUBCASE("a turn that would last longer is cut off, and its tokens are given back")
+        {
+            const client_ptr turn = w.begin("/turn/9000", programHeaders);
+            REQUIRE(w.account().holds.size() == 1);
+            w.stop();
+            CHECK(w.waitForEnd() < grace);
+            CHECK_FALSE(turn->answer.ends_with("0\r\n\r\n"));
+            CHECK(w.account().holds.empty());
+            CHECK(w.account().spent == 4);
+        }
+        SUBCASE("nothing in progress: it ends once no caller knows an old look-up")
+        {
+            w.stop();
+            const duration time = w.waitForEnd();
+            CHECK(time >= milliseconds(3500));
+            CHECK(time < milliseconds(4000));
+        }
+    }
+
     // Guards against a request that is read between the last look at the idle daemon and its end.
     TEST_CASE("no request begins once the stop has ended")
     {
