A stopping daemon refuses at once what might not end before it does

What callers saw: a request that came on an open connection seconds after SIGTERM was taken, sent to a replica and cut off at the end of the process; it lost up to 3 s and the tokens. Cause: a stopping daemon took each request as any other; nothing compared the end of the request with its own. Fix: a request ends by its deadline, the earlier one of the client's and of its route. One whose deadline lies behind the stop's is refused on arrival, or when the stop begins if it still waits for its first send, with Retry-After 0: any other daemon may serve it at once.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -147,9 +147,16 @@
     return canExchange ? m_server.listen(m_settings.clients) : std::uint16_t(0);
 }
 
-void entry_service::announceClose()
+void entry_service::beginShutdown(const shutdown_schedule &schedule)
 {
+    m_shutdown = schedule;
     m_server.announceClose();
+    const std::set<entry_call_ptr> calls = m_calls;
+    for (const entry_call_ptr &call : calls) {
+        const bool isWaiting = !call->wasSent && !call->mayHaveRun;
+        if (isWaiting && !endsBeforeShutdown(*call))
+            call->abortSend(abort_reason::ShuttingDown);
+    }
 }
 
 void entry_service::abortRequests()
@@ -159,6 +166,11 @@
         call->abortSend(abort_reason::ShuttingDown);
 }
 
+bool entry_service::endsBeforeShutdown(const entry_call &call) const
+{
+    return !m_shutdown || m_shutdown->allows(call.deadline);
+}
+
 void entry_service::setRoutes(routing_config_ptr routes)
 {
     m_routes = std::move(routes);
@@ -359,6 +371,12 @@
         call->abortReason = abort_reason::ClientDisconnected;
         call->abortSend(abort_reason::ClientDisconnected);
     });
+    if (!endsBeforeShutdown(*call)) {
+        call->abortReason = abort_reason::ShuttingDown;
+        co_await m_localReplies.write(call, local_reply::Refused, "", writer);
+        recordAnswered(*call, writer.finished());
+        co_return;
+    }
     const call_registration registration(m_calls, call);
     co_await serveAllowed(call, request, writer);
 }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/host_settings.h"
+#include "entry/shutdown_schedule.h"
 #include "entry/turn_handler.h"
 #include "lending/lending.h"
 #include "members/members.h"
@@ -9,6 +10,7 @@
 #include "store/paced_store.h"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -25,8 +27,9 @@
     /// \brief Starts to listen for clients.
     /// \returns the port, or 0 if the address can't be bound.
     std::uint16_t start();
-    /// \brief Asks clients to close their connections after the answers in progress.
-    void announceClose();
+    /// \brief Begins a graceful stop. Clients are asked to close their connections; requests that
+    /// could be aborted by the stop are refused, those that wait for their first send among them.
+    void beginShutdown(const shutdown_schedule &schedule);
     /// \brief Aborts all requests in progress. Those that were not sent are refused.
     void abortRequests();
     /// \brief Stops taking requests if none is in progress. May be called from any thread.
@@ -68,7 +71,8 @@
     /// \brief Stops lending credits, which only a daemon that keeps running may do, and writes the
     /// tokens used in place of the holds; gives up at \p deadline.
     awaitable<void> release(time_point deadline);
-    /// \brief Waits until the reservations of ended requests are settled; gives up at \p deadline.
+    /// \brief Writes the tokens used in place of the holds that requests made after release(), and
+    /// waits for such writes in progress; gives up at \p deadline.
     awaitable<void> returnHolds(time_point deadline);
 
 private:
@@ -76,6 +80,8 @@
     /// \brief Serves \p call, which has its route, its service and its deadline.
     awaitable<void> serveAllowed(entry_call_ptr call, const http_request &request,
                                  response_writer &writer);
+    /// \returns whether \p call is certain to end before this daemon does.
+    bool endsBeforeShutdown(const entry_call &call) const;
     /// \brief Decodes \p request and finds its route.
     /// \returns whether it may be served; otherwise it was answered.
     awaitable<bool> findRoute(entry_call_ptr call, const http_request &request,
@@ -124,6 +130,7 @@
     http_server m_server;
     routing_config_ptr m_routes;
     std::set<entry_call_ptr> m_calls;
+    std::optional<shutdown_schedule> m_shutdown;
     int m_daemons = 1;
     std::function<void(concurrency_reports)> m_publishAdmissionReport;
     std::function<void(replica_reports)> m_publishReplicaReport;
--- a/src/entry/entry_shutdown.cpp
+++ b/src/entry/entry_shutdown.cpp
@@ -23,7 +23,7 @@
         log_event::Stopping,
         {{"in_progress", m_service.requestsInProgress()}, {"grace_ms", toMilliseconds(grace)}});
     m_control.leave();
-    asio::post(m_traffic, [this] { m_service.announceClose(); });
+    asio::post(m_traffic, [this, schedule] { m_service.beginShutdown(schedule); });
     spawn(m_traffic, "release", m_service.release(schedule.answerDeadline()));
     co_await m_control.unregister(schedule.answerDeadline());
     co_await awaitRequests(schedule);
--- a/test/io/shutdown_test.cpp
+++ b/test/io/shutdown_test.cpp
@@ -194,6 +194,11 @@
                                    "X-Azurehill-Session-Id: s\r\nX-Azurehill-Token-Budget: 1000\r\n"
                                    "X-Azurehill-Token-Usage: 100,40";
 
+std::string deadlineHeader(int ms)
+{
+    return fmt::format("\r\nX-Azurehill-Request-Deadline: {}", ms);
+}
+
 } // namespace
 
 TEST_SUITE("graceful stop")
@@ -237,6 +242,59 @@
         }
     }
 
+    // Guards against requests that are taken during the stop and then cut off by its end.
+    TEST_CASE("a stopping daemon refuses at once what might not end before it does")
+    {
+        stopping_daemon w;
+        const client_ptr late = w.connect();
+        const client_ptr early = w.connect();
+        const client_ptr busy = w.begin("/unsafe/7000");
+        w.stop();
+        w.advance(seconds(3));
+        const int arrived = w.tool.arrived;
+
+        SUBCASE("a request whose deadline lies behind the end")
+        {
+            w.send(late, "/unsafe/10", deadlineHeader(6000));
+            w.advance(milliseconds(100));
+            CHECK(late->isClosed);
+            CHECK(late->status() == 503);
+            CHECK(late->contains("Retry-After: 0.000\r\n"));
+            CHECK(late->contains("Connection: close\r\n"));
+            CHECK(w.tool.arrived == arrived);
+        }
+        SUBCASE("but not one that ends before")
+        {
+            w.send(early, "/unsafe/1500", deadlineHeader(2000));
+            w.waitForEnd();
+            CHECK(early->status() == 200);
+            CHECK(early->answer.ends_with("whole"));
+        }
+    }
+
+    // Guards against requests that wait at a stopping daemon while another one could serve them.
+    TEST_CASE("requests that wait for a slot when the stop begins are refused at once")
+    {
+        stopping_daemon w;
+        w.model.entry.slots = 1;
+        w.setReplicas();
+        w.advance(milliseconds(100));
+        std::vector<client_ptr> turns;
+        for (int i = 0; i < 12; ++i)
+            turns.push_back(w.begin("/turn/5000"));
+        const int sent = w.model.arrived;
+        REQUIRE(sent < 12);
+        w.stop();
+        w.advance(milliseconds(100));
+        int refused = 0;
+        for (const client_ptr &turn : turns)
+            refused += turn->isClosed && turn->status() == 503 ? 1 : 0;
+        CHECK(refused == 12 - sent);
+        CHECK(w.model.arrived == sent);
+        w.waitForEnd();
+        CHECK(w.model.arrived == sent);
+    }
+
     // Guards against a request that is read between the last look at the idle daemon and its end.
     TEST_CASE("no request begins once the stop has ended")
     {
