Tokens that are held during a stop are returned at its end

What callers saw: after the stop of a dispatcher, later turns of some programs were told 503 although their budget was not spent. Cause: the holds were returned when the stop began. Turns that came in the two seconds until another daemon dispatches made new ones, which stayed in the accounts for good. Evidence: "tokens that are held during the stop are returned at its end" failed before (one hold left, 4 of 8 tokens charged). Fix: holds are returned once more when no request is in progress any more.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -197,6 +197,7 @@
 
 awaitable<void> entry_service::returnHolds(time_point deadline)
 {
+    co_await m_budgets.release(deadline);
     while (m_turns.settlesInProgress() > 0 && runtime_clock::now() < deadline)
         co_await sleepFor(settlePollInterval);
 }
--- a/test/io/shutdown_test.cpp
+++ b/test/io/shutdown_test.cpp
@@ -308,6 +308,32 @@
         CHECK(c->isClosed);
         CHECK(c->answer.empty());
     }
+
+    // Guards against tokens that stay held for good after a stop: the program's later turns are
+    // refused although its budget is not spent.
+    TEST_CASE("tokens that are held during the stop are returned at its end")
+    {
+        stopping_daemon w;
+        member_state self;
+        self.name = w.entry.settings.name;
+        self.incarnation = 1;
+        self.serving = true;
+        self.cores = 1;
+        w.entry.service->setMembers(self, {});
+        w.advance(milliseconds(400));
+        const client_ptr before = w.begin("/chat/10", programHeaders);
+        const client_ptr during = w.connect();
+        REQUIRE(w.account().holds.size() == 1);
+        w.stop();
+        w.advance(milliseconds(500));
+        REQUIRE(w.account().holds.empty());
+        w.send(during, "/chat/10", programHeaders + deadlineHeader(2000));
+        w.advance(milliseconds(500));
+        CHECK(during->status() == 200);
+        w.waitForEnd();
+        CHECK(w.account().holds.empty());
+        CHECK(w.account().spent == 8);
+    }
 }
 
 TEST_SUITE("planned changes under open answers")
