A turn is kept for its own retention time

Cause: how long rows are needed was known only in the memory of the daemon that had written them. The daemon that wrote last removed all rows of the program by the retention of its own turns, as another daemon's turns, or its own from before a restart, did not count. Fix: a turn's row states how long it is kept and by which route. Before rows are removed, all of the program are read, and the longest time counts, from the last write that the daemon knows of by its own clock: no two clocks are compared. Rows that state nothing, of an earlier release or damaged, are kept for the longest retention of any route. A route's longer time applies to its earlier turns; a shorter one does not.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -72,6 +72,15 @@
     return services;
 }
 
+/// \returns the retention times of turns by the names of their routes.
+std::map<std::string, duration> retentionsOf(const routing_config &routes)
+{
+    std::map<std::string, duration> retentions;
+    for (const route_rule &route : routes.routes())
+        retentions.emplace(route.name, route.retention);
+    return retentions;
+}
+
 /// \returns the fingerprint of \p call, from all that defines what it asks for. Fields that differ
 /// between the attempts of one request, as its id and its time left, don't count.
 request_fingerprint identify(const entry_call &call, const http_request &request)
@@ -175,6 +184,7 @@
 {
     m_routes = std::move(routes);
     m_sender.setRoutes(m_routes);
+    m_ledger.setRetentions(retentionsOf(*m_routes));
     m_credits.setRoutes(m_routes);
     m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
     for (const service_rule &service : m_routes->services()) {
--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -140,6 +140,7 @@
     finished->id = context->claim.id;
     finished->program = context->claim.program;
     finished->account = call->accountName();
+    finished->route = call->route->name;
     finished->previous = previousIn(context->history);
     finished->input = request.body;
     finished->output = std::move(stream.output);
--- a/src/turns/row_retention_tracker.cpp
+++ b/src/turns/row_retention_tracker.cpp
@@ -1,32 +1,36 @@
 #include "turns/row_retention_tracker.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
-void row_retention_tracker::onTurnAdded(const program_id &program, const turn_id &id,
-                                        store_version version, time_point until)
+void row_retention_tracker::onWritten(const program_id &program, store_version version,
+                                      time_point now, duration retention)
 {
-    onAccountChanged(program, version, until);
-    m_programs[program].turns.push_back(id);
+    schedule &s = m_programs[program];
+    s.version = std::max(s.version, std::optional(version));
+    s.knownSince = std::max(s.knownSince, now);
+    s.dueAt = std::max(s.dueAt, now + retention);
 }
 
-void row_retention_tracker::onAccountChanged(const program_id &program, store_version version,
-                                             time_point until)
+void row_retention_tracker::reschedule(const tracked_program &program, time_point dueAt)
 {
-    tracked_program &e = m_programs[program];
-    e.version = std::max(e.version, version);
-    e.retainUntil = std::max(e.retainUntil, until);
+    schedule &s = m_programs[program.program];
+    s.version = std::max(s.version, program.version);
+    s.knownSince = std::max(s.knownSince, program.knownSince);
+    s.dueAt = std::max(s.dueAt, dueAt);
 }
 
-std::vector<row_retention_tracker::expired_program>
-row_retention_tracker::takeExpired(time_point now, std::size_t maxPrograms)
+std::vector<row_retention_tracker::tracked_program>
+row_retention_tracker::takeDue(time_point now, std::size_t maxPrograms)
 {
-    std::vector<expired_program> due;
+    std::vector<tracked_program> due;
     for (auto it = m_programs.begin(); it != m_programs.end() && due.size() < maxPrograms;) {
-        if (it->second.retainUntil > now) {
+        if (it->second.dueAt > now) {
             ++it;
             continue;
         }
-        due.push_back({it->first, it->second.version, std::move(it->second.turns)});
+        due.push_back({it->first, it->second.version, it->second.knownSince});
         it = m_programs.erase(it);
     }
     return due;
--- a/src/turns/row_retention_tracker.h
+++ b/src/turns/row_retention_tracker.h
@@ -3,47 +3,53 @@
 #include "store/store.h"
 #include "turns/turn.h"
 
-#include <deque>
+#include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace azurehill {
 
-/// \brief Tracks the retention time of the rows that this daemon wrote, by program.
+/// \brief Tracks when the rows of programs in the store may be due for removal.
 ///
-/// The store has no expiry of its own. The daemon that added a program's last turn removes the
-/// program's rows once the retention time of that turn is over. A row of a later version shows that
-/// another daemon has added a turn since; that daemon is then responsible for the removal.
+/// The store has no expiry of its own, and its rows have no time. A daemon knows of the rows that
+/// it wrote, or read, how long they have existed at least; how long they are kept, the rows state.
+/// A row of a later version shows that another daemon has written since; that daemon then tracks
+/// the program.
 class row_retention_tracker
 {
 public:
-    /// \brief Records that a turn of \p program was added; its rows are kept until \p until.
-    /// \param version version of the rows that were written with that turn.
-    void onTurnAdded(const program_id &program, const turn_id &id, store_version version,
-                     time_point until);
-    /// \brief Records that the account of \p program changed without a new turn.
-    void onAccountChanged(const program_id &program, store_version version, time_point until);
-
-    /// \brief A program whose rows may be removed, with the turns that this daemon added to it.
-    struct expired_program
+    /// \brief A program whose rows have to be read to decide on their removal.
+    struct tracked_program
     {
         program_id program;
-        /// Version of the newest rows that this daemon wrote for the program.
-        store_version version = 0;
-        std::vector<turn_id> turns;
+        /// Newest version of the program's rows that is known; empty if none has been seen yet.
+        std::optional<store_version> version;
+        /// Since when rows of that version and of earlier ones have existed at least.
+        time_point knownSince;
     };
-    /// \brief Removes up to \p maxPrograms programs whose retention time is over at \p now from the
-    /// tracker. \returns them.
-    std::vector<expired_program> takeExpired(time_point now, std::size_t maxPrograms);
+
+    /// \brief Records that this daemon wrote rows of \p program.
+    /// \param version version of the rows.
+    /// \param now a time after the write.
+    /// \param retention how long these rows are kept.
+    void onWritten(const program_id &program, store_version version, time_point now,
+                   duration retention);
+    /// \brief Tracks \p program again from \p dueAt, with what has been recorded in the meantime.
+    void reschedule(const tracked_program &program, time_point dueAt);
+
+    /// \brief Removes up to \p maxPrograms programs that are due at \p now from the tracker.
+    /// \returns them.
+    std::vector<tracked_program> takeDue(time_point now, std::size_t maxPrograms);
     std::size_t size() const { return m_programs.size(); }
 
 private:
-    struct tracked_program
+    struct schedule
     {
-        store_version version = 0;
-        time_point retainUntil;
-        std::vector<turn_id> turns;
+        std::optional<store_version> version;
+        time_point knownSince;
+        time_point dueAt;
     };
-    std::unordered_map<program_id, tracked_program> m_programs;
+    std::unordered_map<program_id, schedule> m_programs;
 };
 
 } // namespace azurehill
--- a/src/turns/turn.cpp
+++ b/src/turns/turn.cpp
@@ -62,13 +62,33 @@
         head["account"] = t.account->value;
     if (t.chargedTokens)
         head["used"] = *t.chargedTokens;
+    if (!t.route.empty())
+        head["route"] = t.route;
+    if (t.retention)
+        head["retain_ms"] = toMilliseconds(*t.retention);
     head["input"] = t.input.size();
     head["output"] = t.output.size();
     return json::serialize(head) + '\n' + t.input + t.output;
 }
 
+duration parseRetention(std::int64_t ms)
+{
+    // A hundred years, which a duration can hold.
+    constexpr std::int64_t maxRetentionMs = 100LL * 365 * 24 * 3600 * 1000;
+    if (ms < 0 || ms > maxRetentionMs)
+        throw std::out_of_range("retention time");
+    return milliseconds(ms);
+}
+
 namespace {
 
+/// \returns the retention time in \p head, if there is one. Daemons of earlier versions wrote none.
+std::optional<duration> decodeRetention(const json::object &head)
+{
+    const json::value *ms = head.if_contains("retain_ms");
+    return ms ? std::optional(parseRetention(ms->to_number<std::int64_t>())) : std::nullopt;
+}
+
 /// \returns the replica in \p head. Daemons of earlier versions wrote no start time: it is then
 /// unknown and matches no process that reported one, which only costs another prefill of the
 /// prompt.
@@ -125,6 +145,9 @@
         result.value.tokens = head.at("tokens").to_number<std::int64_t>();
         result.value.chargedTokens = decodeUsed(head);
         result.value.account = decodeAccountId(head);
+        result.value.retention = decodeRetention(head);
+        if (const json::value *route = head.if_contains("route"))
+            result.value.route = route->as_string();
         result.value.input = bytes.substr(0, inputSize);
         result.value.output = bytes.substr(inputSize);
         result.previous = {text("previous")};
--- a/src/turns/turn.h
+++ b/src/turns/turn.h
@@ -2,11 +2,14 @@
 
 #include "accounts/account_config.h"
 #include "core/core.h"
+#include "core/runtime_clock.h"
 #include "replicas/replica_incarnation.h"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace azurehill {
@@ -38,6 +41,11 @@
     /// Output tokens, which are charged to the program's budget; empty if the row does not state
     /// them.
     std::optional<std::int64_t> chargedTokens;
+    /// Name of the route that served the turn; empty if the row does not state it.
+    std::string route;
+    /// How long the turn's rows are kept after they were written; empty if the row does not state
+    /// it.
+    std::optional<duration> retention;
     /// The client account that owns the turn; an empty id if none does. No value if the row does
     /// not state it: such a row was written before turns had accounts, and any account may continue
     /// from it.
@@ -51,6 +59,10 @@
     turn &operator=(turn &&) = default;
 };
 
+/// \returns the retention time that a row states as \p ms milliseconds. \throws std::out_of_range
+/// if it is negative or longer than a row may state.
+duration parseRetention(std::int64_t ms);
+
 /// \returns whether requests of \p account may continue from \p t.
 bool mayContinue(const turn &t, const account_id &account);
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -18,9 +18,6 @@
 constexpr std::size_t maxTransactionBytes = 700U << 10U;
 /// Accounts that have not been used for this long are evicted and read from the store again.
 constexpr duration accountCacheRetention = seconds(90);
-/// Margin added to the retention time of rows, for clock differences and late responses.
-constexpr duration removalMargin = seconds(10);
-
 std::size_t bytesOf(const store_transaction &t)
 {
     std::size_t sum = 0;
@@ -196,16 +193,16 @@
     change.writtenVersion = &version;
     const auto held = co_await apply(std::move(state), std::move(change), deadline);
     if (held)
-        extendRetention(claim, version);
+        trackRetention(claim, version);
     co_return held;
 }
 
 awaitable<tl::expected<void, turn_refusal>>
 turn_ledger::commit(turn_ptr answered, std::int64_t used, duration retention, time_point deadline)
 {
-    m_retention = std::max(m_retention, retention);
     const auto t = std::make_shared<turn>(*answered);
     t->chargedTokens = used;
+    t->retention = retention + std::max(duration::zero(), deadline - runtime_clock::now());
     account_ptr state = accountOf(t->program);
     account_change change;
     change.kind = account_change::change_kind::Commit;
@@ -226,9 +223,9 @@
     else
         done = co_await apply(state, std::move(change), deadline);
     if (done) {
-        const time_point until = runtime_clock::now() + retention;
-        m_cache.insert(t, until);
-        m_rowRetention.onTurnAdded(t->program, t->id, version, until + removalMargin);
+        const time_point now = runtime_clock::now();
+        m_cache.insert(t, now + retention);
+        m_rowRetention.onWritten(t->program, version, now, *t->retention + removalMargin);
     }
     co_return done;
 }
@@ -280,12 +277,12 @@
     return 2 * accountView(claim.program).committed <= claim.budgetTokens;
 }
 
-void turn_ledger::extendRetention(const turn_claim &claim, store_version version)
+void turn_ledger::trackRetention(const turn_claim &claim, store_version version)
 {
     if (claim.retention == duration::zero())
         return;
-    const time_point until = runtime_clock::now() + claim.retention + removalMargin;
-    m_rowRetention.onAccountChanged(claim.program, version, until);
+    m_rowRetention.onWritten(claim.program, version, runtime_clock::now(),
+                             claim.retention + removalMargin);
 }
 
 awaitable<void> turn_ledger::settleHold(turn_claim claim, std::int64_t used)
@@ -301,7 +298,7 @@
     const auto done
         = co_await apply(std::move(state), std::move(change), runtime_clock::now() + settleTimeout);
     if (done)
-        extendRetention(claim, version);
+        trackRetention(claim, version);
     if (!done) {
         logDecision(log_event::ReservationNotSettled,
                     {{"request", claim.id.value},
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -3,6 +3,7 @@
 #include "rows/unreadable_row_log.h"
 #include "runtime/runtime.h"
 #include "store/store.h"
+#include "turns/retention_policy.h"
 #include "turns/row_retention_tracker.h"
 #include "turns/token_account.h"
 #include "turns/turn_cache.h"
@@ -10,6 +11,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <unordered_map>
 
 namespace azurehill {
@@ -116,6 +118,10 @@
 class turn_ledger
 {
 public:
+    /// Margin added to the retention time of rows: an answer's last bytes may reach its client that
+    /// much later.
+    static constexpr duration removalMargin = seconds(10);
+
     turn_ledger(store &rows, const ledger_settings &settings);
 
     /// \brief Loads the turn \p previous from the cache or the store.
@@ -138,6 +144,8 @@
 
     /// \brief Adds a completed turn and settles its hold. The end of the response may be sent to
     /// the client only after that.
+    /// \param retention how long the turn is kept from the end of the response, which may come as
+    /// late as \p deadline.
     awaitable<tl::expected<void, turn_refusal>> commit(turn_ptr answered, std::int64_t used,
                                                        duration retention, time_point deadline);
 
@@ -153,7 +161,13 @@
 
     /// \brief Retains the rows of the claim's program for its retention time from now, although the
     /// claim writes none, as its tokens are held already.
-    void retainRows(const turn_claim &claim) { extendRetention(claim, 0); }
+    void retainRows(const turn_claim &claim) { trackRetention(claim, 0); }
+
+    /// \brief Sets the retention times of the current routes by the routes' names.
+    void setRetentions(std::map<std::string, duration> retentions)
+    {
+        m_retention.setRoutes(std::move(retentions));
+    }
 
     /// \returns the timing of \p program according to its cached account.
     program_timing timingOf(const program_id &program) const;
@@ -194,8 +208,18 @@
     struct account_change;
 
     account_ptr accountOf(const program_id &program);
-    /// \brief Retains the rows of the claim's program for the retention time of the claim from now.
-    void extendRetention(const turn_claim &claim, store_version version);
+    /// \brief Tracks the retention of the rows that were written for \p claim.
+    void trackRetention(const turn_claim &claim, store_version version);
+    /// \brief Reads the rows of \p tracked, and removes them if their retention time is over.
+    awaitable<void> removeIfExpired(row_retention_tracker::tracked_program tracked);
+    /// \returns how long \p rows, those of one program, are kept after the latest was written.
+    duration retentionOf(const std::vector<stored_row> &rows) const;
+    /// \returns the removal of \p rows and of the index rows of \p ownTurns.
+    store_transaction removalOf(std::span<const stored_row> rows,
+                                const std::set<turn_id> &ownTurns) const;
+    /// \brief Removes \p rows, all those of \p program.
+    /// \returns whether all were removed.
+    awaitable<bool> removeRows(program_id program, std::vector<stored_row> rows);
     /// \brief Waits until no change of \p state is in progress. \returns false if the deadline
     /// passed first.
     awaitable<bool> waitForAccount(account_ptr state, time_point deadline);
@@ -267,8 +291,7 @@
     row_retention_tracker m_rowRetention;
     unreadable_row_log m_unreadable;
     std::unordered_map<program_id, account_ptr> m_accounts;
-    /// How long a turn is cached after it was read.
-    duration m_retention = seconds(60);
+    retention_policy m_retention;
 };
 
 } // namespace azurehill
--- a/src/turns/turn_ledger_reads.cpp
+++ b/src/turns/turn_ledger_reads.cpp
@@ -29,7 +29,7 @@
         chain.push_back(&found->second);
         id = found->second.previous;
     }
-    const time_point until = runtime_clock::now() + m_retention;
+    const time_point until = runtime_clock::now() + m_retention.longest();
     for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
         auto t = std::make_shared<turn>(std::move((*it)->value));
         t->program = program;
@@ -93,8 +93,7 @@
         co_return tl::unexpected(indexRow.error());
     if (indexRow->version == 0)
         co_return std::nullopt;
-    // An index row can exist without its turn: if the turn was never added, or if the program's
-    // rows were removed by another daemon than the one that added the turn. Then there is no such
+    // An index row can exist without its turn, if the turn was never added. Then there is no such
     // turn.
     const program_id program{indexRow->value};
     name = turn_rows::firstChunk(program, wanted);
--- a/src/turns/turn_ledger_removal.cpp
+++ b/src/turns/turn_ledger_removal.cpp
@@ -3,6 +3,8 @@
 #include "turns/turn_ledger.h"
 #include "turns/turn_rows.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace {
@@ -10,45 +12,111 @@
 /// Programs removed per call of removeExpiredRows(), so that removals stay a small share of the
 /// store's calls.
 constexpr std::size_t maxProgramsPerRemoval = 8;
-/// Limit on the writes, removals and conditions of one transaction.
-constexpr std::size_t maxTransactionEntries = 100;
+/// Rows removed per transaction, which may have 100 entries: each row takes a condition, its
+/// removal, and that of its turn's index row.
+constexpr std::size_t rowsPerRemoval = 32;
+/// Delay before a removal that failed is tried again.
+constexpr duration removalRetryDelay = seconds(10);
 
 } // namespace
 
 awaitable<void> turn_ledger::removeExpiredRows()
 {
-    for (const row_retention_tracker::expired_program &due :
-         m_rowRetention.takeExpired(runtime_clock::now(), maxProgramsPerRemoval)) {
-        row_range range = turn_rows::programRange(due.program);
-        const auto page
-            = co_await m_store.read(std::move(range), runtime_clock::now() + storeAttemptTimeout);
-        if (!page)
-            continue;
-        const row_name accountRow = turn_rows::account(due.program);
-        store_transaction t;
-        // If another daemon has added a turn since, that daemon removes the program.
-        store_version accountVersion = 0;
-        for (const stored_row &row : page->rows) {
-            t.removals.push_back(row.name);
-            if (row.name == accountRow)
-                accountVersion = row.version;
-        }
-        if (versionOf(page->rows) > due.version)
-            continue;
-        t.conditions.push_back({accountRow, accountVersion});
-        if (m_settings.spansParts) {
-            for (const turn_id &id : due.turns)
-                t.removals.push_back(turn_rows::index(id));
+    const std::vector<row_retention_tracker::tracked_program> due
+        = m_rowRetention.takeDue(runtime_clock::now(), maxProgramsPerRemoval);
+    for (const row_retention_tracker::tracked_program &program : due)
+        co_await removeIfExpired(program);
+}
+
+awaitable<void> turn_ledger::removeIfExpired(row_retention_tracker::tracked_program tracked)
+{
+    row_range range = turn_rows::programRange(tracked.program);
+    const auto page
+        = co_await m_store.read(std::move(range), runtime_clock::now() + storeAttemptTimeout);
+    const time_point now = runtime_clock::now();
+    if (!page) {
+        m_rowRetention.reschedule(tracked, now + removalRetryDelay);
+        co_return;
+    }
+    if (page->rows.empty())
+        co_return;
+    const store_version newest = versionOf(page->rows);
+    if (!tracked.version) {
+        tracked.version = newest;
+        tracked.knownSince = now;
+    }
+    // Another daemon has written since, and tracks the program.
+    if (newest > *tracked.version)
+        co_return;
+    const time_point expiresAt = tracked.knownSince + retentionOf(page->rows) + removalMargin;
+    if (now < expiresAt) {
+        m_rowRetention.reschedule(tracked, expiresAt);
+        co_return;
+    }
+    const bool isRemoved = co_await removeRows(tracked.program, page->rows);
+    if (!isRemoved)
+        m_rowRetention.reschedule(tracked, runtime_clock::now() + removalRetryDelay);
+}
+
+duration turn_ledger::retentionOf(const std::vector<stored_row> &rows) const
+{
+    duration longest = duration::zero();
+    const std::map<turn_id, decoded_turn> turns = turn_rows::readTurns(rows);
+    for (const auto &[id, decoded] : turns)
+        longest = std::max(longest, m_retention.of(decoded.value));
+    if (turns.size() < turn_rows::countTurns(rows))
+        longest = std::max(longest, m_retention.longest());
+    return longest;
+}
+
+store_transaction turn_ledger::removalOf(std::span<const stored_row> rows,
+                                         const std::set<turn_id> &ownTurns) const
+{
+    store_transaction t;
+    for (const stored_row &row : rows) {
+        t.removals.push_back(row.name);
+        const turn_id turn = turn_rows::turnOfFirstChunk(row.name);
+        if (m_settings.spansParts && ownTurns.contains(turn))
+            t.removals.push_back(turn_rows::index(turn));
+    }
+    return t;
+}
+
+awaitable<bool> turn_ledger::removeRows(program_id program, std::vector<stored_row> rows)
+{
+    // The account goes first, under a condition on its version: a program that returns in the
+    // meantime has changed it, or creates it anew and then writes its whole chain. Further rows go
+    // under a condition on their own versions, since they may have been written anew.
+    const row_name accountRow = turn_rows::account(program);
+    const auto account = std::find_if(
+        rows.begin(), rows.end(), [&](const stored_row &row) { return row.name == accountRow; });
+    const store_version accountVersion = account == rows.end() ? 0 : account->version;
+    if (account != rows.end())
+        std::iter_swap(rows.begin(), account);
+    // A turn that was copied from another program is found in that one's partition.
+    std::set<turn_id> ownTurns;
+    for (const auto &[id, decoded] : turn_rows::readTurns(rows)) {
+        if (decoded.value.program == program)
+            ownTurns.insert(id);
+    }
+    const std::span<const stored_row> all(rows);
+    for (std::size_t start = 0; start < all.size(); start += rowsPerRemoval) {
+        const auto some = all.subspan(start, std::min(rowsPerRemoval, all.size() - start));
+        store_transaction t = removalOf(some, ownTurns);
+        if (start == 0) {
+            t.conditions.push_back({accountRow, accountVersion});
+        } else {
+            for (const stored_row &row : some)
+                t.conditions.push_back({row.name, row.version});
         }
-        // Programs with more rows than one transaction can remove are left; they only cost space.
-        if (t.removals.size() >= maxTransactionEntries)
-            continue;
-        const std::int64_t count = std::int64_t(t.removals.size());
         const auto done
             = co_await m_store.transact(std::move(t), runtime_clock::now() + storeAttemptTimeout);
-        if (done)
-            logDecision(log_event::RowsDropped, {{"program", due.program.value}, {"rows", count}});
+        if (!done)
+            co_return false;
     }
+    logDecision(log_event::RowsDropped,
+                {{"program", program.value}, {"rows", std::int64_t(rows.size())}});
+    co_return true;
 }
 
 } // namespace azurehill
--- a/src/turns/turn_rows.cpp
+++ b/src/turns/turn_rows.cpp
@@ -4,6 +4,9 @@
 
 #include <fmt/format.h>
 
+#include <set>
+#include <string_view>
+
 namespace azurehill::turn_rows {
 
 namespace {
@@ -12,6 +15,7 @@
 constexpr std::string_view indexTable = "turn-index";
 constexpr std::string_view accountKey = "account";
 constexpr std::string_view turnPrefix = "turn/";
+constexpr std::string_view firstChunkMark = "#0000";
 /// Partitions of the index. Transactions on one partition are serialised, so the index is spread
 /// over many.
 constexpr std::uint64_t indexParts = 256;
@@ -34,6 +38,16 @@
     return {std::string(turnTable), program.value, chunkKey(id, 0)};
 }
 
+turn_id turnOfFirstChunk(const row_name &row)
+{
+    const std::string_view key = row.key;
+    const std::size_t mark = key.rfind('#');
+    if (!key.starts_with(turnPrefix) || mark == std::string_view::npos
+        || key.substr(mark) != firstChunkMark)
+        return {};
+    return {std::string(key.substr(turnPrefix.size(), mark - turnPrefix.size()))};
+}
+
 row_name index(const turn_id &id)
 {
     return {std::string(indexTable), fmt::format("{:02x}", stableHash(id.value) % indexParts),
@@ -75,6 +89,17 @@
     return turns;
 }
 
+std::size_t countTurns(const std::vector<stored_row> &rows)
+{
+    std::set<std::string_view> turns;
+    for (const stored_row &row : rows) {
+        const std::string_view key = row.name.key;
+        if (key.starts_with(turnPrefix))
+            turns.insert(key.substr(0, key.rfind('#')));
+    }
+    return turns.size();
+}
+
 bool isAccountRow(const row_name &row)
 {
     return row.table == turnTable && row.key == accountKey;
--- a/src/turns/turn_rows.h
+++ b/src/turns/turn_rows.h
@@ -21,6 +21,8 @@
 row_name account(const program_id &program);
 /// \returns the name of the row with the first chunk of a turn in the partition of \p program.
 row_name firstChunk(const program_id &program, const turn_id &id);
+/// \returns the turn whose first chunk \p row is; an empty id if it is none.
+turn_id turnOfFirstChunk(const row_name &row);
 /// \returns the name of the index row that maps a turn to its program.
 row_name index(const turn_id &id);
 /// \returns the range of all rows of \p program.
@@ -30,6 +32,8 @@
 std::vector<row_value> encodeRows(const turn &t, const program_id &program, std::size_t rowBytes);
 /// \returns the turns in \p rows by id. Turns that can't be decoded are logged and left out.
 std::map<turn_id, decoded_turn> readTurns(const std::vector<stored_row> &rows);
+/// \returns the number of turns in \p rows, including those that can't be decoded.
+std::size_t countTurns(const std::vector<stored_row> &rows);
 /// \returns whether \p row is the account row of a program.
 bool isAccountRow(const row_name &row);
 
