An account is kept for the retention time after its program was last answered

Cause: the account was removed with the program's rows, by the retention of the last turn. A refusal wrote nothing and extended nothing, nor did a turn that ran on tokens held before, but at the one daemon that held them. Fix: the account's row states how long it is needed, from a reservation to the end of its turn and the retention time after that, and counts where rows are removed. A daemon that refuses a program, or lets it run on held tokens, writes the account again if its row is older than half of the margin that removals keep; while the store is away, it tries until the time is over.

--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -33,6 +33,14 @@
         - streamEndMargin;
 }
 
+/// \returns how long the account of the program of \p call is needed from now. The answer ends by
+/// the call's deadline, and its end is withheld until the turn is durable.
+duration accountRetention(const entry_call &call)
+{
+    const duration timeLeft = std::max(duration::zero(), call.deadline - runtime_clock::now());
+    return timeLeft + clientStallTimeout(*call.route) + call.route->retention;
+}
+
 local_reply localReplyFor(turn_refusal refusal)
 {
     switch (refusal) {
@@ -100,8 +108,7 @@
     if (!isLoaded)
         co_return;
     context->claim = claimOf(call->request, context->history);
-    if (!call->route->keepsHistory)
-        context->claim.retention = call->route->retention;
+    context->claim.retention = accountRetention(*call);
     const bool isReserved = co_await reserveTurnTokens(context, writer);
     if (!isReserved)
         co_return;
--- a/src/slots/slot_exchange.cpp
+++ b/src/slots/slot_exchange.cpp
@@ -56,7 +56,7 @@
             request.maxOutputTokens,
             request.timeToFinish,
             false,
-            request.retention};
+            request.timeLeft + request.retention};
 }
 
 } // namespace
--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -75,7 +75,7 @@
     held_program_ptr p = programOf(claim);
     if (!p->budget.tryReserve(claim.id, claim.maxOutputTokens))
         return false;
-    m_ledger.retainRows(claim);
+    m_ledger.retainAccount(claim);
     const bool isLow = p->budget.needsHoldFor(claim.maxOutputTokens);
     if (isLow && !p->isChanging && p->budget.nextHold(claim.maxOutputTokens) > 0)
         spawn(m_executor, "holdAhead", holdAhead(std::move(p)));
@@ -145,8 +145,10 @@
                                                                        std::int64_t tokens,
                                                                        time_point deadline)
 {
-    if (!p->pending && tokens <= 0)
+    if (!p->pending && tokens <= 0) {
+        m_ledger.retainAccount(claim);
         co_return tl::unexpected(turn_refusal::BudgetSpent);
+    }
     if (!p->pending) {
         const turn_id id{fmt::format("{}{}", m_holdPrefix, ++m_lastHold)};
         p->pending = pending_hold{id, tokens, p->budget.used()};
--- a/src/turns/retention_policy.cpp
+++ b/src/turns/retention_policy.cpp
@@ -18,4 +18,9 @@
     return std::max(t.retention.value_or(m_longest), current);
 }
 
+duration retention_policy::of(const token_account &account) const
+{
+    return account.retention.value_or(m_longest);
+}
+
 } // namespace azurehill
--- a/src/turns/retention_policy.h
+++ b/src/turns/retention_policy.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/runtime_clock.h"
+#include "turns/token_account.h"
 #include "turns/turn.h"
 
 #include <map>
@@ -21,6 +22,8 @@
 
     /// \returns how long the rows of \p t are kept.
     duration of(const turn &t) const;
+    /// \returns how long the row of \p account is kept.
+    duration of(const token_account &account) const;
     /// \returns the longest retention time of any route so far. Rows that state none, since an
     /// earlier release wrote them or they can't be decoded, are kept for as long.
     duration longest() const { return m_longest; }
--- a/src/turns/token_account.cpp
+++ b/src/turns/token_account.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace azurehill {
@@ -42,6 +43,8 @@
     o["holds"] = std::move(held);
     o["finish"] = account.finishUnixMs;
     o["aim"] = account.timeBudgetMs;
+    if (account.retention)
+        o["retain_ms"] = toMilliseconds(*account.retention);
     return json::serialize(o);
 }
 
@@ -55,6 +58,8 @@
             account.holds[id] = parseTokens(tokens);
         account.finishUnixMs = document.at("finish").to_number<std::int64_t>();
         account.timeBudgetMs = document.at("aim").to_number<std::int64_t>();
+        if (const json::value *ms = document.as_object().if_contains("retain_ms"))
+            account.retention = parseRetention(ms->to_number<std::int64_t>());
         return account;
     } catch (const std::exception &) {
         // The caller logs the row's name and refuses the program's turns, since what the program
@@ -77,6 +82,12 @@
     return account.spent + maxOutputTokens > budget;
 }
 
+token_account retain(token_account account, duration retention)
+{
+    account.retention = std::max(account.retention.value_or(duration::zero()), retention);
+    return account;
+}
+
 token_account settle(token_account account, const turn_id &id, std::int64_t used)
 {
     account.holds.erase(id.value);
--- a/src/turns/token_account.h
+++ b/src/turns/token_account.h
@@ -24,6 +24,8 @@
     std::int64_t finishUnixMs = 0;
     /// Time from the start of the program to its target finish time, in milliseconds; 0 if unknown.
     std::int64_t timeBudgetMs = 0;
+    /// How long the account's row is kept after it was written; empty if the row does not state it.
+    std::optional<duration> retention;
 
     /// \returns the sum of spent and held tokens.
     std::int64_t committed() const;
@@ -40,6 +42,8 @@
 /// \returns whether the spent tokens alone leave less than \p maxOutputTokens of \p budget. Spent
 /// tokens are never returned, so a true result holds even if \p account is out of date.
 bool isExhausted(const token_account &account, std::int64_t maxOutputTokens, std::int64_t budget);
+/// \returns \p account, to be kept for \p retention at least.
+token_account retain(token_account account, duration retention);
 /// \returns \p account with the hold of \p id replaced by \p used spent tokens.
 token_account settle(token_account account, const turn_id &id, std::int64_t used);
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -18,6 +18,13 @@
 constexpr std::size_t maxTransactionBytes = 700U << 10U;
 /// Accounts that have not been used for this long are evicted and read from the store again.
 constexpr duration accountCacheRetention = seconds(90);
+/// Age of an account's row from which retainAccount() has it written again, at most a part of
+/// removalMargin.
+constexpr duration renewalAge = turn_ledger::removalMargin / 2;
+/// Accounts written per call of renewAccounts(), and the timeout of each.
+constexpr std::size_t maxRenewals = 8;
+constexpr duration renewalTimeout = seconds(2);
+
 std::size_t bytesOf(const store_transaction &t)
 {
     std::size_t sum = 0;
@@ -37,7 +44,7 @@
 
 struct turn_ledger::account_change
 {
-    enum class change_kind { Reserve, Commit, Settle };
+    enum class change_kind { Reserve, Commit, Settle, Renew };
 
     change_kind kind = change_kind::Reserve;
     turn_claim claim;
@@ -65,12 +72,24 @@
         const bool isHeld = account.holds.contains(claim.id.value);
         if (kind == change_kind::Reserve)
             return isHeld;
+        // An account without tokens need not be kept.
+        if (kind == change_kind::Renew)
+            return account.committed() == 0;
         return kind == change_kind::Settle && !isHeld && !forceWrite;
     }
 
     /// \returns \p account after the change, or nothing if that would exceed the budget.
     std::optional<token_account> apply(const token_account &account) const
     {
+        auto next = applyTokens(account);
+        return next ? std::optional(retain(std::move(*next), claim.retention)) : std::nullopt;
+    }
+
+private:
+    std::optional<token_account> applyTokens(const token_account &account) const
+    {
+        if (kind == change_kind::Renew)
+            return account;
         if (kind == change_kind::Reserve) {
             token_account settled = account;
             for (const auto &[id, tokens] : replaced)
@@ -155,7 +174,11 @@
             continue;
         }
         state.account = std::move(*account);
+        // An earlier release wrote no retention time.
+        if (!state.account.retention)
+            state.account.retention = m_retention.longest();
         state.version = row.version;
+        state.writtenAt.reset();
         state.storedTurns.reset();
     }
 }
@@ -181,8 +204,10 @@
 turn_ledger::reserve(turn_claim claim, time_point deadline, used_holds replaced)
 {
     account_ptr state = accountOf(claim.program);
-    if (isExhausted(state->account, claim.maxOutputTokens, claim.budgetTokens))
+    if (isExhausted(state->account, claim.maxOutputTokens, claim.budgetTokens)) {
+        retainAccount(claim);
         co_return tl::unexpected(turn_refusal::BudgetSpent);
+    }
     if (!m_store.isReachable())
         co_return tl::unexpected(turn_refusal::StoreUnavailable);
     account_change change;
@@ -194,6 +219,8 @@
     const auto held = co_await apply(std::move(state), std::move(change), deadline);
     if (held)
         trackRetention(claim, version);
+    else if (held.error() == turn_refusal::BudgetSpent)
+        retainAccount(claim);
     co_return held;
 }
 
@@ -208,6 +235,7 @@
     change.kind = account_change::change_kind::Commit;
     change.claim.id = t->id;
     change.claim.program = t->program;
+    change.claim.retention = *t->retention;
     change.used = used;
     change.added = t;
     if (!m_settings.spansParts) {
@@ -279,12 +307,45 @@
 
 void turn_ledger::trackRetention(const turn_claim &claim, store_version version)
 {
-    if (claim.retention == duration::zero())
+    if (claim.retention == duration::zero() || version == 0)
         return;
     m_rowRetention.onWritten(claim.program, version, runtime_clock::now(),
                              claim.retention + removalMargin);
 }
 
+void turn_ledger::retainAccount(const turn_claim &claim)
+{
+    const account_ptr state = accountOf(claim.program);
+    const time_point now = runtime_clock::now();
+    const bool isRecent = state->writtenAt && now <= *state->writtenAt + renewalAge;
+    const bool isLongEnough = state->account.retention >= std::optional(claim.retention);
+    if (!isRecent || !isLongEnough)
+        m_renewals.insert_or_assign(claim.program, account_renewal{claim, now + claim.retention});
+}
+
+awaitable<void> turn_ledger::renewAccounts()
+{
+    std::vector<account_renewal> renewals;
+    while (!m_renewals.empty() && renewals.size() < maxRenewals && m_store.isReachable()) {
+        renewals.push_back(std::move(m_renewals.begin()->second));
+        m_renewals.erase(m_renewals.begin());
+    }
+    for (const account_renewal &renewal : renewals) {
+        account_ptr state = accountOf(renewal.claim.program);
+        store_version version = 0;
+        account_change change;
+        change.kind = account_change::change_kind::Renew;
+        change.claim = renewal.claim;
+        change.writtenVersion = &version;
+        const auto done = co_await apply(std::move(state), std::move(change),
+                                         runtime_clock::now() + renewalTimeout);
+        if (done)
+            trackRetention(renewal.claim, version);
+        else if (runtime_clock::now() < renewal.deadline)
+            m_renewals.try_emplace(renewal.claim.program, renewal);
+    }
+}
+
 awaitable<void> turn_ledger::settleHold(turn_claim claim, std::int64_t used)
 {
     account_ptr state = accountOf(claim.program);
@@ -481,10 +542,12 @@
                 co_await sleepFor(retryDelay);
             continue;
         }
+        const time_point began = runtime_clock::now();
         const auto version
             = co_await m_store.transact(std::move(t), storeAttemptDeadline(deadline));
         if (version) {
             onChangeCommitted(*state, change, *next, *version);
+            state->writtenAt = began;
             settleEndedTurns(*state);
             if (change.writtenVersion)
                 *change.writtenVersion = *version;
@@ -497,6 +560,7 @@
             if (!findRow(version.error().current, accountRow)) {
                 state->account = {};
                 state->version = 0;
+                state->writtenAt.reset();
             }
             updateAccount(*state, version.error().current);
             if (change.added && findRow(version.error().current, firstChunk)) {
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -86,7 +86,8 @@
     std::optional<duration> timeToFinish;
     /// Whether this is the program's first turn.
     bool isFirst = false;
-    /// Retention time of the account of a program whose turns are not stored; zero if they are.
+    /// How long the program's account is needed from now: until the end of the turn, and for the
+    /// retention time after that.
     duration retention = duration::zero();
 };
 
@@ -159,9 +160,10 @@
     /// scarce budget keeps the other half for what its turns really use.
     bool mayKeepHold(const turn_claim &claim) const;
 
-    /// \brief Retains the rows of the claim's program for its retention time from now, although the
-    /// claim writes none, as its tokens are held already.
-    void retainRows(const turn_claim &claim) { trackRetention(claim, 0); }
+    /// \brief Keeps the account of the claim's program for the claim's retention time from now,
+    /// although the claim writes no row: its tokens are held already, or it is refused. An account
+    /// that was last written some time ago is written again by removeExpiredRows().
+    void retainAccount(const turn_claim &claim);
 
     /// \brief Sets the retention times of the current routes by the routes' names.
     void setRetentions(std::map<std::string, duration> retentions)
@@ -182,6 +184,7 @@
     void expire(time_point now);
 
     /// \brief Removes the rows of programs whose retention time is over, a few programs per call.
+    /// Before that, writes accounts again that are to be retained.
     awaitable<void> removeExpiredRows();
 
 private:
@@ -199,17 +202,27 @@
         /// Turns that are known to have ended, with the tokens they used. The account's row may
         /// still hold their maximum output.
         std::unordered_map<turn_id, std::int64_t> endedTurns;
+        /// When this daemon began to write the latest version of the row; empty if another daemon
+        /// wrote it.
+        std::optional<time_point> writtenAt;
         bool isChanging = false;
         std::shared_ptr<notifier> changeFinished = std::make_shared<notifier>();
         time_point lastUsedAt;
     };
     using account_ptr = std::shared_ptr<account_state>;
+    struct account_renewal
+    {
+        turn_claim claim;
+        time_point deadline;
+    };
     /// \brief A change of an account, with the rows written in the same transaction.
     struct account_change;
 
     account_ptr accountOf(const program_id &program);
     /// \brief Tracks the retention of the rows that were written for \p claim.
     void trackRetention(const turn_claim &claim, store_version version);
+    /// \brief Writes accounts again that would otherwise be removed too early, a few per call.
+    awaitable<void> renewAccounts();
     /// \brief Reads the rows of \p tracked, and removes them if their retention time is over.
     awaitable<void> removeIfExpired(row_retention_tracker::tracked_program tracked);
     /// \returns how long \p rows, those of one program, are kept after the latest was written.
@@ -292,6 +305,8 @@
     unreadable_row_log m_unreadable;
     std::unordered_map<program_id, account_ptr> m_accounts;
     retention_policy m_retention;
+    /// Accounts that have to be written again, with the latest claim, and until when.
+    std::unordered_map<program_id, account_renewal> m_renewals;
 };
 
 } // namespace azurehill
--- a/src/turns/turn_ledger_removal.cpp
+++ b/src/turns/turn_ledger_removal.cpp
@@ -22,6 +22,7 @@
 
 awaitable<void> turn_ledger::removeExpiredRows()
 {
+    co_await renewAccounts();
     const std::vector<row_retention_tracker::tracked_program> due
         = m_rowRetention.takeDue(runtime_clock::now(), maxProgramsPerRemoval);
     for (const row_retention_tracker::tracked_program &program : due)
@@ -61,6 +62,12 @@
 duration turn_ledger::retentionOf(const std::vector<stored_row> &rows) const
 {
     duration longest = duration::zero();
+    for (const stored_row &row : rows) {
+        if (!turn_rows::isAccountRow(row.name))
+            continue;
+        const auto account = decodeAccount(row.value);
+        longest = std::max(longest, account ? m_retention.of(*account) : m_retention.longest());
+    }
     const std::map<turn_id, decoded_turn> turns = turn_rows::readTurns(rows);
     for (const auto &[id, decoded] : turns)
         longest = std::max(longest, m_retention.of(decoded.value));
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -624,6 +624,70 @@
         }
     }
 
+    // Guards against a program that is given its budget anew, as its account was removed while the
+    // program might still return.
+    TEST_CASE("an account is kept for the retention time after its program was last answered")
+    {
+        ledger_pair w;
+        auto &[rows, first, second, context, program] = w;
+        constexpr duration retention = seconds(60);
+        const auto ask = [&](turn_ledger &ledger, const char *id) -> awaitable<turn_refusal> {
+            turn_claim claim = claimFor(id, program, 100, 100);
+            claim.retention = retention;
+            const auto held = co_await ledger.reserve(claim, later(seconds(1)));
+            if (!held)
+                co_return held.error();
+            const turn_ptr t = makeTurn(id, program, nullptr);
+            const auto done = co_await ledger.commit(t, 100, retention, later(seconds(1)));
+            CHECK(done);
+            co_return turn_refusal::InDoubt;
+        };
+        const auto advanceWithRemovals = [&](duration time) -> awaitable<void> {
+            for (duration t = duration::zero(); t < time; t += seconds(1)) {
+                runtime_clock::advance(seconds(1));
+                co_await first.ledger.removeExpiredRows();
+                co_await second.ledger.removeExpiredRows();
+            }
+        };
+
+        SUBCASE("it was stopped a while after its last turn, at another daemon")
+        {
+            auto scenario = [&]() -> awaitable<void> {
+                turn_refusal result = co_await ask(first.ledger, "t1");
+                REQUIRE(result == turn_refusal::InDoubt);
+                co_await advanceWithRemovals(seconds(25));
+                result = co_await ask(second.ledger, "t2");
+                REQUIRE(result == turn_refusal::BudgetSpent);
+                co_await advanceWithRemovals(seconds(59));
+                ledger_host fresh(rows);
+                result = co_await ask(fresh.ledger, "t3");
+                CHECK(result == turn_refusal::BudgetSpent);
+                co_await advanceWithRemovals(seconds(90));
+                CHECK(rows.size() == 0);
+            };
+            runPaused(context, scenario());
+        }
+        SUBCASE("it was stopped while the store could not be written")
+        {
+            auto scenario = [&]() -> awaitable<void> {
+                turn_refusal result = co_await ask(first.ledger, "t1");
+                REQUIRE(result == turn_refusal::InDoubt);
+                co_await advanceWithRemovals(seconds(40));
+                first.access.nextFault = [] { return store_fault::Refused; };
+                first.access.reachable = false;
+                result = co_await ask(first.ledger, "t2");
+                REQUIRE(result == turn_refusal::BudgetSpent);
+                co_await advanceWithRemovals(seconds(20));
+                first.access.nextFault = [] { return store_fault::None; };
+                first.access.reachable = true;
+                co_await advanceWithRemovals(seconds(39));
+                result = co_await ask(second.ledger, "t3");
+                CHECK(result == turn_refusal::BudgetSpent);
+            };
+            runPaused(context, scenario());
+        }
+    }
+
     // Guards against rows that stay in the store for good, as one try to remove them failed or was
     // too large.
     TEST_CASE("a removal goes on until all rows of the program are gone")
