A dispatcher remembers its holds as long as their accounts are needed

What callers saw: a program that had paused for more than 20 s went on with fewer tokens than its budget had left, and with a scarce budget got 503 for the rest of its life. Cause: budget_holder forgot programs 20 s after their last turn, with the id of its own hold in the account. The hold then counted as another daemon's, which only that daemon may settle. A turn of more than 20 s was forgotten while it ran. Fix: a program is forgotten when the account itself is no longer needed.

--- a/src/turns/budget_holder.cpp
+++ b/src/turns/budget_holder.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-/// Time after which a program without turns is forgotten; its holds stay in its account.
-constexpr duration retention = seconds(20);
 /// Start of the ids of holds. Ids of clients' requests are hexadecimal numbers.
 constexpr std::string_view holdPrefix = "hold-";
 /// Maximum time for a hold that is made ahead of need.
@@ -204,8 +202,11 @@
 
 void budget_holder::expire(time_point now)
 {
+    // A hold that is forgotten earlier than its account is removed counts as another daemon's: the
+    // program can't use these tokens any more.
     std::erase_if(m_programs, [now](const auto &item) {
-        return !item.second->isChanging && now > item.second->usedAt + retention;
+        const held_program &p = *item.second;
+        return !p.isChanging && now > p.usedAt + p.latestClaim.retention;
     });
 }
 
--- a/src/turns/budget_holder.h
+++ b/src/turns/budget_holder.h
@@ -36,7 +36,7 @@
     /// \returns whether \p id is the id of a hold for several turns, which may be unused.
     static bool isSharedHold(const turn_id &id);
 
-    /// \brief Forgets the programs that were not used for a while.
+    /// \brief Forgets the programs whose accounts are no longer needed.
     void expire(time_point now);
     /// \brief Writes the tokens used in place of the holds, until \p deadline.
     awaitable<void> release(time_point deadline);
--- a/test/io/budget_holder_test.cpp
+++ b/test/io/budget_holder_test.cpp
@@ -625,6 +625,21 @@
         }
     }
 
+    // Guards against a program that is refused although its budget is not spent, as the dispatcher
+    // forgot its own hold during a pause of the program.
+    TEST_CASE("a program that pauses goes on with the tokens that are held for it")
+    {
+        holder_world w(100);
+        holder_host &host = w.start("d0");
+        REQUIRE(w.run(host, "t1", 50, 10));
+        w.advance(seconds(30), seconds(1));
+        host.holder.expire(runtime_clock::now());
+        CHECK(w.run(host, "t2", 50, 10));
+        w.stop(host);
+        CHECK(w.account().spent == 20);
+        CHECK(w.account().holds.empty());
+    }
+
     // Guards against budgets that are exceeded by parallel turns at several dispatchers, by lost
     // answers and delayed writes, and by daemons that fail or stop.
     TEST_CASE("whatever the store does and whichever daemon dies, a budget holds")
