Rows of programs that no daemon tracks any more are found and removed

What users saw: the store kept for good the rows of each program that a daemon had written last before it was stopped or killed. Evidence: "rows go although the daemon that tracked them has ended" fails without the scan: rows of ended programs, and an account without turns, stayed. Fix: each daemon lists the partitions of the turn table page by page, and each page twice, with more than two retention times in between. What is listed twice is read, and removed like any other program if it does not change for its retention time. A daemon takes one in n of what it finds among n daemons, so all of them together read about once what one would.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -117,7 +117,7 @@
 ledger_settings ledgerSettings(const host_settings &s)
 {
     return {s.rowBytes, s.storeSpansParts,
-            static_cast<std::size_t>(s.memoryBytes / cacheMemoryDivisor)};
+            static_cast<std::size_t>(s.memoryBytes / cacheMemoryDivisor), stableHash(s.name.value)};
 }
 
 } // namespace
@@ -273,6 +273,7 @@
     while (true) {
         co_await sleepFor(removalInterval);
         co_await m_ledger.removeExpiredRows();
+        co_await m_ledger.findAbandonedRows(m_daemons);
     }
 }
 
--- a/src/rows/row.h
+++ b/src/rows/row.h
@@ -90,6 +90,14 @@
     store_version version = 0;
 };
 
+/// \brief Names of partitions of a table, in ascending order.
+struct partition_page
+{
+    std::vector<std::string> names;
+    /// Whether further partitions follow.
+    bool hasMore = false;
+};
+
 /// \brief Kind of failure of a call to the store.
 ///
 /// Conflict, HistoryGone, Refused and Limited mean that nothing was written. Limited means that
--- a/src/store/paced_store.cpp
+++ b/src/store/paced_store.cpp
@@ -178,6 +178,12 @@
     }
 }
 
+awaitable<store_result<partition_page>>
+paced_store::partitions(std::string table, std::string after, time_point deadline)
+{
+    return m_inner.partitions(std::move(table), std::move(after), deadline);
+}
+
 awaitable<store_result<row_page>> paced_store::changes(std::string table, store_version after,
                                                        duration wait, time_point deadline)
 {
--- a/src/store/paced_store.h
+++ b/src/store/paced_store.h
@@ -31,6 +31,8 @@
     awaitable<store_result<row_page>> read(row_range range, time_point deadline) override;
     awaitable<store_result<row_page>> changes(std::string table, store_version after, duration wait,
                                               time_point deadline) override;
+    awaitable<store_result<partition_page>> partitions(std::string table, std::string after,
+                                                       time_point deadline) override;
     bool isReachable() const override { return m_inner.isReachable(); }
 
     const write_queue &queue() const { return m_queue; }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -37,6 +37,11 @@
     virtual awaitable<store_result<row_page>> changes(std::string table, store_version after,
                                                       duration wait, time_point deadline)
         = 0;
+    /// \brief Lists partitions of \p table that have rows and sort after \p after, as many as fit
+    /// into one response.
+    virtual awaitable<store_result<partition_page>> partitions(std::string table, std::string after,
+                                                               time_point deadline)
+        = 0;
     /// \returns whether the store is considered reachable: the last calls were answered, or there
     /// was none for some time. Makes no call.
     virtual bool isReachable() const = 0;
--- a/src/turns/row_retention_tracker.cpp
+++ b/src/turns/row_retention_tracker.cpp
@@ -13,6 +13,11 @@
     s.dueAt = std::max(s.dueAt, now + retention);
 }
 
+void row_retention_tracker::onFound(const program_id &program, time_point now)
+{
+    m_programs.try_emplace(program, schedule{std::nullopt, now, now});
+}
+
 void row_retention_tracker::reschedule(const tracked_program &program, time_point dueAt)
 {
     schedule &s = m_programs[program.program];
--- a/src/turns/row_retention_tracker.h
+++ b/src/turns/row_retention_tracker.h
@@ -34,6 +34,8 @@
     /// \param retention how long these rows are kept.
     void onWritten(const program_id &program, store_version version, time_point now,
                    duration retention);
+    /// \brief Records a program that was found in the store and may have no daemon that tracks it.
+    void onFound(const program_id &program, time_point now);
     /// \brief Tracks \p program again from \p dueAt, with what has been recorded in the meantime.
     void reschedule(const tracked_program &program, time_point dueAt);
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -107,7 +107,8 @@
 };
 
 turn_ledger::turn_ledger(store &rows, const ledger_settings &settings)
-    : m_store(rows), m_settings(settings), m_cache(settings.cacheBytes)
+    : m_store(rows), m_settings(settings), m_cache(settings.cacheBytes),
+      m_abandonedScan(settings.seed)
 { }
 
 std::vector<turn_id> turn_ledger::holdsOf(const program_id &program) const
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -3,6 +3,7 @@
 #include "rows/unreadable_row_log.h"
 #include "runtime/runtime.h"
 #include "store/store.h"
+#include "turns/abandoned_program_scan.h"
 #include "turns/retention_policy.h"
 #include "turns/row_retention_tracker.h"
 #include "turns/token_account.h"
@@ -71,6 +72,8 @@
     bool spansParts = true;
     /// Limit on the memory of cached turns.
     std::size_t cacheBytes = 16U << 20U;
+    /// Seed of this daemon's random choices.
+    std::uint64_t seed = 1;
 };
 
 /// \brief A turn's request for tokens of its program's budget.
@@ -187,6 +190,11 @@
     /// Before that, writes accounts again that are to be retained.
     awaitable<void> removeExpiredRows();
 
+    /// \brief Looks for programs in the store whose rows no daemon tracks any more, if that is due.
+    /// removeExpiredRows() then removes them.
+    /// \param daemons number of live daemons.
+    awaitable<void> findAbandonedRows(int daemons);
+
 private:
     struct account_state
     {
@@ -302,6 +310,7 @@
     ledger_settings m_settings;
     turn_cache m_cache;
     row_retention_tracker m_rowRetention;
+    abandoned_program_scan m_abandonedScan;
     unreadable_row_log m_unreadable;
     std::unordered_map<program_id, account_ptr> m_accounts;
     retention_policy m_retention;
--- a/src/turns/turn_ledger_removal.cpp
+++ b/src/turns/turn_ledger_removal.cpp
@@ -29,6 +29,25 @@
         co_await removeIfExpired(program);
 }
 
+awaitable<void> turn_ledger::findAbandonedRows(int daemons)
+{
+    if (!m_abandonedScan.isDue(runtime_clock::now()))
+        co_return;
+    // A program in use is listed twice as well; one that has ended is gone by then.
+    const duration interval = 2 * (m_retention.longest() + removalMargin);
+    std::string table = turn_rows::programRange({}).table;
+    std::string position = m_abandonedScan.position();
+    const auto page = co_await m_store.partitions(std::move(table), std::move(position),
+                                                  runtime_clock::now() + storeAttemptTimeout);
+    const time_point now = runtime_clock::now();
+    if (!page) {
+        m_abandonedScan.postpone(now, interval);
+        co_return;
+    }
+    for (const program_id &program : m_abandonedScan.onListed(*page, now, interval, daemons))
+        m_rowRetention.onFound(program, now);
+}
+
 awaitable<void> turn_ledger::removeIfExpired(row_retention_tracker::tracked_program tracked)
 {
     row_range range = turn_rows::programRange(tracked.program);
--- a/standin/row_store.cpp
+++ b/standin/row_store.cpp
@@ -1,5 +1,7 @@
 #include "standin/row_store.h"
 
+#include <set>
+
 namespace azurehill {
 
 tl::expected<store_version, std::vector<stored_row>> row_store::apply(const store_transaction &t)
@@ -39,6 +41,17 @@
     return page;
 }
 
+std::vector<std::string> row_store::partitions(const std::string &table,
+                                               const std::string &after) const
+{
+    std::set<std::string> names;
+    for (const auto &[name, row] : m_rows) {
+        if (name.table == table && name.partition > after)
+            names.insert(name.partition);
+    }
+    return {names.begin(), names.end()};
+}
+
 std::optional<row_page> row_store::changes(const std::string &table, store_version after) const
 {
     if (after < m_forgottenUpTo)
--- a/standin/row_store.h
+++ b/standin/row_store.h
@@ -14,6 +14,8 @@
     /// \returns the version of the rows written, or the rows of the conditions when one fails.
     tl::expected<store_version, std::vector<stored_row>> apply(const store_transaction &t);
     row_page read(const row_range &range) const;
+    /// \returns the partitions of \p table that sort after \p after, in ascending order.
+    std::vector<std::string> partitions(const std::string &table, const std::string &after) const;
     /// \returns the changes of \p table after \p after, or nothing when they are forgotten.
     std::optional<row_page> changes(const std::string &table, store_version after) const;
     /// \brief Forgets the history of changes.
--- a/standin/store_standin.cpp
+++ b/standin/store_standin.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::size_t pageRows = 500;
+constexpr std::size_t partitionsPerResponse = 1000;
 /// Longer than any client waits.
 constexpr duration silence = seconds(30);
 
@@ -133,6 +134,19 @@
     return pageResponse(200, page->rows, page->version, false);
 }
 
+http_response store_standin::partitions(const http_request &request) const
+{
+    std::vector<std::string> names
+        = m_rows.partitions(parameter(request, "table"), parameter(request, "after"));
+    if (names.size() > partitionsPerResponse)
+        names.resize(partitionsPerResponse);
+    json::object body;
+    body["parts"] = json::array(names.begin(), names.end());
+    body["ver"] = m_rows.version();
+    body["now_ms"] = unixMilliseconds();
+    return jsonResponse(200, json::serialize(body));
+}
+
 awaitable<void> store_standin::holdFeed(const http_request &request) const
 {
     const milliseconds wait(std::stoll("0" + parameter(request, "wait_ms")));
@@ -164,6 +178,8 @@
         response = read(request);
     else if (path == "/azurehill/rows-feed")
         response = changes(request);
+    else if (path == "/azurehill/rows-parts")
+        response = partitions(request);
     else
         response = jsonResponse(404, "{}");
     // A handler that writes nothing makes the server close the connection.
--- a/standin/store_standin.h
+++ b/standin/store_standin.h
@@ -45,6 +45,7 @@
     http_response transact(const http_request &request, store_trouble trouble);
     http_response read(const http_request &request) const;
     http_response changes(const http_request &request) const;
+    http_response partitions(const http_request &request) const;
 
     row_store &m_rows;
     http_server m_server;
--- a/test/io/fake_store.h
+++ b/test/io/fake_store.h
@@ -32,6 +32,8 @@
     int calls = 0;
     /// Number of rows returned by reads and changes.
     std::size_t rowsRead = 0;
+    /// Number of partitions in one response.
+    std::size_t partitionsPerPage = 1000;
     /// Whether changes() fails because the history of changes has been dropped.
     bool isHistoryGone = false;
     /// If set, reads return these rows instead of the newest ones. Conditions always use the
@@ -93,6 +95,18 @@
         co_return *page;
     }
 
+    awaitable<store_result<partition_page>> partitions(std::string table, std::string after,
+                                                       time_point deadline) override
+    {
+        ++calls;
+        co_await pass(store_fault::None, deadline);
+        partition_page page{m_rows.partitions(table, after), false};
+        page.hasMore = page.names.size() > partitionsPerPage;
+        if (page.hasMore)
+            page.names.resize(partitionsPerPage);
+        co_return page;
+    }
+
     bool isReachable() const override { return reachable; }
 
     /// \brief Applies the delayed writes whose conditions still hold.
--- a/test/io/platform_store_test.cpp
+++ b/test/io/platform_store_test.cpp
@@ -125,6 +125,30 @@
         }
     }
 
+    TEST_CASE("the partitions of a table are listed page by page")
+    {
+        store_client_fixture w;
+        constexpr int count = 1001;
+        store_transaction t;
+        for (int i = 0; i < count; ++i)
+            t.writes.push_back({{"t", "p/" + std::to_string(1000 + i), "k"}, "v"});
+        t.writes.push_back({{"other", "p/9", "k"}, "v"});
+        static_cast<void>(w.rows.apply(t));
+        store_result<partition_page> page;
+        const auto list = [&](std::string after) -> awaitable<void> {
+            page = co_await w.client.partitions("t", std::move(after), later(seconds(5)));
+        };
+        runIn(w.context, list(""));
+        REQUIRE(page);
+        CHECK(page->names.size() == 1000);
+        CHECK(page->names.front() == "p/1000");
+        CHECK(page->hasMore);
+        runIn(w.context, list(page->names.back()));
+        REQUIRE(page);
+        CHECK(page->names == std::vector<std::string>{"p/2000"});
+        CHECK_FALSE(page->hasMore);
+    }
+
     TEST_CASE("a failed call says whether something may have been done")
     {
         store_client_fixture w;
--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -688,6 +688,68 @@
         }
     }
 
+    // Guards against rows that stay in the store for good.
+    TEST_CASE("rows go although the daemon that tracked them has ended")
+    {
+        ledger_pair w;
+        auto &[rows, first, second, context, program] = w;
+        const auto runFor = [&](duration time) -> awaitable<void> {
+            for (duration t = duration::zero(); t < time; t += seconds(5)) {
+                runtime_clock::advance(seconds(5));
+                co_await second.ledger.removeExpiredRows();
+                co_await second.ledger.findAbandonedRows(1);
+            }
+        };
+        const auto runAndEnd = [&](const program_id &of, const char *id) -> awaitable<void> {
+            ledger_host ended(rows);
+            const turn_claim claim = claimFor(id, of, 1000, 50);
+            const turn_ptr t = co_await runTurn(ended.ledger, claim, nullptr, 10);
+            REQUIRE(t);
+        };
+
+        SUBCASE("those of programs on several pages, but not those in use")
+        {
+            second.access.partitionsPerPage = 1;
+            auto scenario = [&]() -> awaitable<void> {
+                const program_id one{"p1"};
+                const program_id two{"p2"};
+                co_await runAndEnd(one, "t1");
+                co_await runAndEnd(two, "t2");
+                const program_id used{"p3"};
+                turn_ptr last;
+                for (int i = 0; i < 40; ++i) {
+                    const std::string id = "u" + std::to_string(i);
+                    const turn_claim claim = claimFor(id, used, 10'000, 50);
+                    last = co_await runTurn(first.ledger, claim, nullptr, 10);
+                    REQUIRE(last);
+                    co_await runFor(seconds(50));
+                    co_await first.ledger.removeExpiredRows();
+                }
+                CHECK(rows.read(turn_rows::programRange(one)).rows.empty());
+                CHECK(rows.read(turn_rows::programRange(two)).rows.empty());
+                const turn_id wanted = last->id;
+                ledger_host fresh(rows);
+                const auto found
+                    = co_await fresh.ledger.load(noAccount, used, wanted, later(seconds(1)));
+                CHECK(found);
+            };
+            runPaused(context, scenario());
+        }
+        SUBCASE("an account without turns")
+        {
+            auto scenario = [&]() -> awaitable<void> {
+                {
+                    ledger_host ended(rows);
+                    const auto held = co_await reserveFor(ended.ledger, "t1", 100, 60);
+                    REQUIRE(held);
+                }
+                co_await runFor(seconds(600));
+                CHECK(rows.size() == 0);
+            };
+            runPaused(context, scenario());
+        }
+    }
+
     // Guards against rows that stay in the store for good, as one try to remove them failed or was
     // too large.
     TEST_CASE("a removal goes on until all rows of the program are gone")
