A request that comes to a closed server is refused

What callers would see: a daemon that has closed and still writes to the store, for up to seconds while the store is away, dropped the connection of a whole request. A client may not repeat such a request unless it is idempotent. Cause: the server closed the connection in place of an answer. Evidence: "A server that closed while it was idle handles no further request" now asks for the 503. Fix: it answers 503 with the outcome did_not_run, Retry-After 0 and Connection: close.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -121,6 +121,12 @@
             "",  outcome::DidNotRun,     overloadRetryAfter};
 }
 
+problem serverClosed()
+{
+    return {503, "shutting-down",    "The daemon is shutting down",
+            "",  outcome::DidNotRun, duration::zero()};
+}
+
 /// \param fieldCount number of fields in the head. The trailer's fields follow them and are
 /// dropped: they would be taken for header fields, which have been validated.
 http_request toRequest(http::request<http::string_body> in, std::size_t fieldCount)
@@ -229,7 +235,7 @@
     co_return writer.keepsAlive() && writer.finished();
 }
 
-/// \brief Reads and answers one request, unless the server is closed in the meantime.
+/// \brief Reads and answers one request; refuses it if the server has closed in the meantime.
 /// \returns whether the connection is kept alive.
 awaitable<bool> serveRequest(http_server::state &server, timed_socket &socket,
                              beast::flat_buffer &buffer)
@@ -254,12 +260,11 @@
     socket.stopTimeout();
     if (result == read_result::PeerClosed)
         co_return false;
-    if (result == read_result::Complete && !server.tryBegin())
-        co_return false;
-    if (result == read_result::Complete)
+    const bool isComplete = result == read_result::Complete;
+    if (isComplete && server.tryBegin())
         co_return co_await answer(server, socket, parser.release(), fieldCount);
     server_writer writer(socket, false, false, server.limits.writeTimeout);
-    http_response reply = toResponse(problemOf(result, code));
+    http_response reply = toResponse(isComplete ? serverClosed() : problemOf(result, code));
     if (co_await writer.write(std::move(reply)))
         co_await socket.linger();
     co_return false;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -69,7 +69,7 @@
     void announceClose();
     /// \brief Sets the limits for subsequent requests. Call it on the server's executor.
     void setLimits(const http_limits &limits);
-    /// \brief Closes the server if no request is in progress; no request is handled from then on.
+    /// \brief Closes the server if no request is in progress; requests are refused from then on.
     /// Atomic, so that none begins between the check and the end of the process. May be called from
     /// any thread.
     /// \returns whether the server is closed.
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -397,7 +397,9 @@
         CHECK(echo.server.closeIfIdle());
         CHECK(echo.server.closeIfIdle());
         runIn(echo.context, ask());
-        CHECK(answer.empty());
+        CHECK(isProblem(answer, "503"));
+        CHECK(answer.find("Retry-After: 0\r\n") != std::string::npos);
+        CHECK(answer.find("Connection: close\r\n") != std::string::npos);
         CHECK(echo.requests == 0);
         CHECK(echo.server.requestsInProgress() == 0);
     }
--- a/test/io/shutdown_test.cpp
+++ b/test/io/shutdown_test.cpp
@@ -306,7 +306,7 @@
         w.advance(milliseconds(200));
         CHECK(w.tool.arrived == 0);
         CHECK(c->isClosed);
-        CHECK(c->answer.empty());
+        CHECK(c->status() == 503);
     }
 
     // Guards against tokens that stay held for good after a stop: the program's later turns are
