An account is kept for a minute where its route states no retention time

What callers would see: a program of a route without a retention time is given its budget anew seconds after its last turn, since accounts now go by the time that their rows state (BUDGET). Cause: the time of a route that states none is zero; such accounts were never removed before. Evidence: "a token account is retained on any route". Fix: route_rule::accountRetention().

--- a/src/entry/dispatched_turn_handler.cpp
+++ b/src/entry/dispatched_turn_handler.cpp
@@ -38,7 +38,7 @@
     request.timeToFinish = client.programTimeLeft;
     request.timeLeft = call.deadline - runtime_clock::now();
     request.budgetTokens = client.tokenBudget;
-    request.retention = call.route->retention;
+    request.retention = call.route->accountRetention();
     if (client.tokens) {
         request.promptTokens = client.tokens->prompt;
         request.maxOutputTokens = client.tokens->maxOutputTokens;
--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -38,7 +38,7 @@
 duration accountRetention(const entry_call &call)
 {
     const duration timeLeft = std::max(duration::zero(), call.deadline - runtime_clock::now());
-    return timeLeft + clientStallTimeout(*call.route) + call.route->retention;
+    return timeLeft + clientStallTimeout(*call.route) + call.route->accountRetention();
 }
 
 local_reply localReplyFor(turn_refusal refusal)
--- a/src/routes/routing_config.h
+++ b/src/routes/routing_config.h
@@ -60,6 +60,14 @@
     bool isResumable = false;
     /// Whether requests need no key.
     bool isPublic = false;
+
+    /// \returns how long the token account of a program is retained after a turn on this route. A
+    /// route whose clients keep the history may state no retention time.
+    duration accountRetention() const
+    {
+        constexpr duration defaultRetention = seconds(60);
+        return retention > duration::zero() ? retention : defaultRetention;
+    }
 };
 
 /// \brief Configuration of a service's model engines.
--- a/test/logic/routing_config_test.cpp
+++ b/test/logic/routing_config_test.cpp
@@ -53,4 +53,13 @@
     }
 }
 
+// Guards against a program that is given its budget anew, as its route states no retention time.
+TEST_CASE("a token account is retained on any route")
+{
+    route_rule route;
+    CHECK(route.accountRetention() == seconds(60));
+    route.retention = seconds(10);
+    CHECK(route.accountRetention() == seconds(10));
+}
+
 } // namespace azurehill
