Rows state their retention in whole seconds

Cause: the times that the turns of one program state differ by the milliseconds that their clients had left. The daemon that was due first found a row that was to be kept a little longer, and read the whole program a second time.

--- a/src/turns/row_retention_tracker.cpp
+++ b/src/turns/row_retention_tracker.cpp
@@ -10,12 +10,13 @@
     schedule &s = m_programs[program];
     s.version = std::max(s.version, std::optional(version));
     s.knownSince = std::max(s.knownSince, now);
-    s.dueAt = std::max(s.dueAt, now + retention);
+    s.retention = std::max(s.retention, retention);
+    s.dueAt = std::max(s.dueAt, s.knownSince + s.retention);
 }
 
 void row_retention_tracker::onFound(const program_id &program, time_point now)
 {
-    m_programs.try_emplace(program, schedule{std::nullopt, now, now});
+    m_programs.try_emplace(program, schedule{std::nullopt, now, duration::zero(), now});
 }
 
 void row_retention_tracker::reschedule(const tracked_program &program, time_point dueAt)
--- a/src/turns/row_retention_tracker.h
+++ b/src/turns/row_retention_tracker.h
@@ -49,6 +49,8 @@
     {
         std::optional<store_version> version;
         time_point knownSince;
+        /// The longest retention time of the rows that this daemon wrote.
+        duration retention = duration::zero();
         time_point dueAt;
     };
     std::unordered_map<program_id, schedule> m_programs;
--- a/src/turns/token_account.cpp
+++ b/src/turns/token_account.cpp
@@ -84,7 +84,9 @@
 
 token_account retain(token_account account, duration retention)
 {
-    account.retention = std::max(account.retention.value_or(duration::zero()), retention);
+    // Whole seconds, so that the turns of a program mostly state the same time.
+    const duration rounded = std::chrono::ceil<seconds>(retention);
+    account.retention = std::max(account.retention.value_or(duration::zero()), rounded);
     return account;
 }
 
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -230,7 +230,8 @@
 {
     const auto t = std::make_shared<turn>(*answered);
     t->chargedTokens = used;
-    t->retention = retention + std::max(duration::zero(), deadline - runtime_clock::now());
+    const duration untilEnd = std::max(duration::zero(), deadline - runtime_clock::now());
+    t->retention = std::chrono::ceil<seconds>(retention + untilEnd);
     account_ptr state = accountOf(t->program);
     account_change change;
     change.kind = account_change::change_kind::Commit;
@@ -311,7 +312,7 @@
     if (claim.retention == duration::zero() || version == 0)
         return;
     m_rowRetention.onWritten(claim.program, version, runtime_clock::now(),
-                             claim.retention + removalMargin);
+                             std::chrono::ceil<seconds>(claim.retention) + removalMargin);
 }
 
 void turn_ledger::retainAccount(const turn_claim &claim)
