--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -750,6 +750,29 @@
         }
     }
 
+    // Guards against reads of a program's rows that can't lead to their removal yet.
+    TEST_CASE("a program's rows are read once before they go")
+    {
+        ledger_pair w;
+        auto &[rows, first, second, context, program] = w;
+        auto scenario = [&]() -> awaitable<void> {
+            turn_ptr last;
+            for (const char *id : {"t1", "t2", "t3"}) {
+                turn_claim claim = claimFor(id, program, 1000, 50);
+                claim.retention = milliseconds(68'900 - 7 * (id[1] - '0'));
+                last = co_await runTurn(first.ledger, claim, last, 10);
+                REQUIRE(last);
+            }
+            const int before = first.access.calls;
+            while (rows.size() > 0) {
+                runtime_clock::advance(seconds(1));
+                co_await first.ledger.removeExpiredRows();
+            }
+            CHECK(first.access.calls == before + 2);
+        };
+        runPaused(context, scenario());
+    }
+
     // Guards against rows that stay in the store for good, as one try to remove them failed or was
     // too large.
     TEST_CASE("a removal goes on until all rows of the program are gone")
