--- a/test/process/entry_test.cpp
+++ b/test/process/entry_test.cpp
@@ -259,6 +259,9 @@
             entry.signal(SIGTERM);
             CHECK(holdsWithin(testTimeout, [&] { return !isReady(fixture); }));
             CHECK_FALSE(entry.exitStatus());
+            // Its route allows it 20 s, the grace time 8.
+            CHECK(get(ports[0], "/a/late").status == 503);
+            CHECK(fixture.arrived == 2);
             fixture.mayAnswer = true;
             caller.join();
             CHECK(answer.body == "whole");
