Test: rows of two daemons with different times are read once

Cause: the case had turns of one daemon, whose tracker keeps the longest time itself, so it passed without "Rows state their retention in whole seconds" as well. Change: another daemon wrote a turn that is to be kept 0.9 s longer. One comment is reworded. Result: without whole seconds the case fails with 3 calls in place of 2 from the due time on.

--- a/test/io/turn_ledger_test.cpp
+++ b/test/io/turn_ledger_test.cpp
@@ -624,7 +624,7 @@
         }
     }
 
-    // Guards against a program that is given its budget anew, as its account was removed while the
+    // Guards against a program that is given a second budget, as its account was removed while the
     // program might still return.
     TEST_CASE("an account is kept for the retention time after its program was last answered")
     {
@@ -757,18 +757,21 @@
         auto &[rows, first, second, context, program] = w;
         auto scenario = [&]() -> awaitable<void> {
             turn_ptr last;
-            for (const char *id : {"t1", "t2", "t3"}) {
-                turn_claim claim = claimFor(id, program, 1000, 50);
-                claim.retention = milliseconds(68'900 - 7 * (id[1] - '0'));
-                last = co_await runTurn(first.ledger, claim, last, 10);
-                REQUIRE(last);
-            }
-            const int before = first.access.calls;
+            // Another daemon's turn is to be kept a little longer.
+            turn_claim claim = claimFor("t1", program, 1000, 50);
+            claim.retention = milliseconds(68'950);
+            last = co_await runTurn(first.ledger, claim, last, 10);
+            REQUIRE(last);
+            claim = claimFor("t2", program, 1000, 50);
+            claim.retention = milliseconds(68'050);
+            last = co_await runTurn(second.ledger, claim, last, 10);
+            REQUIRE(last);
+            const int before = second.access.calls;
             while (rows.size() > 0) {
-                runtime_clock::advance(seconds(1));
-                co_await first.ledger.removeExpiredRows();
+                runtime_clock::advance(milliseconds(200));
+                co_await second.ledger.removeExpiredRows();
             }
-            CHECK(first.access.calls == before + 2);
+            CHECK(second.access.calls == before + 2);
         };
         runPaused(context, scenario());
     }
