--- a/src/turns/turn_ledger_removal.cpp
+++ b/src/turns/turn_ledger_removal.cpp
@@ -15,7 +15,7 @@
 /// Rows removed per transaction, which may have 100 entries: each row takes a condition, its
 /// removal, and that of its turn's index row.
 constexpr std::size_t rowsPerRemoval = 32;
-/// Delay before a removal that failed is tried again.
+/// Delay before a failed removal is retried.
 constexpr duration removalRetryDelay = seconds(10);
 
 } // namespace
@@ -110,9 +110,9 @@
 
 awaitable<bool> turn_ledger::removeRows(program_id program, std::vector<stored_row> rows)
 {
-    // The account goes first, under a condition on its version: a program that returns in the
-    // meantime has changed it, or creates it anew and then writes its whole chain. Further rows go
-    // under a condition on their own versions, since they may have been written anew.
+    // The account is removed first, on condition of its version: a program that returns in the
+    // meantime has changed it, or finds it absent and then writes its whole chain. Each further row
+    // is removed on condition of its own version, since such a chain replaces it.
     const row_name accountRow = turn_rows::account(program);
     const auto account = std::find_if(
         rows.begin(), rows.end(), [&](const stored_row &row) { return row.name == accountRow; });
--- a/test/logic/routing_config_test.cpp
+++ b/test/logic/routing_config_test.cpp
@@ -53,7 +53,7 @@
     }
 }
 
-// Guards against a program that is given its budget anew, as its route states no retention time.
+// Guards against a program that is given a second budget, as its route states no retention time.
 TEST_CASE("a token account is retained on any route")
 {
     route_rule route;
