Every lost send is evidence, and what is not known of a replica is not taken for life

Cause: what was known of a send's end came from the error of its channel. Malformed bytes, a foreign answer and an answer that the relay broke off were no loss at all; a send that was given up counted only once the entry had lapsed, seconds after the next attempts; one that was lost after its entry had lapsed was passed over; and 15 or 20 s without news cleared a replica, although a store that is away, or the end of the daemon that watched it, explains the silence as well.

Now send_loss is a closed list: each send that was sent, was not refused and whose whole answer did not arrive is a suspicion at once, shared before the client is answered. A sign of life clears it only once the replica can no longer work on the request. Daemons that know of a suspicion settle it by the list when its own daemon does not. Before a request is deferred, the replicas that may have ended are asked, by a health check that names the process, so that slow replicas and cut connections don't keep it back.

Tests replaced, each by one as strict: 'of which nothing more becomes known: the suspicion is dropped' and the ledger's 20 s stated the fault itself (unknown taken for alive), they now state that it stays; 'a send without an answer says nothing by itself' likewise; 'its entry was removed before' held for replicas that went dark as well, and now needs that the replica served on.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -51,6 +51,7 @@
     RequestQuarantined,
     QuarantineLifted,
     SilentReplicaProbed,
+    ReplicaProbed,
     TurnDurable,
     TurnNotDurable,
     TurnInterrupted,
@@ -68,7 +69,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 53> names = {"started",
+    static constexpr std::array<std::string_view, 54> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -109,6 +110,7 @@
                                                                "request_quarantined",
                                                                "quarantine_lifted",
                                                                "silence_checked",
+                                                               "replica_checked",
                                                                "turn_durable",
                                                                "turn_not_durable",
                                                                "turn_broke_off",
--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -2,11 +2,15 @@
 
 #include "core/log_event.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace {
 
 constexpr duration updateInterval = milliseconds(200);
+/// Interval between looks at the list of replicas, which may be long.
+constexpr duration adoptionInterval = seconds(5);
 
 /// \brief Visitor that names a verdict in the log.
 struct verdict_name
@@ -29,20 +33,51 @@
     return m_ledger.verdict(request, runtime_clock::now());
 }
 
-awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
+awaitable<void> request_quarantine::waitUntilShared(request_fingerprint request)
 {
     const auto sharing = m_sharing.find(request);
-    if (sharing != m_sharing.end()) {
-        const std::shared_ptr<notifier> done = sharing->second;
-        co_await done->waitForChangeSince(0);
-    }
+    if (sharing == m_sharing.end())
+        co_return;
+    const std::shared_ptr<notifier> done = sharing->second;
+    co_await done->waitForChangeSince(0);
+}
+
+awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
+{
+    co_await waitUntilShared(request);
+    const bool isDeferred = std::holds_alternative<send_deferred>(verdict(request));
+    if (isDeferred && m_inquiry)
+        co_await settleSuspicions(request);
     co_return verdict(request);
 }
 
-void request_quarantine::onSendLost(const lost_send &lost, send_loss loss,
+awaitable<void> request_quarantine::settleSuspicions(request_fingerprint request)
+{
+    const std::vector<std::uint64_t> suspects
+        = m_ledger.unsettledReplicas(request, runtime_clock::now());
+    if (suspects.empty())
+        co_return;
+    std::vector<std::uint64_t> asked = suspects;
+    const std::vector<process_sight> seen = co_await m_inquiry(std::move(asked));
+    bool isNew = false;
+    for (std::size_t i = 0; i < suspects.size(); ++i) {
+        if (seen[i] == process_sight::Unknown)
+            continue;
+        const replica_fate fate
+            = seen[i] == process_sight::Alive ? replica_fate::Cleared : replica_fate::Ended;
+        isNew = m_ledger.settle(request, suspects[i], fate, runtime_clock::now()) || isNew;
+    }
+    if (!isNew)
+        co_return;
+    logVerdict(request);
+    startSharing(request, crash_audience::AsNeeded);
+    co_await waitUntilShared(request);
+}
+
+void request_quarantine::onSendLost(const lost_send &lost, const loss_observation &seen,
                                     const replica_lookup &lookup)
 {
-    m_watch.onSendLost(lost, loss, lookup, runtime_clock::now());
+    m_watch.onSendLost(lost, seen, lookup, runtime_clock::now());
     processFindings();
 }
 
@@ -60,6 +95,27 @@
     m_updatedAt = now;
     m_watch.update(lookup, now);
     processFindings();
+    adoptSuspicions(now);
+}
+
+void request_quarantine::adoptSuspicions(time_point now)
+{
+    if (!m_listed || now < m_adoptedAt + adoptionInterval)
+        return;
+    m_adoptedAt = now;
+    const std::vector<std::uint64_t> listed = m_listed();
+    // A daemon that has just started knows no replicas yet.
+    if (listed.empty())
+        return;
+    // An entry may outlive its process while the store is away, so that it shows nothing.
+    const fate_lookup fateOf = [&listed](std::uint64_t replica) {
+        const bool isListed = std::binary_search(listed.begin(), listed.end(), replica);
+        return isListed ? std::nullopt : std::optional(replica_fate::Ended);
+    };
+    for (const request_fingerprint &request : m_ledger.adoptSuspicions(fateOf, now)) {
+        logVerdict(request);
+        startSharing(request, crash_audience::AsNeeded);
+    }
 }
 
 std::vector<crash_report> request_quarantine::quarantinedRequests() const
@@ -82,6 +138,7 @@
         logDecision(log_event::SendLost,
                     {{"fingerprint", toText(request)},
                      {"replica", finding.lost.replica.id.value},
+                     {"loss", std::string(toName(finding.loss))},
                      {"fate", std::string(toName(finding.fate))},
                      {"after_ms", toMilliseconds(finding.after)}});
         const bool isNew = m_ledger.merge(reportOf(finding), runtime_clock::now());
--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -5,13 +5,41 @@
 
 namespace azurehill {
 
+/// \brief What an inquiry at the address of a replica that lost a send showed of its process.
+enum class process_sight {
+    /// The process of that replica answered.
+    Alive,
+    /// Another process answered.
+    Replaced,
+    /// Nothing answered, or its address is not known.
+    Unknown
+};
+
+template <>
+struct enum_names<process_sight>
+{
+    static constexpr std::array<std::string_view, 3> names = {"alive", "replaced", "unknown"};
+};
+
+/// \brief Inquires after the processes of replicas, given by their numbers in evidence.
+/// \returns what was seen of each, in the same order.
+using process_inquiry
+    = std::function<awaitable<std::vector<process_sight>>(std::vector<std::uint64_t>)>;
+
+/// \brief Gives the replicas that the store lists, by their numbers in evidence and sorted.
+using listed_replicas = std::function<std::vector<std::uint64_t>()>;
+
 /// \brief Quarantine of requests under which replicas end. Every send of a request to a replica is
 /// decided here. Used on the traffic thread.
 ///
-/// Three replicas may end under one request, over all of its attempts and all daemons. What is
-/// known of a lost send reaches the daemons that keep the request's record before its client gets
-/// an answer, and so before the client can send the next attempt, unless they don't acknowledge it
-/// in time. A daemon that is cut off from the others decides by what it knows itself.
+/// Three replicas may end under one request, over all of its attempts and all daemons. One that
+/// lost a send and of which nothing more is known counts as one that may have ended. What is known
+/// of a lost send reaches the daemons that keep the request's record before its client gets an
+/// answer, and so before the client can send the next attempt, unless they don't acknowledge it in
+/// time. A daemon that is cut off from the others decides by what it knows itself.
+///
+/// Before a request is deferred, the replicas that may have ended under it are asked whether they
+/// live, so that slow replicas and cut connections don't keep it back.
 class request_quarantine
 {
 public:
@@ -24,14 +52,26 @@
         m_exchange.setMembers(self, std::move(others));
     }
 
+    /// \brief Sets how replicas are asked whether they live, and how to find those that the store
+    /// lists. Without it suspicions are settled by the daemons that have them.
+    void setDirectory(process_inquiry inquiry, listed_replicas listed)
+    {
+        m_inquiry = std::move(inquiry);
+        m_listed = std::move(listed);
+    }
+
     /// \returns whether \p request may be sent to a replica, by what is known now.
     send_verdict verdict(const request_fingerprint &request) const;
-    /// \brief Waits until the other daemons know what this one knows of \p request, and returns
-    /// whether the request may be sent.
+    /// \brief Waits until the other daemons know what this one knows of \p request.
+    awaitable<void> waitUntilShared(request_fingerprint request);
+    /// \brief Waits until the other daemons know what this one knows of \p request, asks the
+    /// replicas that may have ended under it if they are reason to defer it, and returns whether
+    /// the request may be sent.
     awaitable<send_verdict> settledVerdict(request_fingerprint request);
 
     /// \brief Records that the replica of \p lost lost a send.
-    void onSendLost(const lost_send &lost, send_loss loss, const replica_lookup &lookup);
+    void onSendLost(const lost_send &lost, const loss_observation &seen,
+                    const replica_lookup &lookup);
     /// \brief Another process answered at the address of \p who.
     void onAddressTaken(const replica_incarnation &who);
     /// \brief Updates what is known of the replicas that lost sends. Call it often.
@@ -45,6 +85,10 @@
 private:
     /// \brief Records the findings on lost sends, and shares them with the other daemons.
     void processFindings();
+    /// \brief Asks the replicas that may have ended under \p request whether they live.
+    awaitable<void> settleSuspicions(request_fingerprint request);
+    /// \brief Settles suspicions of daemons that may have ended themselves.
+    void adoptSuspicions(time_point now);
     void startSharing(const request_fingerprint &request, crash_audience audience);
     awaitable<void> share(request_fingerprint request, crash_audience audience,
                           std::shared_ptr<notifier> done);
@@ -56,7 +100,10 @@
     crash_exchange m_exchange;
     /// Requests that are being shared, and who waits for that.
     std::map<request_fingerprint, std::shared_ptr<notifier>> m_sharing;
+    process_inquiry m_inquiry;
+    listed_replicas m_listed;
     time_point m_updatedAt;
+    time_point m_adoptedAt;
 };
 
 } // namespace azurehill
--- a/src/daemon/upstream_call.cpp
+++ b/src/daemon/upstream_call.cpp
@@ -155,9 +155,10 @@
     case http_error_kind::Incomplete:
         return send_loss::ConnectionEnded;
     case http_error_kind::TimedOut:
-        return send_loss::Unanswered;
-    case http_error_kind::ConnectFailed:
+        return send_loss::GivenUp;
     case http_error_kind::Malformed:
+        return send_loss::Malformed;
+    case http_error_kind::ConnectFailed:
         break;
     }
     return std::nullopt;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -133,6 +133,7 @@
       m_slots(m_executor, m_budgets), m_credits(m_executor, m_pacedStore, settings.quota),
       m_quarantine(m_executor, stableHash(settings.name.value)),
       m_loadBalancer(settings.dataCentre, stableHash(settings.name.value), settings.mechanisms),
+      m_prober(m_executor, m_loadBalancer),
       m_sender(m_executor, m_loadBalancer, m_quarantine, metrics),
       m_engineAdmission(m_executor, settings.mechanisms, metrics),
       m_localReplies(m_quarantine, metrics),
@@ -141,7 +142,13 @@
               metrics),
       m_server(m_executor, limitsOf(settings, {}),
                [this](const http_request &r, response_writer &w) { return serve(r, w); })
-{ }
+{
+    m_quarantine.setDirectory(
+        [this](std::vector<std::uint64_t> replicas) {
+            return m_prober.inquire(std::move(replicas));
+        },
+        [this] { return m_prober.listed(); });
+}
 
 std::uint16_t entry_service::start()
 {
@@ -184,6 +191,7 @@
 {
     m_routes = std::move(routes);
     m_sender.setRoutes(m_routes);
+    m_prober.setRoutes(m_routes);
     m_ledger.setRetentions(retentionsOf(*m_routes));
     m_credits.setRoutes(m_routes);
     m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
@@ -410,7 +418,7 @@
     }
     // The client of a stream that broke off sees its end, and may send the next attempt, only after
     // this.
-    co_await m_quarantine.settledVerdict(call->fingerprint);
+    co_await m_quarantine.waitUntilShared(call->fingerprint);
     recordAnswered(*call, writer.finished());
 }
 
@@ -425,9 +433,11 @@
 
 awaitable<bool> entry_service::passesQuarantine(entry_call_ptr call, response_writer &writer)
 {
-    const send_verdict verdict = m_quarantine.verdict(call->fingerprint);
+    const send_verdict verdict = co_await m_quarantine.settledVerdict(call->fingerprint);
     if (isAllowed(verdict))
         co_return true;
+    if (call->clientDisconnected())
+        co_return false;
     co_await m_localReplies.replyWithVerdict(call, verdict, writer);
     co_return false;
 }
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "entry/host_settings.h"
+#include "entry/replica_prober.h"
 #include "entry/shutdown_schedule.h"
 #include "entry/turn_handler.h"
 #include "lending/lending.h"
@@ -122,6 +123,7 @@
     credit_exchange m_credits;
     request_quarantine m_quarantine;
     replica_load_balancer m_loadBalancer;
+    replica_prober m_prober;
     upstream_sender m_sender;
     engine_admission m_engineAdmission;
     local_reply_writer m_localReplies;
--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -83,10 +83,11 @@
 {
     if (call->clientDisconnected() || call->responseStarted)
         co_return;
-    const send_verdict verdict = co_await m_quarantine.settledVerdict(call->fingerprint);
+    co_await m_quarantine.waitUntilShared(call->fingerprint);
     if (call->clientDisconnected())
         co_return;
     if (!call->mayHaveRun && call->abortReason == abort_reason::Quarantined) {
+        const send_verdict verdict = m_quarantine.verdict(call->fingerprint);
         co_await replyWithVerdict(call, verdict, writer);
         co_return;
     }
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -104,8 +104,8 @@
     if (isClientConnected && isComplete)
         isClientConnected = co_await writer.end();
     m_sender.finish(*call, reply,
-                    isClientConnected && isComplete ? send_outcome::Answered
-                                                    : incompleteSendEnd(*call, isClientConnected));
+                    isComplete ? send_outcome::Answered
+                               : incompleteSendEnd(*call, isClientConnected));
 }
 
 awaitable<void> response_relay::relayNonStream(entry_call_ptr call, open_reply reply,
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -71,18 +71,37 @@
 /// \returns how the replica lost the send of \p reply, or nothing if it did not.
 std::optional<send_loss> lossOf(const entry_call &call, const open_reply &reply, send_outcome end)
 {
-    // An abort by this daemon's own stop says nothing about the replica.
-    if (!reply.isSent || call.abortReason == abort_reason::ShuttingDown)
+    if (!reply.isSent)
         return std::nullopt;
-    const bool isGivenUp
-        = call.abortReason != abort_reason::None || reply.failure == http_error_kind::TimedOut;
-    if (end == send_outcome::Silent || (isGivenUp && end != send_outcome::Answered))
-        return send_loss::Unanswered;
+    switch (end) {
+    case send_outcome::Answered:
+    case send_outcome::Failed:
+        return reply.head.framing == body_framing::Connection
+            ? std::optional(send_loss::EndedWithConnection)
+            : std::nullopt;
+    case send_outcome::NotRun:
+    case send_outcome::Unreachable:
+        return std::nullopt;
+    case send_outcome::Silent:
+    case send_outcome::Cancelled:
+        return send_loss::GivenUp;
+    case send_outcome::Broken:
+        break;
+    }
+    if (call.abortReason != abort_reason::None || reply.failure == http_error_kind::TimedOut)
+        return send_loss::GivenUp;
     const bool isConnectionEnded = reply.failure == http_error_kind::ConnectionLost
         || reply.failure == http_error_kind::Incomplete;
-    return end == send_outcome::Broken && isConnectionEnded
-        ? std::optional(send_loss::ConnectionEnded)
-        : std::nullopt;
+    return isConnectionEnded ? send_loss::ConnectionEnded : send_loss::Malformed;
+}
+
+/// \returns what this daemon observed of the send of \p call that was lost by \p loss.
+loss_observation observe(const entry_call &call, send_loss loss, time_point now)
+{
+    // A replica stops work at the deadline that it was given, and at the end of its own answer.
+    const bool mayWorkOn = loss == send_loss::GivenUp || loss == send_loss::Malformed;
+    const bool hasOutlivedEntry = call.unlistedAt && call.lastByteAt > *call.unlistedAt;
+    return {loss, mayWorkOn ? call.deadline : now, call.isReplicaLeaving || hasOutlivedEntry};
 }
 
 } // namespace
@@ -150,6 +169,7 @@
     m_quarantine.update([this](const replica_incarnation &who) { return sightOf(who); });
     const std::set<entry_call_ptr> calls = m_inFlight;
     for (const entry_call_ptr &call : calls) {
+        observeReplica(*call, now);
         if (call->abortReason != abort_reason::None)
             continue;
         if (now >= call->deadline)
@@ -161,6 +181,13 @@
     }
 }
 
+void upstream_sender::observeReplica(entry_call &call, time_point now) const
+{
+    call.isReplicaLeaving = call.isReplicaLeaving || m_loadBalancer.isDraining(call.replica);
+    if (!call.unlistedAt && !m_loadBalancer.isListed(call.replica))
+        call.unlistedAt = now;
+}
+
 replica_sight upstream_sender::sightOf(const replica_incarnation &who) const
 {
     return {m_loadBalancer.isListed(who), m_loadBalancer.isDraining(who),
@@ -175,7 +202,7 @@
         return;
     const lost_send lost{call.fingerprint, reply.where.replica.incarnation,
                          stableHash(call.request.id, ++m_sends)};
-    m_quarantine.onSendLost(lost, *loss,
+    m_quarantine.onSendLost(lost, observe(call, *loss, runtime_clock::now()),
                             [this](const replica_incarnation &who) { return sightOf(who); });
 }
 
@@ -222,7 +249,7 @@
                           std::string body)
 {
     const bool isPassed = co_await passesQuarantine(call);
-    if (!isPassed || !call->isWanted()) {
+    if (!isPassed || !call->isWanted() || runtime_clock::now() >= call->deadline) {
         co_return tl::unexpected(
             send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
     }
@@ -232,6 +259,8 @@
     call->connection = connection.get();
     call->replica = where.replica.incarnation;
     call->replicaAddress = address;
+    call->isReplicaLeaving = false;
+    call->unlistedAt.reset();
     call->sentAt = runtime_clock::now();
     call->lastByteAt = call->sentAt;
     call->attemptDeadline.reset();
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -106,6 +106,8 @@
     /// since it was last checked.
     bool isStillAllowed(const entry_call &call) const;
     bool isSilent(const entry_call &call, time_point now) const;
+    /// \brief Keeps what the list tells of the replica of \p call while its send is in flight.
+    void observeReplica(entry_call &call, time_point now) const;
     replica_sight sightOf(const replica_incarnation &who) const;
     /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
     void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end);
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -1,29 +1,27 @@
 #include "quarantine/crash_ledger.h"
 
 #include <algorithm>
-#include <set>
 #include <tuple>
 
 namespace azurehill {
 
 namespace {
 
-/// Time after a suspicion within which the entry of a replica that ended lapses.
-constexpr duration lapseTime = seconds(5);
 constexpr duration minRetryAfter = milliseconds(500);
-/// Time after which a suspicion no longer counts, in case the daemon that has it ended itself
-/// before it could tell more.
-constexpr duration suspicionTime = seconds(20);
 
 } // namespace
 
+std::uint64_t digestOf(const replica_incarnation &who)
+{
+    return stableHash(who.id.value, static_cast<std::uint64_t>(who.startedUnixMs));
+}
+
 crash_report reportOf(const crash_finding &finding)
 {
-    const replica_incarnation &who = finding.lost.replica;
-    const auto started = static_cast<std::uint64_t>(who.startedUnixMs);
     return {finding.lost.request,
             duration::zero(),
-            {{stableHash(who.id.value, started), finding.lost.send, finding.fate}}};
+            {{digestOf(finding.lost.replica), finding.lost.send, finding.fate}},
+            finding.workLeft};
 }
 
 bool crash_ledger::mergeOne(record &r, const crash_evidence &evidence)
@@ -59,47 +57,117 @@
     bool isNew = false;
     for (const crash_evidence &evidence : report.evidence)
         isNew = mergeOne(r, evidence) || isNew;
-    if (isNew)
+    if (isNew) {
         r.latestAt = std::max(r.latestAt, now - std::max(report.age, duration::zero()));
+        r.workUntil = std::max(r.workUntil, now + report.workLeft);
+    }
     return isNew;
 }
 
 crash_ledger::crash_count crash_ledger::countOf(const record &r)
 {
-    std::set<std::uint64_t> ended;
-    std::set<std::uint64_t> suspected;
-    for (const crash_evidence &e : r.evidence) {
-        if (e.fate == replica_fate::Ended)
-            ended.insert(e.replica);
-        else if (e.fate == replica_fate::Suspected)
-            suspected.insert(e.replica);
+    crash_count count;
+    for (auto e = r.evidence.begin(); e != r.evidence.end(); ++e) {
+        const auto isOfReplica = [e](replica_fate fate) {
+            return [e, fate](const crash_evidence &other) {
+                return other.replica == e->replica && other.fate == fate;
+            };
+        };
+        const auto isKnown = [&](auto end, replica_fate fate) {
+            return std::any_of(r.evidence.begin(), end, isOfReplica(fate));
+        };
+        if (isKnown(e, e->fate))
+            continue;
+        if (e->fate == replica_fate::Ended)
+            ++count.ended;
+        else if (e->fate == replica_fate::Suspected
+                 && !isKnown(r.evidence.end(), replica_fate::Ended))
+            ++count.suspected;
     }
-    const auto suspectedOnly
-        = std::count_if(suspected.begin(), suspected.end(),
-                        [&](std::uint64_t who) { return !ended.contains(who); });
-    return {static_cast<int>(ended.size()), static_cast<int>(suspectedOnly)};
+    return count;
+}
+
+bool crash_ledger::isExpired(const record &r, time_point now)
+{
+    const bool hasEnded = std::any_of(r.evidence.begin(), r.evidence.end(),
+                                      [](const auto &e) { return e.fate == replica_fate::Ended; });
+    return now >= r.latestAt + (hasEnded ? lifetime : suspicionLifetime);
 }
 
 send_verdict crash_ledger::verdict(const request_fingerprint &request, time_point now) const
 {
     const auto found = m_records.find(request);
-    if (found == m_records.end() || now >= found->second.latestAt + lifetime)
+    if (found == m_records.end() || isExpired(found->second, now))
         return send_allowed();
-    crash_count count = countOf(found->second);
+    const record &r = found->second;
+    crash_count count = countOf(r);
     if (count.ended >= maxEndedReplicas)
         return send_rejected{count.ended};
-    if (now >= found->second.latestAt + suspicionTime)
+    if (now >= r.latestAt + suspicionLifetime)
         count.suspected = 0;
     if (count.ended + count.suspected < maxEndedReplicas)
         return send_allowed{count.ended + count.suspected};
-    return send_deferred{
-        std::max<duration>(minRetryAfter, found->second.latestAt + lapseTime - now)};
+    const time_point settledAt = now < r.workUntil ? r.workUntil : r.latestAt + lapseTime;
+    return send_deferred{std::max<duration>(minRetryAfter, settledAt - now)};
+}
+
+std::vector<std::uint64_t> crash_ledger::unsettledReplicas(const request_fingerprint &request,
+                                                           time_point now) const
+{
+    std::vector<std::uint64_t> replicas;
+    const auto found = m_records.find(request);
+    if (found == m_records.end() || now < found->second.workUntil)
+        return replicas;
+    for (const crash_evidence &e : found->second.evidence) {
+        const bool isKnown
+            = std::find(replicas.begin(), replicas.end(), e.replica) != replicas.end();
+        if (e.fate == replica_fate::Suspected && !isKnown)
+            replicas.push_back(e.replica);
+    }
+    return replicas;
+}
+
+bool crash_ledger::settle(const request_fingerprint &request, std::uint64_t replica,
+                          replica_fate fate, time_point now)
+{
+    const auto found = m_records.find(request);
+    if (found == m_records.end())
+        return false;
+    bool isNew = false;
+    for (crash_evidence &e : found->second.evidence) {
+        if (e.replica != replica || e.fate != replica_fate::Suspected)
+            continue;
+        e.fate = fate;
+        isNew = true;
+    }
+    if (isNew && fate == replica_fate::Ended)
+        found->second.latestAt = now;
+    return isNew;
+}
+
+std::vector<request_fingerprint> crash_ledger::adoptSuspicions(const fate_lookup &fateOf,
+                                                               time_point now)
+{
+    std::vector<request_fingerprint> changed;
+    for (const auto &[request, r] : m_records) {
+        if (now < std::max(r.latestAt, r.workUntil) + adoptionTime)
+            continue;
+        bool isChanged = false;
+        for (const std::uint64_t replica : unsettledReplicas(request, now)) {
+            const auto fate = fateOf(replica);
+            isChanged = (fate && settle(request, replica, *fate, now)) || isChanged;
+        }
+        if (isChanged)
+            changed.push_back(request);
+    }
+    return changed;
 }
 
 crash_report crash_ledger::reportOf(const request_fingerprint &request, const record &r,
                                     time_point now)
 {
-    return {request, now - r.latestAt, r.evidence};
+    return {request, now - r.latestAt, r.evidence,
+            std::max<duration>(r.workUntil - now, duration::zero())};
 }
 
 std::optional<crash_report> crash_ledger::find(const request_fingerprint &request,
@@ -134,8 +202,7 @@
 
 void crash_ledger::expire(time_point now)
 {
-    std::erase_if(m_records,
-                  [now](const auto &item) { return now >= item.second.latestAt + lifetime; });
+    std::erase_if(m_records, [now](const auto &item) { return isExpired(item.second, now); });
 }
 
 void crash_ledger::evictOne()
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -3,6 +3,7 @@
 #include "quarantine/crash_watch.h"
 #include "quarantine/send_verdict.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -27,11 +28,19 @@
     /// Time since the latest evidence.
     duration age = duration::zero();
     std::vector<crash_evidence> evidence;
+    /// Time for which replicas may still work on a lost send.
+    duration workLeft = duration::zero();
 };
 
+/// \returns the number of \p who in evidence.
+std::uint64_t digestOf(const replica_incarnation &who);
 /// \returns the report of a single finding.
 crash_report reportOf(const crash_finding &finding);
 
+/// \brief Finds the fate of a suspected replica, given by its number in evidence; nothing if it is
+/// not known.
+using fate_lookup = std::function<std::optional<replica_fate>(std::uint64_t)>;
+
 /// \brief Record of the replicas that ended under each request, by which this daemon decides
 /// whether a request may be sent once more.
 ///
@@ -48,6 +57,12 @@
     static constexpr std::size_t maxEvidence = 16;
     /// Time after the latest evidence for which it counts.
     static constexpr duration lifetime = std::chrono::minutes(10);
+    /// Likewise for a suspicion, which the daemons that know of it settle meanwhile.
+    static constexpr duration suspicionLifetime = seconds(60);
+    /// Time after the latest evidence within which the entry of a replica that ended lapses.
+    static constexpr duration lapseTime = seconds(5);
+    /// Time after which other daemons settle a suspicion whose own daemon may have ended.
+    static constexpr duration adoptionTime = seconds(10);
 
     /// \brief Merges \p report. \returns whether it says anything new.
     bool merge(const crash_report &report, time_point now);
@@ -57,6 +72,17 @@
     std::optional<crash_report> find(const request_fingerprint &request, time_point now) const;
     /// \returns the reports of all requests that may not be sent.
     std::vector<crash_report> quarantined(time_point now) const;
+    /// \returns the replicas that may have ended under \p request, by their numbers in evidence.
+    /// None while one may still work on it.
+    std::vector<std::uint64_t> unsettledReplicas(const request_fingerprint &request,
+                                                 time_point now) const;
+    /// \brief Sets the fate of the suspected \p replica under \p request. \returns whether that is
+    /// news.
+    bool settle(const request_fingerprint &request, std::uint64_t replica, replica_fate fate,
+                time_point now);
+    /// \brief Settles the suspicions older than adoptionTime whose fate \p fateOf finds.
+    /// \returns the requests of which that is news.
+    std::vector<request_fingerprint> adoptSuspicions(const fate_lookup &fateOf, time_point now);
     /// \brief Clears the evidence against \p request. \returns whether there was any.
     bool lift(const request_fingerprint &request, time_point now);
     /// \brief Removes evidence whose lifetime is over.
@@ -75,6 +101,8 @@
     {
         std::vector<crash_evidence> evidence;
         time_point latestAt;
+        /// When no replica works on a lost send any more.
+        time_point workUntil;
     };
     /// \brief Distinct replicas that ended under a request, and that may have.
     struct crash_count
@@ -84,6 +112,7 @@
     };
 
     static crash_count countOf(const record &r);
+    static bool isExpired(const record &r, time_point now);
     static bool mergeOne(record &r, const crash_evidence &evidence);
     static crash_report reportOf(const request_fingerprint &request, const record &r,
                                  time_point now);
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -22,8 +22,8 @@
         json::array evidence;
         for (const crash_evidence &e : report.evidence)
             evidence.push_back(json::array{e.replica, e.send, static_cast<int>(e.fate)});
-        list.push_back(
-            json::array{toText(report.request), toMilliseconds(report.age), std::move(evidence)});
+        list.push_back(json::array{toText(report.request), toMilliseconds(report.age),
+                                   std::move(evidence), toMilliseconds(report.workLeft)});
     }
     return list;
 }
@@ -54,6 +54,13 @@
             static_cast<replica_fate>(fate)};
 }
 
+/// \returns the time in \p value, in milliseconds and clamped to what a ledger keeps.
+duration decodeTime(const json::value &value)
+{
+    const std::int64_t maxTime = toMilliseconds(crash_ledger::lifetime);
+    return milliseconds(std::clamp<std::int64_t>(value.to_number<std::int64_t>(), 0, maxTime));
+}
+
 crash_report decodeReport(const json::array &a)
 {
     const json::string &text = a.at(0).as_string();
@@ -61,11 +68,12 @@
     const json::array &evidence = a.at(2).as_array();
     if (!request || evidence.size() > crash_ledger::maxEvidence)
         throw std::out_of_range("not a report");
-    const std::int64_t maxAge = toMilliseconds(crash_ledger::lifetime);
     crash_report report;
     report.request = *request;
-    report.age
-        = milliseconds(std::clamp<std::int64_t>(a.at(1).to_number<std::int64_t>(), 0, maxAge));
+    report.age = decodeTime(a.at(1));
+    // Daemons of an earlier version send no such time.
+    if (a.size() > 3)
+        report.workLeft = decodeTime(a.at(3));
     for (const json::value &e : evidence)
         report.evidence.push_back(decodeEvidence(e.as_array()));
     return report;
--- a/src/quarantine/crash_watch.cpp
+++ b/src/quarantine/crash_watch.cpp
@@ -1,5 +1,6 @@
 #include "quarantine/crash_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace azurehill {
@@ -8,32 +9,50 @@
 
 /// Bytes that a process sent before it ended may be read after the end of one of its connections.
 constexpr duration lifeSignMargin = milliseconds(100);
-/// Time after which nothing more becomes known of a lost send. Entries lapse after three of the
-/// replica's heartbeats, and a store that is away delays that.
+/// Time for which a lost send is watched after the replica can have worked on it. Entries lapse
+/// after three of the replica's heartbeats, and a store that is away delays that.
 constexpr duration watchTime = seconds(15);
 /// Time after which an entry that lapsed in a store outage is no longer expected to return.
 constexpr duration returnTime = seconds(60);
 
 } // namespace
 
-void crash_watch::onSendLost(const lost_send &lost, send_loss loss, const replica_lookup &lookup,
-                             time_point now)
+bool crash_watch::isReported(const watched_send &w)
+{
+    return w.loss != send_loss::EndedWithConnection || w.fate == replica_fate::Ended
+        || w.wasUnlisted;
+}
+
+void crash_watch::report(const lost_send &lost, const watched_send &w, time_point now)
+{
+    if (isReported(w))
+        m_findings.push_back({lost, w.fate, w.loss, now - w.lostAt,
+                              std::max<duration>(w.workUntil - now, duration::zero())});
+}
+
+void crash_watch::onSendLost(const lost_send &lost, const loss_observation &seen,
+                             const replica_lookup &lookup, time_point now)
 {
     const replica_sight sight = lookup(lost.replica);
-    if (!sight.isListed || sight.isDraining || m_watched.size() >= maxWatched)
+    if (sight.isDraining || seen.wasLeaving)
         return;
-    m_watched.insert_or_assign(lost, watched_send{loss, now, replica_fate::Suspected, false});
-    if (loss == send_loss::ConnectionEnded)
-        m_findings.push_back({lost, replica_fate::Suspected, duration::zero()});
+    watched_send w{seen.loss, now, std::max(seen.workUntil, now), replica_fate::Suspected, false};
+    if (!sight.isListed) {
+        // Its answer ended with the connection, and so long before the entry lapsed.
+        if (seen.loss == send_loss::EndedWithConnection)
+            return;
+        w.fate = replica_fate::Ended;
+        w.wasUnlisted = true;
+    }
+    report(lost, w, now);
+    if (m_watched.size() < maxWatched)
+        m_watched.insert_or_assign(lost, w);
 }
 
 void crash_watch::setFate(const lost_send &lost, watched_send &w, replica_fate fate, time_point now)
 {
-    const bool isReported
-        = w.loss == send_loss::ConnectionEnded || fate == replica_fate::Ended || w.wasUnlisted;
     w.fate = fate;
-    if (isReported)
-        m_findings.push_back({lost, fate, now - w.lostAt});
+    report(lost, w, now);
 }
 
 void crash_watch::onAddressTaken(const replica_incarnation &who, time_point now)
@@ -53,8 +72,8 @@
         w.wasUnlisted = w.wasUnlisted || !sight.isListed;
         return;
     }
-    const bool isAlive = sight.lastReceivedAt > w.lostAt + lifeSignMargin || sight.isDraining;
-    if (isAlive || now >= w.lostAt + watchTime) {
+    const time_point provenFrom = std::max(w.lostAt + lifeSignMargin, w.workUntil);
+    if (sight.lastReceivedAt > provenFrom || sight.isDraining) {
         setFate(lost, w, replica_fate::Cleared, now);
     } else if (!sight.isListed) {
         w.wasUnlisted = true;
@@ -68,8 +87,9 @@
         updateOne(lost, w, lookup(lost.replica), now);
     std::erase_if(m_watched, [now](const auto &item) {
         const watched_send &w = item.second;
-        return w.fate == replica_fate::Cleared
-            || (w.fate == replica_fate::Ended && now >= w.lostAt + returnTime);
+        if (w.fate == replica_fate::Ended)
+            return now >= w.lostAt + returnTime;
+        return w.fate == replica_fate::Cleared || now >= w.workUntil + watchTime;
     });
 }
 
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -2,6 +2,7 @@
 
 #include "core/enum_names.h"
 #include "quarantine/request_fingerprint.h"
+#include "quarantine/send_loss.h"
 #include "replicas/replica_incarnation.h"
 
 #include <functional>
@@ -10,21 +11,13 @@
 
 namespace azurehill {
 
-/// \brief How a send to a replica was lost.
-enum class send_loss {
-    /// The replica's side ended the connection before the answer was complete.
-    ConnectionEnded,
-    /// The replica had not answered when this daemon gave up the send.
-    Unanswered
-};
-
 /// \brief What is known of the process of a replica that lost a send.
 enum class replica_fate {
-    /// It may have ended.
+    /// Unknown: it may have ended, or may still end under the request.
     Suspected,
     /// It ended while it ran the request.
     Ended,
-    /// It lived on, or ended as announced, or nothing more became known of it.
+    /// It lived on, or ended as announced.
     Cleared
 };
 
@@ -49,8 +42,11 @@
 {
     lost_send lost;
     replica_fate fate = replica_fate::Suspected;
+    send_loss loss = send_loss::ConnectionEnded;
     /// Time since the send was lost.
     duration after = duration::zero();
+    /// Time for which the replica may still work on the request.
+    duration workLeft = duration::zero();
 };
 
 /// \brief What this daemon sees of a replica at present.
@@ -68,29 +64,30 @@
 
 /// \brief Determines of each send that a replica lost whether its process ended.
 ///
-/// A lost connection alone does not show that: replicas break answers off, and connections are cut.
-/// A process has ended once its entry is gone, another process has its address, or a newer one its
-/// id, unless it showed a sign of life after the loss or had announced that it leaves. An entry
-/// that comes back after an outage of the store is a sign of life too.
+/// How the send was lost does not show that, so each lost send is a suspicion at once. A process
+/// has ended once its entry is gone, another process has its address, or a newer one its id, unless
+/// it showed a sign of life after it can have worked on the request, or had announced that it
+/// leaves. An entry that comes back after an outage of the store is a sign of life too. Time alone
+/// clears nothing.
 class crash_watch
 {
 public:
-    /// \brief Records that the replica of \p lost lost a send. Without effect for a replica that
-    /// \p lookup does not list or that drains: it ends as planned.
-    void onSendLost(const lost_send &lost, send_loss loss, const replica_lookup &lookup,
-                    time_point now);
+    /// \brief Records that the replica of \p lost lost a send. Without effect if the replica leaves
+    /// as planned.
+    void onSendLost(const lost_send &lost, const loss_observation &seen,
+                    const replica_lookup &lookup, time_point now);
     /// \brief Another process answered at the address of \p who.
     void onAddressTaken(const replica_incarnation &who, time_point now);
     /// \brief Updates what is known by what \p lookup tells of each watched replica.
     void update(const replica_lookup &lookup, time_point now);
 
-    /// \returns the changes since the last call. A send without an answer is reported only once its
-    /// replica is known to have ended.
+    /// \returns the changes since the last call. A send whose answer may be whole is reported only
+    /// once its replica is known to have ended: its client does not send the request again.
     std::vector<crash_finding> takeFindings();
     /// \returns the number of lost sends that are watched.
     std::size_t size() const { return m_watched.size(); }
 
-    /// Maximum number of watched sends; further ones are not watched.
+    /// Maximum number of watched sends; further ones stay suspicions.
     static constexpr std::size_t maxWatched = 1024;
 
 private:
@@ -98,11 +95,14 @@
     {
         send_loss loss = send_loss::ConnectionEnded;
         time_point lostAt;
+        time_point workUntil;
         replica_fate fate = replica_fate::Suspected;
         /// Whether the entry of the replica was gone.
         bool wasUnlisted = false;
     };
 
+    static bool isReported(const watched_send &w);
+    void report(const lost_send &lost, const watched_send &w, time_point now);
     void setFate(const lost_send &lost, watched_send &w, replica_fate fate, time_point now);
     void updateOne(const lost_send &lost, watched_send &w, const replica_sight &sight,
                    time_point now);
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -9,4 +9,5 @@
 #include "quarantine/crash_message.h"
 #include "quarantine/crash_watch.h"
 #include "quarantine/request_fingerprint.h"
+#include "quarantine/send_loss.h"
 #include "quarantine/send_verdict.h"
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -490,6 +490,13 @@
     ++r->shedInRow;
 }
 
+void replica_load_balancer::forEachEntry(
+    const std::function<void(const replica_entry &)> &visit) const
+{
+    for (const auto &[id, state] : m_replicas)
+        visit(state.entry);
+}
+
 void replica_load_balancer::onBytesReceived(const replica_incarnation &who, time_point now)
 {
     if (replica_state *r = find(who))
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -138,6 +138,9 @@
     /// \returns the entries of the replicas of \p service.
     std::vector<replica_entry> entries(const std::string &service) const;
 
+    /// \brief Calls \p visit with the entry of each listed replica.
+    void forEachEntry(const std::function<void(const replica_entry &)> &visit) const;
+
     /// \brief The request of \p p is sent.
     void onSent(const placement &p, const placement_request &request, time_point now);
     /// \brief The first byte of the answer arrived \p waited after the request was sent.
--- a/src/sched/call_quarantine.cpp
+++ b/src/sched/call_quarantine.cpp
@@ -4,6 +4,8 @@
 
 #include <fmt/format.h>
 
+#include <set>
+
 namespace azurehill {
 
 namespace {
@@ -56,7 +58,7 @@
         found->second.answeredAt = now;
     if (loss) {
         m_watch.onSendLost(
-            {call, incarnationOf(id, address), ++m_sends}, *loss,
+            {call, incarnationOf(id, address), ++m_sends}, {*loss, now, false},
             [this](const replica_incarnation &who) { return sightOf(who); }, now);
     }
     update(now);
@@ -72,6 +74,20 @@
     }
     m_listed = std::move(next);
     update(now);
+    settleByList(now);
+}
+
+void call_quarantine::settleByList(time_point now)
+{
+    std::set<std::uint64_t> listed;
+    for (const auto &[id, seen] : m_listed)
+        listed.insert(digestOf(incarnationOf(id, seen.address)));
+    // The platform has just answered, and it removes entries that are not renewed.
+    const fate_lookup fateOf = [&listed](std::uint64_t replica) {
+        return std::optional(listed.contains(replica) ? replica_fate::Cleared
+                                                      : replica_fate::Ended);
+    };
+    m_ledger.adoptSuspicions(fateOf, now);
 }
 
 void call_quarantine::update(time_point now)
@@ -82,6 +98,7 @@
         logEvent(log_level::Warning, "send_lost",
                  {{"fingerprint", toText(finding.lost.request)},
                   {"replica", finding.lost.replica.id.value},
+                  {"loss", std::string(toName(finding.loss))},
                   {"fate", std::string(toName(finding.fate))},
                   {"after_ms", toMilliseconds(finding.after)}});
     }
--- a/src/sched/call_quarantine.h
+++ b/src/sched/call_quarantine.h
@@ -34,6 +34,8 @@
 
     replica_sight sightOf(const replica_incarnation &who) const;
     void update(time_point now);
+    /// \brief Settles suspicions by the list that the platform has just given.
+    void settleByList(time_point now);
 
     std::map<upstream_id, seen_replica> m_listed;
     crash_watch m_watch;
--- a/test/io/lost_request_test.cpp
+++ b/test/io/lost_request_test.cpp
@@ -63,8 +63,10 @@
     {
         for (int i = 0; i < replicas; ++i) {
             m_replicas.emplace_back(m_context, fmt::format("i-{}", i), how, endsAfterwards);
-            m_replicas.back().onMarked
-                = [this] { sentAfterwards += countEnded() >= maxEnded ? 1 : 0; };
+            m_replicas.back().onMarked = [this] {
+                ++sends;
+                sentAfterwards += countEnded() >= maxEnded ? 1 : 0;
+            };
         }
         m_storePort = m_store.listen();
         for (int i = 0; i < hosts; ++i)
@@ -100,7 +102,9 @@
         return static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
                                               [](const auto &r) { return r.hasEnded(); }));
     }
-    /// Sends of a marked request that arrived after maxEnded replicas had ended under it.
+    /// Sends of a marked request.
+    int sends = 0;
+    /// Those of them that arrived after maxEnded replicas had ended under it.
     int sentAfterwards = 0;
     /// The last answer to a marked request that was sent by askFor().
     std::string last;
@@ -206,6 +210,7 @@
         co_await client->connect(m_current[number]->port);
         std::string bytes = fmt::format("GET {} HTTP/1.1\r\nHost: h.example\r\n"
                                         "X-Azurehill-Request-Id: r{}\r\n"
+                                        "X-Azurehill-Request-Deadline: 2000\r\n"
                                         "Connection: close\r\n\r\n",
                                         target, ++m_attempts);
         co_await client->send(std::move(bytes));
@@ -272,6 +277,24 @@
             }
         }
     }
+
+    // Guards against a request that is refused although its replicas misbehave and live.
+    TEST_CASE("a request whose sends are lost by replicas that live is sent again")
+    {
+        constexpr duration time = seconds(16);
+        for (const disruption how : disruptions) {
+            for (const std::string_view prefix : prefixes) {
+                const std::string where = fmt::format("{} {}", prefix, toName(how));
+                CAPTURE(where);
+                lost_request_fixture fixture(how, false);
+                fixture.askFor(time, fmt::format("{}marked", prefix));
+                CHECK(fixture.countEnded() == 0);
+                CHECK(fixture.sends > maxEnded);
+                CHECK(fixture.last.find("replicas ended") == std::string::npos);
+                CHECK(fixture.refusedOthers == 0);
+            }
+        }
+    }
 }
 
 } // namespace azurehill::test
--- a/test/logic/crash_ledger_test.cpp
+++ b/test/logic/crash_ledger_test.cpp
@@ -91,9 +91,23 @@
                 lose(3, replica_fate::Ended);
                 CHECK(is<send_rejected>(verdict()));
             }
-            SUBCASE("and if nothing more becomes known, the suspicion is dropped")
+            // Guards against a suspicion that time clears although nothing was learnt.
+            SUBCASE("and while nothing more becomes known, it stays so")
             {
-                CHECK(is<send_allowed>(verdict(seconds(20))));
+                CHECK(is<send_deferred>(verdict(crash_ledger::suspicionLifetime - seconds(1))));
+            }
+            SUBCASE("but not for ever, since memory is bounded")
+            {
+                CHECK(is<send_allowed>(verdict(crash_ledger::suspicionLifetime)));
+            }
+            SUBCASE("and if a replica may work on, the client learns until when")
+            {
+                crash_report report = lossOf(1, 4, replica_fate::Suspected);
+                report.workLeft = seconds(7);
+                ledger.merge(report, start);
+                CHECK(std::get<send_deferred>(verdict()).retryAfter == seconds(7));
+                CHECK(ledger.unsettledReplicas(requestNumber(1), start).empty());
+                CHECK(ledger.unsettledReplicas(requestNumber(1), start + seconds(7)).size() == 2);
             }
         }
         SUBCASE("one replica that lost two sends counts once")
@@ -104,6 +118,24 @@
         }
     }
 
+    // Guards against a suspicion that is lost with the daemon that could have settled it.
+    TEST_CASE("a suspicion that nobody settles is settled by the list of replicas")
+    {
+        crash_ledger ledger;
+        for (const std::uint64_t replica : {1, 2, 3})
+            ledger.merge(lossOf(1, replica, replica_fate::Suspected), start);
+        const fate_lookup unlisted
+            = [](std::uint64_t) { return std::optional(replica_fate::Ended); };
+        const fate_lookup listed = [](std::uint64_t) { return std::optional<replica_fate>(); };
+        const time_point early = start + crash_ledger::adoptionTime - seconds(1);
+        const time_point due = start + crash_ledger::adoptionTime;
+        CHECK(ledger.adoptSuspicions(unlisted, early).empty());
+        CHECK(ledger.adoptSuspicions(listed, due).empty());
+        CHECK(is<send_deferred>(ledger.verdict(requestNumber(1), due)));
+        CHECK(ledger.adoptSuspicions(unlisted, due).size() == 1);
+        CHECK(is<send_rejected>(ledger.verdict(requestNumber(1), due)));
+    }
+
     TEST_CASE("daemons that have the same reports decide alike")
     {
         CHECK(rc::check("whatever the order and the number of copies", [] {
@@ -146,13 +178,14 @@
     TEST_CASE("a message is decoded as it was encoded, or refused")
     {
         const crash_notice notice{
-            7, {{requestNumber(1), seconds(2), {{~0ULL, 3, replica_fate::Ended}}}}};
+            7, {{requestNumber(1), seconds(2), {{~0ULL, 3, replica_fate::Ended}}, seconds(3)}}};
         const auto decoded = decodeCrashMessage(encodeCrashMessage(notice));
         REQUIRE(decoded);
         const auto &again = std::get<crash_notice>(*decoded);
         CHECK(again.number == 7);
         CHECK(again.reports.front().request == requestNumber(1));
         CHECK(again.reports.front().age == seconds(2));
+        CHECK(again.reports.front().workLeft == seconds(3));
         CHECK(again.reports.front().evidence == notice.reports.front().evidence);
         CHECK(std::holds_alternative<crash_query>(
             *decodeCrashMessage(encodeCrashMessage(crash_query()))));
--- a/test/logic/crash_watch_test.cpp
+++ b/test/logic/crash_watch_test.cpp
@@ -13,7 +13,11 @@
 class watch_fixture
 {
 public:
-    void lose(send_loss loss) { watch.onSendLost({request, replica, 1}, loss, lookup(), now); }
+    /// \param workTime time for which the replica may work on the request after the loss.
+    void lose(send_loss loss, duration workTime = duration::zero(), bool wasLeaving = false)
+    {
+        watch.onSendLost({request, replica, 1}, {loss, now + workTime, wasLeaving}, lookup(), now);
+    }
     void wait(duration time)
     {
         now += time;
@@ -88,10 +92,12 @@
             wait(milliseconds(200));
             CHECK(fates().empty());
         }
-        SUBCASE("of which nothing more becomes known: the suspicion is dropped")
+        // Guards against a replica that is taken for alive since nothing was heard of it.
+        SUBCASE("of which nothing more becomes known: it stays a suspicion")
         {
             wait(seconds(15));
-            CHECK(fates() == fate_list{replica_fate::Cleared});
+            CHECK(fates().empty());
+            CHECK(watch.size() == 0);
         }
         SUBCASE("which says that it leaves: it still runs")
         {
@@ -101,40 +107,102 @@
         }
     }
 
-    // Guards against slow replicas and cut connections counting as crashes.
-    TEST_CASE_FIXTURE(watch_fixture, "a send without an answer says nothing by itself")
+    // Guards against a loss that is told by how the connection failed, or only once an entry
+    // lapses.
+    TEST_CASE_FIXTURE(watch_fixture, "a send that is lost in another way is a suspicion at once")
     {
-        lose(send_loss::Unanswered);
-        CHECK(fates().empty());
+        for (const send_loss loss : {send_loss::GivenUp, send_loss::Malformed}) {
+            CAPTURE(std::string(toName(loss)));
+            lose(loss, seconds(4));
+            CHECK(fates() == fate_list{replica_fate::Suspected});
+            watch = crash_watch();
+        }
+        lose(send_loss::GivenUp, seconds(4));
+        fates();
 
-        SUBCASE("the replica ended if its entry lapses without a sign of life")
+        SUBCASE("the replica ended if its entry lapses")
         {
             sight.isListed = false;
             wait(seconds(3));
             CHECK(fates() == fate_list{replica_fate::Ended});
         }
-        SUBCASE("a replica that answered others before it ended did not run the request any more")
+        // Guards against a request that ends its replica after it has answered others.
+        SUBCASE("a sign of life says nothing while the replica may work on the request")
         {
             sight.lastReceivedAt = now + seconds(1);
             wait(seconds(2));
+            CHECK(fates().empty());
             sight.isListed = false;
             wait(seconds(1));
+            CHECK(fates() == fate_list{replica_fate::Ended});
+        }
+        SUBCASE("a sign of life after that time clears it")
+        {
+            sight.lastReceivedAt = now + seconds(5);
+            wait(seconds(6));
+            CHECK(fates() == fate_list{replica_fate::Cleared});
+        }
+    }
+
+    TEST_CASE_FIXTURE(watch_fixture,
+                      "a replica that answered others before it ended did not run the "
+                      "request any more")
+    {
+        lose(send_loss::GivenUp);
+        sight.lastReceivedAt = now + seconds(1);
+        wait(seconds(2));
+        sight.isListed = false;
+        wait(seconds(1));
+        CHECK(fates() == fate_list{replica_fate::Suspected, replica_fate::Cleared});
+    }
+
+    TEST_CASE_FIXTURE(watch_fixture, "an answer that ended with its connection may be whole")
+    {
+        lose(send_loss::EndedWithConnection);
+        CHECK(fates().empty());
+        SUBCASE("it was not if the replica ended")
+        {
+            sight.isListed = false;
+            wait(seconds(3));
+            CHECK(fates() == fate_list{replica_fate::Ended});
+        }
+        SUBCASE("it was if the replica lives on")
+        {
+            sight.lastReceivedAt = now + seconds(1);
+            wait(seconds(2));
             CHECK(fates().empty());
+            CHECK(watch.size() == 0);
+        }
+    }
+
+    // Guards against a send that outlives the entry of its replica, and is then passed over.
+    TEST_CASE_FIXTURE(watch_fixture, "a send that is lost after the entry lapsed counts")
+    {
+        sight.isListed = false;
+        lose(send_loss::GivenUp);
+        CHECK(fates() == fate_list{replica_fate::Ended});
+        SUBCASE("unless the entry comes back: the store was away")
+        {
+            sight.isListed = true;
+            wait(seconds(1));
+            CHECK(fates() == fate_list{replica_fate::Cleared});
         }
     }
 
     // Guards against a planned end of a replica counting as a crash.
     TEST_CASE_FIXTURE(watch_fixture, "a replica that ends as announced did not end under a request")
     {
+        bool wasLeaving = false;
         SUBCASE("it drains")
         {
             sight.isDraining = true;
         }
-        SUBCASE("its entry was removed before")
+        SUBCASE("its entry was removed before, and it served on")
         {
             sight.isListed = false;
+            wasLeaving = true;
         }
-        lose(send_loss::ConnectionEnded);
+        lose(send_loss::ConnectionEnded, duration::zero(), wasLeaving);
         wait(seconds(3));
         CHECK(fates().empty());
     }
@@ -143,9 +211,11 @@
     {
         for (std::uint64_t i = 0; i < 2 * crash_watch::maxWatched; ++i)
             watch.onSendLost(
-                {request, replica, i}, send_loss::Unanswered,
+                {request, replica, i}, {send_loss::GivenUp, now, false},
                 [this](const replica_incarnation &) { return sight; }, now);
         CHECK(watch.size() == crash_watch::maxWatched);
+        // Those that are not watched are suspicions all the same.
+        CHECK(fates().size() == 2 * crash_watch::maxWatched);
     }
 
     TEST_CASE("a fingerprint tells requests apart by every field and by their borders")
