A refusal of a repeated send does not undo the attempt

Cause: sendAndRepeat returned the outcome of the second send only, so that a refusal, or a connection that timed out, hid that the first one may have run.

Now the first outcome stands unless the second send ran or shows that the replica has ended: its connection failed at once, or its entry is gone. resume() decides by the same function.

Evidence: 'a refusal of a repeated send does not undo the attempt' failed before: both replicas had the request, four sends for two.

--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -278,7 +278,8 @@
             finish(*call, reply,
                    call->isWanted() ? send_outcome::Unreachable : send_outcome::Cancelled);
             co_return tl::unexpected(
-                send_failure{send_outcome::Unreachable, connected.error().detail});
+                send_failure{send_outcome::Unreachable, connected.error().detail,
+                             connected.error().kind == http_error_kind::ConnectFailed});
         }
     }
     if (!call->isWanted()) {
@@ -411,9 +412,22 @@
     const bool mayRepeat = !reply && reply.error().end == send_outcome::Broken
         && call->route->isResumable && call->abortReason == abort_reason::None
         && call->sends + 1 >= call->route->maxAttempts && runtime_clock::now() < call->deadline;
-    if (mayRepeat)
-        reply = co_await sendOnce(call, where, placementRequest, original, std::move(body));
-    co_return reply;
+    if (!mayRepeat)
+        co_return reply;
+    auto again = co_await sendOnce(call, where, placementRequest, original, std::move(body));
+    // The first send may have run, whatever became of the second one.
+    const bool isHidden = !again
+        && (again.error().end == send_outcome::NotRun
+            || (again.error().end == send_outcome::Unreachable
+                && !isEnded(where.replica.incarnation, again.error())));
+    if (isHidden)
+        co_return reply;
+    co_return again;
+}
+
+bool upstream_sender::isEnded(const replica_incarnation &who, const send_failure &failure) const
+{
+    return failure.isConnectionRefused || !m_loadBalancer.isListed(who);
 }
 
 awaitable<tl::expected<open_reply, send_failure>>
@@ -490,8 +504,7 @@
         auto again = co_await sendOnce(call, broken, placementRequest, original, std::move(copy));
         if (again)
             co_return again;
-        isUnlisted = again.error().end == send_outcome::Unreachable
-            || !m_loadBalancer.isListed(broken.replica.incarnation);
+        isUnlisted = isEnded(broken.replica.incarnation, again.error());
         if (!isUnlisted)
             co_return again;
     }
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -35,6 +35,8 @@
 {
     send_outcome end = send_outcome::Unreachable;
     std::string detail;
+    /// Whether the connection failed at once: no process listens at the address, or it is cut off.
+    bool isConnectionRefused = false;
 };
 
 /// \returns the placement request for \p call.
@@ -106,6 +108,8 @@
     /// since it was last checked.
     bool isStillAllowed(const entry_call &call) const;
     bool isSilent(const entry_call &call, time_point now) const;
+    /// \returns whether \p who has ended, as far as \p failure of a send to it and the list show.
+    bool isEnded(const replica_incarnation &who, const send_failure &failure) const;
     /// \brief Keeps what the list tells of the replica of \p call while its send is in flight.
     void observeReplica(entry_call &call, time_point now) const;
     replica_sight sightOf(const replica_incarnation &who) const;
--- a/test/io/stream_resume_test.cpp
+++ b/test/io/stream_resume_test.cpp
@@ -124,6 +124,24 @@
         CHECK(contains(second.arrived[0], "Last-Event-Id: 1\r\n"));
     }
 
+    // Guards against a request that runs at two replicas, since a refusal at the first one hides
+    // that it may have run there.
+    TEST_CASE("a refusal of a repeated send does not undo the attempt")
+    {
+        entry_fixture w;
+        scripted_replica second(w.context, "i-n", "model");
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "X-Azurehill-Request-Id: ID\r\nX-Azurehill-Not-Run: full\r\n"
+                                    "Content-Length: 0\r\n\r\n";
+        for (scripted_replica *replica : {&w.model, &second})
+            replica->script = {"", refusal};
+        w.service->setReplicas({w.model.entry, second.entry});
+        const std::string answer = w.ask(chatHead(), "one;");
+        CHECK(answer.starts_with("HTTP/1.1 502"));
+        CHECK(w.model.arrived.size() + second.arrived.size() == 2);
+        CHECK((w.model.arrived.empty() || second.arrived.empty()));
+    }
+
     // Guards against an answer that is cut off although its replica is only overloaded.
     TEST_CASE("a silent replica is waited for as long as it takes connections")
     {
