Bytes before an answer, and within its framing, have a bound

A replica that never stops writing a chunk's extension, its size or trailers was read up to the deadline of the request, some 4 GB in eight requests, and interim responses likewise: the daemon worked for nothing, and the other replica was asked late.

Cause: Beast bounds a head, not what it has to see whole beside that; each interim response began a new head.

Now the buffer of unparsed bytes holds two heads at most, and a final response has 32 interim ones before it at most; beyond that the bytes are no answer.

Evidence: 'heads, chunk extensions and trailers without end are no answer' failed before for interim heads, chunk extensions, chunk sizes and trailers; heads, header lines and status lines were bounded.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -22,6 +22,11 @@
 constexpr std::size_t maxResponseBody = 64U << 20U;
 constexpr std::size_t maxResponseHeader = 64U << 10U;
 constexpr std::size_t readBufferSize = 16U << 10U;
+/// Bound on bytes that are received and not yet parsed: a head, the extension of a chunk, or
+/// trailers.
+constexpr std::size_t maxUnparsedBytes = 2 * maxResponseHeader;
+/// Interim responses before the final one.
+constexpr int maxInterimHeads = 32;
 
 http_error makeError(beast::error_code code, bool timedOut, outcome ran)
 {
@@ -56,7 +61,7 @@
 
     tcp::socket socket;
     deadline_guard guard;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{maxUnparsedBytes};
     std::optional<response_parser> parser;
     body_completeness body{body_framing::None, body_syntax::Opaque};
     std::string host;
@@ -140,7 +145,7 @@
 awaitable<beast::error_code> readFinalHead(std::shared_ptr<http_connection::state> s)
 {
     namespace http = beast::http;
-    while (true) {
+    for (int interim = 0; interim <= maxInterimHeads; ++interim) {
         auto &parser = s->parser.emplace();
         // Streamed bodies are unbounded, since finished books are large. exchange() has its own
         // limit.
@@ -153,6 +158,7 @@
         if (code || !isInterim(parser))
             co_return code;
     }
+    co_return http::error::header_limit;
 }
 
 } // namespace
