The rest of a refusal is not waited for

A caller waited until its deadline for a refusal whose body had no end, while another replica was free, and got 503.

Cause: the rest of a refusal is read so that its connection can be reused, up to the deadline of the request.

Now up to 16 KiB are read within 100 ms; beyond that the connection is closed.

Evidence: 'a refusal whose body has no end is a refusal at once' failed before: 5.0 s and no answer of the other replica.

--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -30,6 +30,10 @@
 constexpr duration minAttemptTimeout = milliseconds(250);
 constexpr int attemptsPerDeadline = 3;
 
+/// Bounds on the body of a refusal, within which it is read.
+constexpr std::size_t maxRefusalBody = 16U << 10U;
+constexpr duration refusalBodyTimeout = milliseconds(100);
+
 constexpr int statusOk = 200;
 /// Lowest HTTP status that means that the replica failed.
 constexpr int minFailureStatus = 500;
@@ -104,6 +108,20 @@
     return {loss, mayWorkOn ? call.deadline : now, call.isReplicaLeaving || hasOutlivedEntry};
 }
 
+/// \brief Reads the rest of a refusal, so that the connection can be reused, unless it is long.
+awaitable<void> discardBody(std::shared_ptr<http_connection> connection)
+{
+    const time_point deadline = runtime_clock::now() + refusalBodyTimeout;
+    std::size_t bytes = 0;
+    while (bytes <= maxRefusalBody) {
+        const auto chunk = co_await connection->readSome(deadline);
+        if (!chunk || chunk->empty())
+            co_return;
+        bytes += chunk->size();
+    }
+    connection->close();
+}
+
 } // namespace
 
 placement_request placementRequestFor(const entry_call &call)
@@ -351,12 +369,7 @@
     } else if (m_hasSharedReplicas) {
         m_loadBalancer.onShed(where, placementRequest, call->lastByteAt);
     }
-    // The rest of a refusal is read so that the connection can be reused.
-    while (true) {
-        const auto chunk = co_await connection->readSome(call->deadline);
-        if (!chunk || chunk->empty())
-            break;
-    }
+    co_await discardBody(connection);
     finish(*call, reply, send_outcome::NotRun);
     co_return tl::unexpected(send_failure{send_outcome::NotRun, std::string(toName(kind))});
 }
--- a/test/io/endless_answer_test.cpp
+++ b/test/io/endless_answer_test.cpp
@@ -196,6 +196,22 @@
 
 TEST_SUITE("answers without an end")
 {
+    // Guards against a caller that waits for the end of a refusal while another replica is free.
+    TEST_CASE("a refusal whose body has no end is a refusal at once")
+    {
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "X-Azurehill-Request-Id: r1\r\nX-Azurehill-Not-Run: full\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n";
+        endless_fixture w(toolReplica(), refusal, chunk(repeated("full ", 4096)));
+        for (int i = 0; i < calls; ++i) {
+            const seen_answer seen = w.request("/unsafe/1");
+            CHECK(seen.head.starts_with("HTTP/1.1 200"));
+            CHECK(seen.time < promptly);
+            CHECK(seen.memoryGrowth < maxMemoryGrowth);
+        }
+        CHECK(w.endless.requests > 0);
+    }
+
     // Guards against bytes before an answer, or within its framing, that never end.
     TEST_CASE("heads, chunk extensions and trailers without end are no answer")
     {
