A stream of events has a bound in bytes

A replica whose events never end made the daemon's memory grow by some 380 MB within the timeout of one request; hosts have 88 MB, so the process ends, with all that it carries.

Cause: the relay kept the data of all events, whether the turn is stored or not, without a bound.

Now the output is kept only for turns that the daemon stores, 1 MiB at most (the store takes less), and a stream is broken off after 16 MiB and not resumed.

--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -12,6 +12,12 @@
 /// Maximum number of further sends that resume a stream after its first send.
 constexpr int maxResumes = 3;
 
+bool isTooLong(const stream_result &stream)
+{
+    return stream.bytes > response_relay::maxStreamBytes
+        || stream.output.size() > response_relay::maxOutputBytes;
+}
+
 /// \returns whether \p stream may be resumed at a replica.
 bool mayResume(const entry_call &call, const stream_result &stream)
 {
@@ -20,7 +26,7 @@
         || runtime_clock::now() >= call.deadline;
     const bool isPositionKnown = stream.events == 0 || !call.lastEventId.empty();
     return call.route->isResumable && isPositionKnown && !stream.isComplete && !isClientGone
-        && !isPastDeadline;
+        && !isPastDeadline && !isTooLong(stream);
 }
 
 std::optional<std::int64_t> wholeNumber(std::string_view text)
@@ -151,6 +157,8 @@
         if (!event->data)
             continue;
         ++stream.events;
+        if (!call.route->keepsHistory)
+            continue;
         stream.output += *event->data;
         stream.output += '\n';
     }
@@ -203,7 +211,7 @@
     std::optional<time_point> firstAt;
     sse_reader events;
     const std::int64_t eventsBefore = stream.events;
-    while (stream.isClientConnected && !events.isTooLong()) {
+    while (stream.isClientConnected && !events.isTooLong() && !isTooLong(stream)) {
         auto chunk = co_await reply.connection->readSome(call->deadline);
         if (!chunk) {
             reply.setFailure(chunk.error());
@@ -214,6 +222,7 @@
             break;
         }
         call->lastByteAt = runtime_clock::now();
+        stream.bytes += chunk->size();
         if (!firstAt) {
             firstAt = call->lastByteAt;
             m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
--- a/src/entry/response_relay.h
+++ b/src/entry/response_relay.h
@@ -15,9 +15,11 @@
     bool isComplete = false;
     /// Whether the client still accepts bytes.
     bool isClientConnected = true;
-    /// Data of the events, each followed by a line feed.
+    /// Data of the events, each followed by a line feed, if the daemon keeps the turn.
     std::string output;
     std::int64_t events = 0;
+    /// Bytes received from replicas.
+    std::size_t bytes = 0;
     /// Outcome of the first send. Further ones resumed the stream elsewhere.
     send_outcome firstEnd = send_outcome::Answered;
     /// Mean time between the events of one send in milliseconds; 0 if there were too few.
@@ -31,6 +33,10 @@
     /// Answers up to this size are buffered completely before their first byte is sent to the
     /// client, so that the request can be retried at another replica if the answer breaks off.
     static constexpr std::size_t maxBufferedBytes = 256U << 10U;
+    /// Size beyond which a stream of events is no answer of an engine, and is broken off.
+    static constexpr std::size_t maxStreamBytes = 16U << 20U;
+    /// Maximum size of the output of a turn that the daemon keeps.
+    static constexpr std::size_t maxOutputBytes = 1U << 20U;
 
     response_relay(upstream_sender &sender, replica_load_balancer &loadBalancer,
                    engine_admission &admission, local_reply_writer &localReplies,
@@ -63,7 +69,8 @@
     awaitable<void> relayContinuation(entry_call_ptr call, open_reply &reply, stream_result &stream,
                                       response_writer &writer);
 
-    /// \brief Relays a replica's answer that isn't a stream although a stream was requested.
+    /// \brief Relays a replica's answer that isn't a stream although a stream was requested, and
+    /// finishes it.
     awaitable<void> relayNonStream(entry_call_ptr call, open_reply reply, response_writer &writer);
 
 private:
--- a/test/io/endless_answer_test.cpp
+++ b/test/io/endless_answer_test.cpp
@@ -196,6 +196,33 @@
 
 TEST_SUITE("answers without an end")
 {
+    // Guards against a daemon that runs out of memory on a stream that never ends.
+    TEST_CASE("events without end are broken off before they take much memory")
+    {
+        for (const char *path : {"/chat/1", "/turn/1"}) {
+            CAPTURE(std::string(path));
+            endless_fixture w(engineReplica(), streamHead, eventChunk(16U << 10U));
+            const seen_answer seen = w.request(path);
+            CHECK(seen.head.starts_with("HTTP/1.1 200"));
+            CHECK_FALSE(seen.isEndMarked);
+            CHECK(seen.memoryGrowth < maxMemoryGrowth);
+            CHECK(seen.bytes < 2 * response_relay::maxStreamBytes);
+            // Another send would end the same way.
+            CHECK(w.endless.requests == 1);
+        }
+    }
+
+    // Guards against comments or blank lines that never end, which are no events.
+    TEST_CASE("comment lines without end are broken off")
+    {
+        endless_fixture w(engineReplica(), streamHead,
+                          chunk(repeated(": no event\n\n", 16U << 10U)));
+        const seen_answer seen = w.request("/chat/1");
+        CHECK_FALSE(seen.isEndMarked);
+        CHECK(seen.memoryGrowth < maxMemoryGrowth);
+        CHECK(seen.bytes < 2 * response_relay::maxStreamBytes);
+    }
+
     // Guards against a caller that waits for the end of a refusal while another replica is free.
     TEST_CASE("a refusal whose body has no end is a refusal at once")
     {
@@ -243,6 +270,17 @@
             CHECK(w.endless.bytes < calls * mebibyte * 8);
         }
     }
+
+    // Guards against a body without end that takes memory, or holds its caller past the deadline.
+    TEST_CASE("a plain body without end is passed on up to the deadline, and has no end")
+    {
+        endless_fixture w(toolReplica(), chunkedHead + "\r\n", chunk(repeated("body", 4096)));
+        w.service->setReplicas({w.endless.entry});
+        const seen_answer seen = w.request("/unsafe/1");
+        CHECK_FALSE(seen.isEndMarked);
+        CHECK(seen.time < seconds(6));
+        CHECK(seen.memoryGrowth < maxMemoryGrowth);
+    }
 }
 
 } // namespace azurehill::test
