A long answer that is no stream is passed on whole

Cause: relayNonStream passed on what readBody had buffered, which stops at its bound.

Now what is beyond the buffer is relayed, as for plain requests.

Evidence: 'a long answer that is no stream is passed on whole' failed before: 262,675 of 786,435 bytes.

--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -119,6 +119,10 @@
 {
     std::string body;
     const bool isComplete = co_await readBody(call, reply, body);
+    if (isComplete && body.size() > maxBufferedBytes) {
+        co_await relayRemainder(call, reply, std::move(body), writer);
+        co_return;
+    }
     m_sender.finish(*call, reply, isComplete ? send_outcome::Answered : send_outcome::Broken);
     if (!isComplete) {
         const send_failure broken{send_outcome::Broken, "the answer broke off"};
--- a/test/io/endless_answer_test.cpp
+++ b/test/io/endless_answer_test.cpp
@@ -281,6 +281,19 @@
         CHECK(seen.time < seconds(6));
         CHECK(seen.memoryGrowth < maxMemoryGrowth);
     }
+
+    // Guards against a long answer of which the first part is passed on as the whole.
+    TEST_CASE("a long answer that is no stream is passed on whole")
+    {
+        entry_fixture w;
+        const std::string body = repeated("long ", 3 * response_relay::maxBufferedBytes);
+        std::string answer = scripted_replica::good(body);
+        answer.replace(answer.find("200 OK"), 6, "404 Not Found");
+        w.model.script = {answer};
+        const std::string seen = w.chat("c1", "prompt");
+        CHECK(seen.starts_with("HTTP/1.1 404"));
+        CHECK(seen.size() > body.size());
+    }
 }
 
 } // namespace azurehill::test
