A suspicion is settled for the sends of which the replica was asked

While a replica was asked, another send of the same request could be lost at it, and the answer, older than that loss, cleared it as well. Found by reading; no run showed it.

Suspicions are now settled send by send, through the merge that all evidence passes, so a later loss keeps its own fate.

--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -3,6 +3,7 @@
 #include "core/log_event.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace azurehill {
 
@@ -20,6 +21,20 @@
     std::string_view operator()(const send_rejected &) const { return "rejected"; }
 };
 
+/// \returns the fate of a suspected replica that showed \p sight when it was asked.
+replica_fate fateBy(process_sight sight)
+{
+    switch (sight) {
+    case process_sight::Alive:
+        return replica_fate::Cleared;
+    case process_sight::Replaced:
+        return replica_fate::Ended;
+    case process_sight::Unknown:
+        break;
+    }
+    return replica_fate::Suspected;
+}
+
 } // namespace
 
 request_quarantine::request_quarantine(const asio::any_io_executor &executor, std::uint64_t seed)
@@ -53,20 +68,17 @@
 
 awaitable<void> request_quarantine::settleSuspicions(request_fingerprint request)
 {
-    const std::vector<std::uint64_t> suspects
-        = m_ledger.unsettledReplicas(request, runtime_clock::now());
-    if (suspects.empty())
+    crash_report found{request, duration::zero(),
+                       m_ledger.suspicions(request, runtime_clock::now())};
+    if (found.evidence.empty())
         co_return;
-    std::vector<std::uint64_t> asked = suspects;
-    const std::vector<process_sight> seen = co_await m_inquiry(std::move(asked));
-    bool isNew = false;
-    for (std::size_t i = 0; i < suspects.size(); ++i) {
-        if (seen[i] == process_sight::Unknown)
-            continue;
-        const replica_fate fate
-            = seen[i] == process_sight::Alive ? replica_fate::Cleared : replica_fate::Ended;
-        isNew = m_ledger.settle(request, suspects[i], fate, runtime_clock::now()) || isNew;
-    }
+    std::vector<std::uint64_t> suspects;
+    std::transform(found.evidence.begin(), found.evidence.end(), std::back_inserter(suspects),
+                   [](const crash_evidence &e) { return e.replica; });
+    const std::vector<process_sight> seen = co_await m_inquiry(std::move(suspects));
+    for (std::size_t i = 0; i < seen.size(); ++i)
+        found.evidence[i].fate = fateBy(seen[i]);
+    const bool isNew = m_ledger.merge(found, runtime_clock::now());
     if (!isNew)
         co_return;
     logVerdict(request);
--- a/src/entry/replica_prober.cpp
+++ b/src/entry/replica_prober.cpp
@@ -5,6 +5,7 @@
 #include "runtime/runtime.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace azurehill {
 
@@ -36,9 +37,10 @@
 awaitable<std::vector<process_sight>> replica_prober::inquire(std::vector<std::uint64_t> replicas)
 {
     std::vector<check_ptr> checks;
-    for (const std::uint64_t replica : replicas)
-        checks.push_back(start(replica));
+    std::transform(replicas.begin(), replicas.end(), std::back_inserter(checks),
+                   [this](std::uint64_t replica) { return start(replica); });
     std::vector<process_sight> seen;
+    seen.reserve(checks.size());
     for (const check_ptr &one : checks) {
         if (!one->isDone)
             co_await one->done.waitForChangeSince(0);
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -1,6 +1,7 @@
 #include "quarantine/crash_ledger.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 namespace azurehill {
@@ -111,54 +112,36 @@
     return send_deferred{std::max<duration>(minRetryAfter, settledAt - now)};
 }
 
-std::vector<std::uint64_t> crash_ledger::unsettledReplicas(const request_fingerprint &request,
-                                                           time_point now) const
+std::vector<crash_evidence> crash_ledger::suspicions(const request_fingerprint &request,
+                                                     time_point now) const
 {
-    std::vector<std::uint64_t> replicas;
+    std::vector<crash_evidence> result;
     const auto found = m_records.find(request);
     if (found == m_records.end() || now < found->second.workUntil)
-        return replicas;
-    for (const crash_evidence &e : found->second.evidence) {
-        const bool isKnown
-            = std::find(replicas.begin(), replicas.end(), e.replica) != replicas.end();
-        if (e.fate == replica_fate::Suspected && !isKnown)
-            replicas.push_back(e.replica);
-    }
-    return replicas;
-}
-
-bool crash_ledger::settle(const request_fingerprint &request, std::uint64_t replica,
-                          replica_fate fate, time_point now)
-{
-    const auto found = m_records.find(request);
-    if (found == m_records.end())
-        return false;
-    bool isNew = false;
-    for (crash_evidence &e : found->second.evidence) {
-        if (e.replica != replica || e.fate != replica_fate::Suspected)
-            continue;
-        e.fate = fate;
-        isNew = true;
-    }
-    if (isNew && fate == replica_fate::Ended)
-        found->second.latestAt = now;
-    return isNew;
+        return result;
+    std::copy_if(found->second.evidence.begin(), found->second.evidence.end(),
+                 std::back_inserter(result),
+                 [](const auto &e) { return e.fate == replica_fate::Suspected; });
+    return result;
 }
 
 std::vector<request_fingerprint> crash_ledger::adoptSuspicions(const fate_lookup &fateOf,
                                                                time_point now)
 {
     std::vector<request_fingerprint> changed;
-    for (const auto &[request, r] : m_records) {
+    for (auto &[request, r] : m_records) {
         if (now < std::max(r.latestAt, r.workUntil) + adoptionTime)
             continue;
         bool isChanged = false;
-        for (const std::uint64_t replica : unsettledReplicas(request, now)) {
-            const auto fate = fateOf(replica);
-            isChanged = (fate && settle(request, replica, *fate, now)) || isChanged;
+        for (crash_evidence suspicion : suspicions(request, now)) {
+            const auto fate = fateOf(suspicion.replica);
+            suspicion.fate = fate.value_or(suspicion.fate);
+            isChanged = mergeOne(r, suspicion) || isChanged;
         }
-        if (isChanged)
-            changed.push_back(request);
+        if (!isChanged)
+            continue;
+        r.latestAt = now;
+        changed.push_back(request);
     }
     return changed;
 }
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -72,14 +72,10 @@
     std::optional<crash_report> find(const request_fingerprint &request, time_point now) const;
     /// \returns the reports of all requests that may not be sent.
     std::vector<crash_report> quarantined(time_point now) const;
-    /// \returns the replicas that may have ended under \p request, by their numbers in evidence.
-    /// None while one may still work on it.
-    std::vector<std::uint64_t> unsettledReplicas(const request_fingerprint &request,
-                                                 time_point now) const;
-    /// \brief Sets the fate of the suspected \p replica under \p request. \returns whether that is
-    /// news.
-    bool settle(const request_fingerprint &request, std::uint64_t replica, replica_fate fate,
-                time_point now);
+    /// \returns the suspicions against replicas under \p request. None while one of these may still
+    /// work on it.
+    std::vector<crash_evidence> suspicions(const request_fingerprint &request,
+                                           time_point now) const;
     /// \brief Settles the suspicions older than adoptionTime whose fate \p fateOf finds.
     /// \returns the requests of which that is news.
     std::vector<request_fingerprint> adoptSuspicions(const fate_lookup &fateOf, time_point now);
--- a/test/logic/crash_ledger_test.cpp
+++ b/test/logic/crash_ledger_test.cpp
@@ -106,8 +106,8 @@
                 report.workLeft = seconds(7);
                 ledger.merge(report, start);
                 CHECK(std::get<send_deferred>(verdict()).retryAfter == seconds(7));
-                CHECK(ledger.unsettledReplicas(requestNumber(1), start).empty());
-                CHECK(ledger.unsettledReplicas(requestNumber(1), start + seconds(7)).size() == 2);
+                CHECK(ledger.suspicions(requestNumber(1), start).empty());
+                CHECK(ledger.suspicions(requestNumber(1), start + seconds(7)).size() == 2);
             }
         }
         SUBCASE("one replica that lost two sends counts once")
