--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -5,7 +5,7 @@
 
 namespace azurehill {
 
-/// \brief What an inquiry at the address of a replica that lost a send showed of its process.
+/// \brief What was seen of the process of a replica that was asked whether it lives.
 enum class process_sight {
     /// The process of that replica answered.
     Alive,
@@ -21,12 +21,12 @@
     static constexpr std::array<std::string_view, 3> names = {"alive", "replaced", "unknown"};
 };
 
-/// \brief Inquires after the processes of replicas, given by their numbers in evidence.
+/// \brief Asks replicas, given by their digests, whether their processes live.
 /// \returns what was seen of each, in the same order.
 using process_inquiry
     = std::function<awaitable<std::vector<process_sight>>(std::vector<std::uint64_t>)>;
 
-/// \brief Gives the replicas that the store lists, by their numbers in evidence and sorted.
+/// \brief Gives the digests of the replicas that the store lists, sorted.
 using listed_replicas = std::function<std::vector<std::uint64_t>()>;
 
 /// \brief Quarantine of requests under which replicas end. Every send of a request to a replica is
--- a/src/entry/replica_prober.cpp
+++ b/src/entry/replica_prober.cpp
@@ -17,11 +17,11 @@
 
 std::vector<std::uint64_t> replica_prober::listed() const
 {
-    std::vector<std::uint64_t> numbers;
+    std::vector<std::uint64_t> digests;
     m_loadBalancer.forEachEntry(
-        [&](const replica_entry &entry) { numbers.push_back(digestOf(entry.incarnation)); });
-    std::sort(numbers.begin(), numbers.end());
-    return numbers;
+        [&](const replica_entry &entry) { digests.push_back(digestOf(entry.incarnation)); });
+    std::sort(digests.begin(), digests.end());
+    return digests;
 }
 
 std::optional<replica_entry> replica_prober::find(std::uint64_t replica) const
--- a/src/entry/replica_prober.h
+++ b/src/entry/replica_prober.h
@@ -28,10 +28,10 @@
 
     /// \brief Sets the configuration, which names the health check of each service.
     void setRoutes(routing_config_ptr routes) { m_routes = std::move(routes); }
-    /// \returns the numbers in evidence of the listed replicas, sorted.
+    /// \returns the digests of the listed replicas, sorted.
     std::vector<std::uint64_t> listed() const;
 
-    /// \brief Asks \p replicas, given by their numbers in evidence, all at the same time.
+    /// \brief Asks \p replicas, given by their digests, all at the same time.
     /// \returns what was seen of each after at most \c timeout.
     awaitable<std::vector<process_sight>> inquire(std::vector<std::uint64_t> replicas);
 
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -32,13 +32,12 @@
     duration workLeft = duration::zero();
 };
 
-/// \returns the number of \p who in evidence.
+/// \returns the digest of \p who, by which evidence names it. All daemons compute it alike.
 std::uint64_t digestOf(const replica_incarnation &who);
 /// \returns the report of a single finding.
 crash_report reportOf(const crash_finding &finding);
 
-/// \brief Finds the fate of a suspected replica, given by its number in evidence; nothing if it is
-/// not known.
+/// \brief Finds the fate of a suspected replica by its digest; nothing if it is not known.
 using fate_lookup = std::function<std::optional<replica_fate>(std::uint64_t)>;
 
 /// \brief Record of the replicas that ended under each request, by which this daemon decides
