--- a/test/io/lost_request_test.cpp
+++ b/test/io/lost_request_test.cpp
@@ -81,22 +81,6 @@
     {
         run(askRepeatedly(time, std::string(target)));
     }
-    /// \brief Sends one attempt of a request to the host number \p host.
-    std::string ask(std::size_t host, std::string_view target)
-    {
-        std::string answer;
-        run(askOnce(host, std::string(target), answer));
-        return answer;
-    }
-    void wait(duration time) { run(sleepFor(time)); }
-    /// \brief Replaces the daemon number \p host by one that has no state.
-    void restart(std::size_t host)
-    {
-        startHost(static_cast<int>(host));
-        setMembers();
-        listReplicas();
-    }
-
     int countEnded() const
     {
         return static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
@@ -141,21 +125,17 @@
         h.port = h.service->start();
         REQUIRE(h.port != 0);
         h.service->setRoutes(makeRoutes());
-        if (number < static_cast<int>(m_current.size()))
-            m_current[std::size_t(number)] = &h;
-        else
-            m_current.push_back(&h);
     }
 
     void setMembers()
     {
-        for (const daemon *h : m_current) {
+        for (const daemon &h : m_hosts) {
             std::vector<member_state> others;
-            for (const daemon *other : m_current) {
-                if (other != h)
-                    others.push_back(other->state);
+            for (const daemon &other : m_hosts) {
+                if (&other != &h)
+                    others.push_back(other.state);
             }
-            h->service->setMembers(h->state, others);
+            h.service->setMembers(h.state, others);
         }
     }
 
@@ -166,8 +146,8 @@
             if (!replica.hasLapsed())
                 listed.push_back(replica.entry);
         }
-        for (const daemon *h : m_current)
-            h->service->setReplicas(listed);
+        for (const daemon &h : m_hosts)
+            h.service->setReplicas(listed);
     }
 
     void run(awaitable<void> body)
@@ -193,10 +173,10 @@
         const time_point until = runtime_clock::now() + time;
         for (std::size_t i = 0; runtime_clock::now() < until; ++i) {
             std::string marked = target;
-            co_await askOnce(i % m_current.size(), std::move(marked), last);
+            co_await askOnce(i % m_hosts.size(), std::move(marked), last);
             std::string other;
             std::string otherTarget = "/safe/other";
-            co_await askOnce(i % m_current.size(), std::move(otherTarget), other);
+            co_await askOnce(i % m_hosts.size(), std::move(otherTarget), other);
             refusedOthers += other.starts_with("HTTP/1.1 503") ? 1 : 0;
             co_await sleepFor(std::max(clientPause, retryAfter(last)));
         }
@@ -207,7 +187,7 @@
         const bool isImpatient
             = m_how == disruption::WorksOn && target.find("marked") != target.npos;
         auto client = std::make_shared<raw_client>(m_context);
-        co_await client->connect(m_current[number]->port);
+        co_await client->connect(m_hosts[number].port);
         std::string bytes = fmt::format("GET {} HTTP/1.1\r\nHost: h.example\r\n"
                                         "X-Azurehill-Request-Id: r{}\r\n"
                                         "X-Azurehill-Request-Deadline: 2000\r\n"
@@ -241,11 +221,10 @@
     std::uint16_t m_storePort = 0;
     std::deque<ending_replica> m_replicas;
     std::deque<daemon> m_hosts;
-    std::vector<daemon *> m_current;
     int m_attempts = 0;
 };
 
-/// The disruptions that the daemon can't tell from a replica that lives on.
+/// All disruptions: of none can the daemon tell at once whether the replica ended.
 constexpr std::array<disruption, 9> disruptions = {disruption::ClosesBeforeHead,
                                                    disruption::ClosesInsideBody,
                                                    disruption::FallsSilentBeforeHead,
