--- a/test/logic/crash_watch_test.cpp
+++ b/test/logic/crash_watch_test.cpp
@@ -92,7 +92,7 @@
             wait(milliseconds(200));
             CHECK(fates().empty());
         }
-        // Guards against a replica that is taken for alive since nothing was heard of it.
+        // Guards against a suspicion that expires although nothing was learnt of the replica.
         SUBCASE("of which nothing more becomes known: it stays a suspicion")
         {
             wait(seconds(15));
@@ -107,8 +107,8 @@
         }
     }
 
-    // Guards against a loss that is told by how the connection failed, or only once an entry
-    // lapses.
+    // Guards against losses that are recognised by the error of the connection, or only after an
+    // entry has lapsed.
     TEST_CASE_FIXTURE(watch_fixture, "a send that is lost in another way is a suspicion at once")
     {
         for (const send_loss loss : {send_loss::GivenUp, send_loss::Malformed}) {
@@ -214,7 +214,7 @@
                 {request, replica, i}, {send_loss::GivenUp, now, false},
                 [this](const replica_incarnation &) { return sight; }, now);
         CHECK(watch.size() == crash_watch::maxWatched);
-        // Those that are not watched are suspicions all the same.
+        // Unwatched sends are reported as suspicions too.
         CHECK(fates().size() == 2 * crash_watch::maxWatched);
     }
 
