Tests: replicas that are asked, and what they lose meanwhile

replica_prober had no test of its own, and the settling send by send none at all. 'replicas that lost a request and live are asked, and it is sent at once' plays the whole daemon without other traffic, so that nothing but the asking can clear a suspicion. The fixture of 'requests whose sends are lost' pauses the clock for the whole test: between two calls it went back, and a deadline was then ahead.

--- a/test/io/lost_request_test.cpp
+++ b/test/io/lost_request_test.cpp
@@ -81,6 +81,14 @@
     {
         run(askRepeatedly(time, std::string(target)));
     }
+    /// \brief Sends one attempt of a request to the host number \p host. \returns its answer.
+    std::string ask(std::size_t host, std::string_view target)
+    {
+        std::string answer;
+        run(askOnce(host, std::string(target), answer));
+        return answer;
+    }
+
     int countEnded() const
     {
         return static_cast<int>(std::count_if(m_replicas.begin(), m_replicas.end(),
@@ -152,7 +160,6 @@
 
     void run(awaitable<void> body)
     {
-        const paused_clock pause;
         bool isDone = false;
         auto listing = [this, &isDone]() -> awaitable<void> {
             while (!isDone) {
@@ -214,6 +221,8 @@
             : milliseconds(std::int64_t(1000 * std::stod(answer.substr(at + name.size()))));
     }
 
+    /// For the whole test: a clock that goes on in between would go back.
+    const paused_clock m_pause;
     disruption m_how;
     asio::io_context m_context;
     row_store m_rows;
@@ -274,6 +283,20 @@
             }
         }
     }
+
+    // Guards against a request that is refused because nothing was heard of replicas that live.
+    TEST_CASE("replicas that lost a request and live are asked, and it is sent at once")
+    {
+        for (const disruption how : {disruption::ClosesBeforeHead, disruption::ClosesInsideBody}) {
+            CAPTURE(std::string(toName(how)));
+            lost_request_fixture fixture(how, false);
+            constexpr int attempts = 2 * hosts;
+            for (int i = 0; i < attempts; ++i)
+                CHECK(fixture.ask(std::size_t(i) % hosts, "/unsafe/marked").find("503")
+                      == std::string::npos);
+            CHECK(fixture.sends == attempts);
+        }
+    }
 }
 
 } // namespace azurehill::test
--- a/test/io/request_quarantine_test.cpp
+++ b/test/io/request_quarantine_test.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <functional>
 
 namespace azurehill::test {
 
@@ -53,11 +54,14 @@
     /// \brief The daemon number \p host gives up a send to the replica number \p replica.
     void lose(std::size_t host, int replica)
     {
-        const lost_send lost{request, replicaNumber(replica), std::uint64_t(replica)};
-        const loss_observation seen{send_loss::GivenUp, runtime_clock::now() + workTime, false};
-        m_daemons[host].quarantine.onSendLost(lost, seen, lookup());
+        recordLoss(host, replica, {send_loss::GivenUp, runtime_clock::now() + workTime, false});
         wait(milliseconds(200));
     }
+    /// \brief A connection of the daemon number \p host to the replica number \p replica ends.
+    void loseConnection(std::size_t host, int replica)
+    {
+        recordLoss(host, replica, {send_loss::ConnectionEnded, runtime_clock::now(), false});
+    }
     /// \brief Removes the entry of the replica number \p replica.
     void unlist(int replica) { std::erase(m_listed, digestOf(replicaNumber(replica))); }
     /// \brief Lets time pass for all daemons but those before \p firstHost.
@@ -90,6 +94,8 @@
     /// What a replica that is asked shows.
     process_sight sight = process_sight::Unknown;
     int inquiries = 0;
+    /// Called while the replicas are asked.
+    std::function<void()> onInquiry;
 
 private:
     struct daemon
@@ -104,8 +110,15 @@
     awaitable<std::vector<process_sight>> inquire(std::size_t count)
     {
         ++inquiries;
+        if (onInquiry)
+            onInquiry();
         co_return std::vector<process_sight>(count, sight);
     }
+    void recordLoss(std::size_t host, int replica, const loss_observation &seen)
+    {
+        m_daemons[host].quarantine.onSendLost({request, replicaNumber(replica), ++m_sends}, seen,
+                                              lookup());
+    }
     replica_lookup lookup() const
     {
         return [this](const replica_incarnation &who) {
@@ -119,6 +132,7 @@
     asio::io_context m_context;
     std::deque<daemon> m_daemons;
     std::vector<std::uint64_t> m_listed;
+    std::uint64_t m_sends = 0;
 };
 
 template <class Verdict>
@@ -176,6 +190,17 @@
             CHECK(is<send_allowed>(settledVerdict(0)));
             CHECK(inquiries == 1);
         }
+        // Guards against a sign of life that clears a loss which came after it.
+        SUBCASE("and what they lose meanwhile stays a suspicion")
+        {
+            wait(workTime);
+            sight = process_sight::Alive;
+            onInquiry = [this] {
+                for (const int replica : {1, 2, 3})
+                    loseConnection(0, replica);
+            };
+            CHECK(is<send_deferred>(settledVerdict(0)));
+        }
         SUBCASE("and if other processes have their addresses, it is not sent any more")
         {
             wait(workTime);
