--- a/test/io/ending_replica.h
+++ b/test/io/ending_replica.h
@@ -34,7 +34,11 @@
     /// It sends one interim response after the other.
     SendsInterimHeads,
     /// It still works on the request when its client leaves.
-    WorksOn
+    WorksOn,
+    /// It closes the connection before the answer, and answers other requests for a while.
+    ClosesAndLingers,
+    /// It sends its answer bit by bit, and its entry is removed meanwhile.
+    OutlivesEntry
 };
 
 } // namespace azurehill::test
@@ -44,10 +48,11 @@
 template <>
 struct enum_names<test::disruption>
 {
-    static constexpr std::array<std::string_view, 9> names
+    static constexpr std::array<std::string_view, 11> names
         = {"closes_before_head",       "closes_inside_body",  "falls_silent_before_head",
            "falls_silent_inside_body", "sends_garbage",       "sends_foreign_answer",
-           "sends_broken_chunk",       "sends_interim_heads", "works_on"};
+           "sends_broken_chunk",       "sends_interim_heads", "works_on",
+           "closes_and_lingers",       "outlives_entry"};
 };
 
 } // namespace azurehill
@@ -76,7 +81,7 @@
 
     bool hasEnded() const { return m_endedAt.has_value(); }
     /// \returns whether the entry of the replica, which ended, is no longer in the store.
-    bool hasLapsed() const { return m_endedAt && runtime_clock::now() >= *m_endedAt + lapseTime; }
+    bool hasLapsed() const { return m_lapsesAt && runtime_clock::now() >= *m_lapsesAt; }
 
     replica_entry entry;
     /// Called when a marked request arrives.
@@ -90,6 +95,13 @@
     static constexpr duration lapseTime = milliseconds(3800);
     /// Time between the last bytes and the end of the process.
     static constexpr duration lastBytesTime = milliseconds(50);
+    /// Time for which a replica that closed the connection goes on.
+    static constexpr duration lingerTime = seconds(1);
+    /// Time after which the entry of a replica that is not at its end is removed, and time between
+    /// the bits of its answer.
+    static constexpr duration earlyLapseTime = milliseconds(100);
+    static constexpr duration bitInterval = milliseconds(50);
+    static constexpr int bits = 20;
 
     awaitable<void> acceptAll()
     {
@@ -136,13 +148,32 @@
         }
         if (m_how == disruption::WorksOn)
             co_await sleepFor(workTime);
+        if (m_how == disruption::OutlivesEntry)
+            co_await sendBits(socket, isStream(request));
         co_await sleepFor(lastBytesTime);
         boost::system::error_code ignored;
         socket->close(ignored);
+        if (m_how == disruption::ClosesAndLingers)
+            co_await sleepFor(lingerTime);
         if (m_endsAfterwards)
             end();
     }
 
+    /// \brief Sends more and more of a body, whose end does not come. The entry is removed
+    /// meanwhile if the replica is to end.
+    awaitable<void> sendBits(socket_ptr socket, bool isOfStream)
+    {
+        if (m_endsAfterwards)
+            m_lapsesAt = runtime_clock::now() + earlyLapseTime;
+        for (int i = 0; i < bits; ++i) {
+            co_await sleepFor(bitInterval);
+            const std::string body
+                = isOfStream ? fmt::format("id: {}\ndata: e\n\n", i + 2) : std::string("o");
+            std::string chunk = fmt::format("{:x}\r\n{}\r\n", body.size(), body);
+            co_await write(socket, std::move(chunk));
+        }
+    }
+
     /// \returns what the replica sends before it ends or breaks off.
     std::string bytesBeforeEnd(const std::string &request) const
     {
@@ -152,9 +183,11 @@
         case disruption::ClosesBeforeHead:
         case disruption::FallsSilentBeforeHead:
         case disruption::WorksOn:
+        case disruption::ClosesAndLingers:
             break;
         case disruption::ClosesInsideBody:
         case disruption::FallsSilentInsideBody:
+        case disruption::OutlivesEntry:
             return beginningOfAnswer(request);
         case disruption::SendsGarbage:
             return "these bytes are no answer\r\n\r\n";
@@ -173,17 +206,25 @@
     /// \brief Ends the process: its sockets are closed.
     void end()
     {
-        m_endedAt = m_endedAt.value_or(runtime_clock::now());
+        setEnded();
         boost::system::error_code ignored;
         m_acceptor.close(ignored);
         for (const socket_ptr &socket : m_sockets)
             socket->close(ignored);
     }
 
+    void setEnded()
+    {
+        if (m_endedAt)
+            return;
+        m_endedAt = runtime_clock::now();
+        m_lapsesAt = m_lapsesAt.value_or(*m_endedAt + lapseTime);
+    }
+
     /// \brief Cuts the power of the host: nothing is closed, and no connection is accepted.
     void goDark()
     {
-        m_endedAt = m_endedAt.value_or(runtime_clock::now());
+        setEnded();
         m_isDark = true;
         boost::system::error_code ignored;
         m_acceptor.cancel(ignored);
@@ -273,6 +314,8 @@
     bool m_endsAfterwards;
     bool m_isDark = false;
     std::optional<time_point> m_endedAt;
+    /// When the entry is removed.
+    std::optional<time_point> m_lapsesAt;
     std::vector<socket_ptr> m_sockets;
 };
 
--- a/test/io/lost_request_test.cpp
+++ b/test/io/lost_request_test.cpp
@@ -234,15 +234,16 @@
 };
 
 /// All disruptions: of none can the daemon tell at once whether the replica ended.
-constexpr std::array<disruption, 9> disruptions = {disruption::ClosesBeforeHead,
-                                                   disruption::ClosesInsideBody,
-                                                   disruption::FallsSilentBeforeHead,
-                                                   disruption::FallsSilentInsideBody,
-                                                   disruption::SendsGarbage,
-                                                   disruption::SendsForeignAnswer,
-                                                   disruption::SendsBrokenChunk,
-                                                   disruption::SendsInterimHeads,
-                                                   disruption::WorksOn};
+constexpr std::array<disruption, 10> disruptions = {disruption::ClosesBeforeHead,
+                                                    disruption::ClosesInsideBody,
+                                                    disruption::FallsSilentBeforeHead,
+                                                    disruption::FallsSilentInsideBody,
+                                                    disruption::SendsGarbage,
+                                                    disruption::SendsForeignAnswer,
+                                                    disruption::SendsBrokenChunk,
+                                                    disruption::SendsInterimHeads,
+                                                    disruption::WorksOn,
+                                                    disruption::OutlivesEntry};
 
 } // namespace
 
@@ -266,6 +267,19 @@
         }
     }
 
+    // Guards against a sign of life that clears a replica whose process is about to end.
+    TEST_CASE("no replica gets a request under which three have ended after they answered others")
+    {
+        for (const std::string_view prefix : prefixes) {
+            CAPTURE(std::string(prefix));
+            lost_request_fixture fixture(disruption::ClosesAndLingers, true);
+            fixture.askFor(seconds(16), fmt::format("{}marked", prefix));
+            CHECK(fixture.countEnded() >= maxEnded);
+            CHECK(fixture.sentAfterwards == 0);
+            CHECK(fixture.refusedOthers == 0);
+        }
+    }
+
     // Guards against a request that is refused although its replicas misbehave and live.
     TEST_CASE("a request whose sends are lost by replicas that live is sent again")
     {
