Bytes after the entry lapsed are no proof of a planned end

Callers saw: a request whose replicas lose their entries while they still write, and then end, was sent on to 11 of 12 replicas (non-idempotent), 6 of 12 (stream). Cause: such a replica was taken for one that leaves without an announcement, so its lost send was no evidence at all. A process whose heartbeat has stopped looks the same. Why it works: only an announced end is planned; every other lost send is evidence. A replica removed without a word, as a release may do, now counts as one of three when it cuts a request; new sends don't go to it, so one request meets three of them only by three planned ends in a row.

The subcase of crash_watch_test named a removed entry where its flag now stands for an announcement; its checks are unchanged, and 'a send that is lost after the entry lapsed counts' covers the other.

--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -60,8 +60,6 @@
     time_point replicaAliveAt;
     /// Whether that replica is known to leave.
     bool isReplicaLeaving = false;
-    /// When the entry of the replica was first seen to be gone, if it is.
-    std::optional<time_point> unlistedAt;
     time_point sentAt;
     time_point lastByteAt;
     /// When the current send is aborted in favour of another replica, if ever.
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -104,8 +104,7 @@
 {
     // A replica stops work at the deadline that it was given, and at the end of its own answer.
     const bool mayWorkOn = loss == send_loss::GivenUp || loss == send_loss::Malformed;
-    const bool hasOutlivedEntry = call.unlistedAt && call.lastByteAt > *call.unlistedAt;
-    return {loss, mayWorkOn ? call.deadline : now, call.isReplicaLeaving || hasOutlivedEntry};
+    return {loss, mayWorkOn ? call.deadline : now, call.isReplicaLeaving};
 }
 
 /// \brief Reads the rest of a refusal, so that the connection can be reused, unless it is long.
@@ -187,7 +186,7 @@
     m_quarantine.update([this](const replica_incarnation &who) { return sightOf(who); });
     const std::set<entry_call_ptr> calls = m_inFlight;
     for (const entry_call_ptr &call : calls) {
-        observeReplica(*call, now);
+        observeReplica(*call);
         if (call->abortReason != abort_reason::None)
             continue;
         if (now >= call->deadline)
@@ -199,11 +198,9 @@
     }
 }
 
-void upstream_sender::observeReplica(entry_call &call, time_point now) const
+void upstream_sender::observeReplica(entry_call &call) const
 {
     call.isReplicaLeaving = call.isReplicaLeaving || m_loadBalancer.isDraining(call.replica);
-    if (!call.unlistedAt && !m_loadBalancer.isListed(call.replica))
-        call.unlistedAt = now;
 }
 
 replica_sight upstream_sender::sightOf(const replica_incarnation &who) const
@@ -278,7 +275,6 @@
     call->replica = where.replica.incarnation;
     call->replicaAddress = address;
     call->isReplicaLeaving = false;
-    call->unlistedAt.reset();
     call->sentAt = runtime_clock::now();
     call->lastByteAt = call->sentAt;
     call->attemptDeadline.reset();
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -111,7 +111,7 @@
     /// \returns whether \p who has ended, as far as \p failure of a send to it and the list show.
     bool isEnded(const replica_incarnation &who, const send_failure &failure) const;
     /// \brief Keeps what the list tells of the replica of \p call while its send is in flight.
-    void observeReplica(entry_call &call, time_point now) const;
+    void observeReplica(entry_call &call) const;
     replica_sight sightOf(const replica_incarnation &who) const;
     /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
     void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end);
--- a/src/quarantine/send_loss.h
+++ b/src/quarantine/send_loss.h
@@ -35,8 +35,7 @@
     send_loss loss = send_loss::ConnectionEnded;
     /// When the replica certainly no longer works on the request, if its process lives.
     time_point workUntil;
-    /// Whether the replica was known to leave, or sent bytes after its entry was removed: it ended
-    /// as planned.
+    /// Whether the replica had announced that it leaves: it ended as planned.
     bool wasLeaving = false;
 };
 
--- a/test/logic/crash_watch_test.cpp
+++ b/test/logic/crash_watch_test.cpp
@@ -197,7 +197,7 @@
         {
             sight.isDraining = true;
         }
-        SUBCASE("its entry was removed before, and it served on")
+        SUBCASE("it drained, and its entry was removed before the send was lost")
         {
             sight.isListed = false;
             wasLeaving = true;
