A sign of life clears a lost send only after its deadline

Callers saw: a request whose replicas close the connection, answer others for a second and then end was sent on to all twelve; 9 to 11 sends followed the third end. Cause: for a connection that ended, any later byte of the process, or an answer to a check, cleared the suspicion for good, while the process was about to end. Why it works: until the deadline of the send, an end counts as one under the request, so bytes and checks clear nothing. A check that is answered lets the request be sent this once; the next decision asks again, so replicas that only break answers off still don't keep a request back. What a replica may still do travels with the reports, so that all daemons decide alike; daemons of earlier versions leave it out.

More than three may end in this way: those that were alive when the request was sent.

--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -60,30 +60,40 @@
 awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
 {
     co_await waitUntilShared(request);
-    const bool isDeferred = std::holds_alternative<send_deferred>(verdict(request));
-    if (isDeferred && m_inquiry)
-        co_await settleSuspicions(request);
-    co_return verdict(request);
+    const send_verdict known = verdict(request);
+    if (!std::holds_alternative<send_deferred>(known) || !m_inquiry)
+        co_return known;
+    const std::vector<crash_evidence> alive = co_await settleSuspicions(request);
+    co_return m_ledger.verdict(request, runtime_clock::now(), alive);
 }
 
-awaitable<void> request_quarantine::settleSuspicions(request_fingerprint request)
+awaitable<std::vector<crash_evidence>>
+request_quarantine::settleSuspicions(request_fingerprint request)
 {
+    std::vector<crash_evidence> alive;
     crash_report found{request, duration::zero(),
                        m_ledger.suspicions(request, runtime_clock::now())};
     if (found.evidence.empty())
-        co_return;
+        co_return alive;
+    const bool isClearedByLife = m_ledger.isClearedByLife(request, runtime_clock::now());
     std::vector<std::uint64_t> suspects;
     std::transform(found.evidence.begin(), found.evidence.end(), std::back_inserter(suspects),
                    [](const crash_evidence &e) { return e.replica; });
     const std::vector<process_sight> seen = co_await m_inquiry(std::move(suspects));
-    for (std::size_t i = 0; i < seen.size(); ++i)
-        found.evidence[i].fate = fateBy(seen[i]);
+    for (std::size_t i = 0; i < seen.size(); ++i) {
+        const replica_fate fate = fateBy(seen[i]);
+        if (fate == replica_fate::Cleared && !isClearedByLife)
+            alive.push_back(found.evidence[i]);
+        else
+            found.evidence[i].fate = fate;
+    }
     const bool isNew = m_ledger.merge(found, runtime_clock::now());
-    if (!isNew)
-        co_return;
-    logVerdict(request);
-    startSharing(request, crash_audience::AsNeeded);
-    co_await waitUntilShared(request);
+    if (isNew) {
+        logVerdict(request);
+        startSharing(request, crash_audience::AsNeeded);
+        co_await waitUntilShared(request);
+    }
+    co_return alive;
 }
 
 void request_quarantine::onSendLost(const lost_send &lost, const loss_observation &seen,
--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -39,7 +39,8 @@
 /// time. A daemon that is cut off from the others decides by what it knows itself.
 ///
 /// Before a request is deferred, the replicas that may have ended under it are asked whether they
-/// live, so that slow replicas and cut connections don't keep it back.
+/// live, so that slow replicas and cut connections don't keep it back. Those that may still end are
+/// asked again for each decision.
 class request_quarantine
 {
 public:
@@ -86,7 +87,8 @@
     /// \brief Records the findings on lost sends, and shares them with the other daemons.
     void processFindings();
     /// \brief Asks the replicas that may have ended under \p request whether they live.
-    awaitable<void> settleSuspicions(request_fingerprint request);
+    /// \returns the suspicions against those that do, and may still end.
+    awaitable<std::vector<crash_evidence>> settleSuspicions(request_fingerprint request);
     /// \brief Settles suspicions of daemons that may have ended themselves.
     void adoptSuspicions(time_point now);
     void startSharing(const request_fingerprint &request, crash_audience audience);
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -103,8 +103,8 @@
 loss_observation observe(const entry_call &call, send_loss loss, time_point now)
 {
     // A replica stops work at the deadline that it was given, and at the end of its own answer.
-    const bool mayWorkOn = loss == send_loss::GivenUp || loss == send_loss::Malformed;
-    return {loss, mayWorkOn ? call.deadline : now, call.isReplicaLeaving};
+    const bool hasAnswered = loss == send_loss::EndedWithConnection;
+    return {loss, hasAnswered ? now : call.deadline, call.isReplicaLeaving};
 }
 
 /// \brief Reads the rest of a refusal, so that the connection can be reused, unless it is long.
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -22,7 +22,8 @@
     return {finding.lost.request,
             duration::zero(),
             {{digestOf(finding.lost.replica), finding.lost.send, finding.fate}},
-            finding.workLeft};
+            finding.workLeft,
+            finding.endLeft};
 }
 
 bool crash_ledger::mergeOne(record &r, const crash_evidence &evidence)
@@ -61,28 +62,29 @@
     if (isNew) {
         r.latestAt = std::max(r.latestAt, now - std::max(report.age, duration::zero()));
         r.workUntil = std::max(r.workUntil, now + report.workLeft);
+        r.mayEndUntil = std::max({r.mayEndUntil, r.workUntil, now + report.endLeft});
     }
     return isNew;
 }
 
-crash_ledger::crash_count crash_ledger::countOf(const record &r)
+crash_ledger::crash_count crash_ledger::countOf(const std::vector<crash_evidence> &evidence)
 {
     crash_count count;
-    for (auto e = r.evidence.begin(); e != r.evidence.end(); ++e) {
+    for (auto e = evidence.begin(); e != evidence.end(); ++e) {
         const auto isOfReplica = [e](replica_fate fate) {
             return [e, fate](const crash_evidence &other) {
                 return other.replica == e->replica && other.fate == fate;
             };
         };
         const auto isKnown = [&](auto end, replica_fate fate) {
-            return std::any_of(r.evidence.begin(), end, isOfReplica(fate));
+            return std::any_of(evidence.begin(), end, isOfReplica(fate));
         };
         if (isKnown(e, e->fate))
             continue;
         if (e->fate == replica_fate::Ended)
             ++count.ended;
         else if (e->fate == replica_fate::Suspected
-                 && !isKnown(r.evidence.end(), replica_fate::Ended))
+                 && !isKnown(evidence.end(), replica_fate::Ended))
             ++count.suspected;
     }
     return count;
@@ -95,13 +97,19 @@
     return now >= r.latestAt + (hasEnded ? lifetime : suspicionLifetime);
 }
 
-send_verdict crash_ledger::verdict(const request_fingerprint &request, time_point now) const
+send_verdict crash_ledger::verdict(const request_fingerprint &request, time_point now,
+                                   const std::vector<crash_evidence> &alive) const
 {
     const auto found = m_records.find(request);
     if (found == m_records.end() || isExpired(found->second, now))
         return send_allowed();
     const record &r = found->second;
-    crash_count count = countOf(r);
+    std::vector<crash_evidence> counted;
+    std::copy_if(r.evidence.begin(), r.evidence.end(), std::back_inserter(counted),
+                 [&alive](const crash_evidence &e) {
+                     return std::find(alive.begin(), alive.end(), e) == alive.end();
+                 });
+    crash_count count = countOf(counted);
     if (count.ended >= maxEndedReplicas)
         return send_rejected{count.ended};
     if (now >= r.latestAt + suspicionLifetime)
@@ -125,6 +133,12 @@
     return result;
 }
 
+bool crash_ledger::isClearedByLife(const request_fingerprint &request, time_point now) const
+{
+    const auto found = m_records.find(request);
+    return found != m_records.end() && now >= found->second.mayEndUntil;
+}
+
 std::vector<request_fingerprint> crash_ledger::adoptSuspicions(const fate_lookup &fateOf,
                                                                time_point now)
 {
@@ -149,8 +163,9 @@
 crash_report crash_ledger::reportOf(const request_fingerprint &request, const record &r,
                                     time_point now)
 {
-    return {request, now - r.latestAt, r.evidence,
-            std::max<duration>(r.workUntil - now, duration::zero())};
+    const auto timeLeft
+        = [now](time_point until) { return std::max<duration>(until - now, duration::zero()); };
+    return {request, now - r.latestAt, r.evidence, timeLeft(r.workUntil), timeLeft(r.mayEndUntil)};
 }
 
 std::optional<crash_report> crash_ledger::find(const request_fingerprint &request,
@@ -191,7 +206,7 @@
 void crash_ledger::evictOne()
 {
     const auto rank = [](const auto &item) {
-        const crash_count count = countOf(item.second);
+        const crash_count count = countOf(item.second.evidence);
         return std::tuple(count.ended, count.suspected, item.second.latestAt);
     };
     const auto least
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -30,6 +30,8 @@
     std::vector<crash_evidence> evidence;
     /// Time for which replicas may still work on a lost send.
     duration workLeft = duration::zero();
+    /// Time for which an end of such a replica counts as one under the request.
+    duration endLeft = duration::zero();
 };
 
 /// \returns the digest of \p who, by which evidence names it. All daemons compute it alike.
@@ -65,8 +67,10 @@
 
     /// \brief Merges \p report. \returns whether it says anything new.
     bool merge(const crash_report &report, time_point now);
-    /// \returns whether \p request may be sent to a replica.
-    send_verdict verdict(const request_fingerprint &request, time_point now) const;
+    /// \brief Decides whether a request may be sent to a replica.
+    /// \param alive suspicions against replicas that were seen alive just now. They don't count.
+    send_verdict verdict(const request_fingerprint &request, time_point now,
+                         const std::vector<crash_evidence> &alive = {}) const;
     /// \returns what is known of \p request, or nothing.
     std::optional<crash_report> find(const request_fingerprint &request, time_point now) const;
     /// \returns the reports of all requests that may not be sent.
@@ -75,6 +79,9 @@
     /// work on it.
     std::vector<crash_evidence> suspicions(const request_fingerprint &request,
                                            time_point now) const;
+    /// \returns whether a sign of life of a replica clears the suspicions against it under \p
+    /// request: an end of its process no longer counts as one under the request.
+    bool isClearedByLife(const request_fingerprint &request, time_point now) const;
     /// \brief Settles the suspicions older than adoptionTime whose fate \p fateOf finds.
     /// \returns the requests of which that is news.
     std::vector<request_fingerprint> adoptSuspicions(const fate_lookup &fateOf, time_point now);
@@ -84,11 +91,13 @@
     void expire(time_point now);
     std::size_t size() const { return m_records.size(); }
 
-    /// \returns whether one more crash under a request with \p verdict reaches the limit.
+    /// \returns whether one more crash under a request with \p verdict reaches the limit, or goes
+    /// beyond it if the suspected replicas end as well.
     static bool isLastAllowed(const send_verdict &verdict)
     {
         const auto *allowed = std::get_if<send_allowed>(&verdict);
-        return allowed && allowed->crashes + 1 >= maxEndedReplicas;
+        return allowed ? allowed->crashes + 1 >= maxEndedReplicas
+                       : std::holds_alternative<send_deferred>(verdict);
     }
 
 private:
@@ -98,6 +107,8 @@
         time_point latestAt;
         /// When no replica works on a lost send any more.
         time_point workUntil;
+        /// When no end of a replica counts as one under the request any more.
+        time_point mayEndUntil;
     };
     /// \brief Distinct replicas that ended under a request, and that may have.
     struct crash_count
@@ -106,7 +117,7 @@
         int suspected = 0;
     };
 
-    static crash_count countOf(const record &r);
+    static crash_count countOf(const std::vector<crash_evidence> &evidence);
     static bool isExpired(const record &r, time_point now);
     static bool mergeOne(record &r, const crash_evidence &evidence);
     static crash_report reportOf(const request_fingerprint &request, const record &r,
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -23,7 +23,8 @@
         for (const crash_evidence &e : report.evidence)
             evidence.push_back(json::array{e.replica, e.send, static_cast<int>(e.fate)});
         list.push_back(json::array{toText(report.request), toMilliseconds(report.age),
-                                   std::move(evidence), toMilliseconds(report.workLeft)});
+                                   std::move(evidence), toMilliseconds(report.workLeft),
+                                   toMilliseconds(report.endLeft)});
     }
     return list;
 }
@@ -71,9 +72,11 @@
     crash_report report;
     report.request = *request;
     report.age = decodeTime(a.at(1));
-    // Daemons of an earlier version send no such time.
+    // Daemons of earlier versions don't send these times.
     if (a.size() > 3)
         report.workLeft = decodeTime(a.at(3));
+    if (a.size() > 4)
+        report.endLeft = decodeTime(a.at(4));
     for (const json::value &e : evidence)
         report.evidence.push_back(decodeEvidence(e.as_array()));
     return report;
--- a/src/quarantine/crash_watch.cpp
+++ b/src/quarantine/crash_watch.cpp
@@ -9,7 +9,7 @@
 
 /// Bytes that a process sent before it ended may be read after the end of one of its connections.
 constexpr duration lifeSignMargin = milliseconds(100);
-/// Time for which a lost send is watched after the replica can have worked on it. Entries lapse
+/// Time for which a lost send is watched once an end of its replica no longer counts. Entries lapse
 /// after three of the replica's heartbeats, and a store that is away delays that.
 constexpr duration watchTime = seconds(15);
 /// Time after which an entry that lapsed in a store outage is no longer expected to return.
@@ -23,11 +23,20 @@
         || w.wasUnlisted;
 }
 
+time_point crash_watch::workUntil(const watched_send &w)
+{
+    const bool mayWorkOn = w.loss == send_loss::GivenUp || w.loss == send_loss::Malformed;
+    return mayWorkOn ? w.mayEndUntil : w.lostAt;
+}
+
 void crash_watch::report(const lost_send &lost, const watched_send &w, time_point now)
 {
-    if (isReported(w))
-        m_findings.push_back({lost, w.fate, w.loss, now - w.lostAt,
-                              std::max<duration>(w.workUntil - now, duration::zero())});
+    if (!isReported(w))
+        return;
+    const auto timeLeft
+        = [now](time_point until) { return std::max<duration>(until - now, duration::zero()); };
+    m_findings.push_back(
+        {lost, w.fate, w.loss, now - w.lostAt, timeLeft(workUntil(w)), timeLeft(w.mayEndUntil)});
 }
 
 void crash_watch::onSendLost(const lost_send &lost, const loss_observation &seen,
@@ -36,7 +45,7 @@
     const replica_sight sight = lookup(lost.replica);
     if (sight.isDraining || seen.wasLeaving)
         return;
-    watched_send w{seen.loss, now, std::max(seen.workUntil, now), replica_fate::Suspected, false};
+    watched_send w{seen.loss, now, std::max(seen.mayEndUntil, now), replica_fate::Suspected, false};
     if (!sight.isListed) {
         // Its answer ended with the connection, and so long before the entry lapsed.
         if (seen.loss == send_loss::EndedWithConnection)
@@ -72,7 +81,7 @@
         w.wasUnlisted = w.wasUnlisted || !sight.isListed;
         return;
     }
-    const time_point provenFrom = std::max(w.lostAt + lifeSignMargin, w.workUntil);
+    const time_point provenFrom = std::max(w.lostAt + lifeSignMargin, w.mayEndUntil);
     if (sight.lastReceivedAt > provenFrom || sight.isDraining) {
         setFate(lost, w, replica_fate::Cleared, now);
     } else if (!sight.isListed) {
@@ -89,7 +98,7 @@
         const watched_send &w = item.second;
         if (w.fate == replica_fate::Ended)
             return now >= w.lostAt + returnTime;
-        return w.fate == replica_fate::Cleared || now >= w.workUntil + watchTime;
+        return w.fate == replica_fate::Cleared || now >= w.mayEndUntil + watchTime;
     });
 }
 
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -47,6 +47,8 @@
     duration after = duration::zero();
     /// Time for which the replica may still work on the request.
     duration workLeft = duration::zero();
+    /// Time for which an end of its process counts as one under the request.
+    duration endLeft = duration::zero();
 };
 
 /// \brief What this daemon sees of a replica at present.
@@ -66,9 +68,9 @@
 ///
 /// How the send was lost does not show that, so each lost send is a suspicion at once. A process
 /// has ended once its entry is gone, another process has its address, or a newer one its id, unless
-/// it showed a sign of life after it can have worked on the request, or had announced that it
-/// leaves. An entry that comes back after an outage of the store is a sign of life too. Time alone
-/// clears nothing.
+/// it showed a sign of life after an end would have counted as one under the request, or had
+/// announced that it leaves. An entry that comes back after an outage of the store is a sign of
+/// life too. Time alone clears nothing.
 class crash_watch
 {
 public:
@@ -95,13 +97,15 @@
     {
         send_loss loss = send_loss::ConnectionEnded;
         time_point lostAt;
-        time_point workUntil;
+        time_point mayEndUntil;
         replica_fate fate = replica_fate::Suspected;
         /// Whether the entry of the replica was gone.
         bool wasUnlisted = false;
     };
 
     static bool isReported(const watched_send &w);
+    /// \returns when the replica certainly no longer works on the request, if its process lives.
+    static time_point workUntil(const watched_send &w);
     void report(const lost_send &lost, const watched_send &w, time_point now);
     void setFate(const lost_send &lost, watched_send &w, replica_fate fate, time_point now);
     void updateOne(const lost_send &lost, watched_send &w, const replica_sight &sight,
--- a/src/quarantine/send_loss.h
+++ b/src/quarantine/send_loss.h
@@ -33,8 +33,8 @@
 struct loss_observation
 {
     send_loss loss = send_loss::ConnectionEnded;
-    /// When the replica certainly no longer works on the request, if its process lives.
-    time_point workUntil;
+    /// Until when an end of the process counts as one under the request.
+    time_point mayEndUntil;
     /// Whether the replica had announced that it leaves: it ended as planned.
     bool wasLeaving = false;
 };
--- a/test/io/request_quarantine_test.cpp
+++ b/test/io/request_quarantine_test.cpp
@@ -58,9 +58,11 @@
         wait(milliseconds(200));
     }
     /// \brief A connection of the daemon number \p host to the replica number \p replica ends.
-    void loseConnection(std::size_t host, int replica)
+    /// \param timeToEnd time for which an end of the replica counts as one under the request.
+    void loseConnection(std::size_t host, int replica, duration timeToEnd = duration::zero())
     {
-        recordLoss(host, replica, {send_loss::ConnectionEnded, runtime_clock::now(), false});
+        recordLoss(host, replica,
+                   {send_loss::ConnectionEnded, runtime_clock::now() + timeToEnd, false});
     }
     /// \brief Removes the entry of the replica number \p replica.
     void unlist(int replica) { std::erase(m_listed, digestOf(replicaNumber(replica))); }
@@ -214,6 +216,30 @@
             CHECK(inquiries == 1);
         }
     }
+
+    // Guards against a replica that answers a check, ends, and counts as alive from then on.
+    TEST_CASE_FIXTURE(quarantine_fixture, "a replica that may still end is asked for each decision")
+    {
+        for (const int replica : {1, 2, 3})
+            loseConnection(0, replica, workTime);
+        wait(milliseconds(200));
+        sight = process_sight::Alive;
+        CHECK(is<send_allowed>(settledVerdict(0)));
+        CHECK(is<send_allowed>(settledVerdict(1)));
+        CHECK(inquiries == 2);
+
+        SUBCASE("and if it no longer answers, the request is deferred")
+        {
+            sight = process_sight::Unknown;
+            CHECK(is<send_deferred>(settledVerdict(2)));
+        }
+        SUBCASE("until its end would have other reasons")
+        {
+            wait(workTime);
+            CHECK(is<send_allowed>(settledVerdict(2)));
+            CHECK(is<send_allowed>(verdict(2)));
+        }
+    }
 }
 
 } // namespace azurehill::test
--- a/test/logic/crash_ledger_test.cpp
+++ b/test/logic/crash_ledger_test.cpp
@@ -177,8 +177,12 @@
 
     TEST_CASE("a message is decoded as it was encoded, or refused")
     {
-        const crash_notice notice{
-            7, {{requestNumber(1), seconds(2), {{~0ULL, 3, replica_fate::Ended}}, seconds(3)}}};
+        const crash_notice notice{7,
+                                  {{requestNumber(1),
+                                    seconds(2),
+                                    {{~0ULL, 3, replica_fate::Ended}},
+                                    seconds(3),
+                                    seconds(4)}}};
         const auto decoded = decodeCrashMessage(encodeCrashMessage(notice));
         REQUIRE(decoded);
         const auto &again = std::get<crash_notice>(*decoded);
@@ -186,6 +190,7 @@
         CHECK(again.reports.front().request == requestNumber(1));
         CHECK(again.reports.front().age == seconds(2));
         CHECK(again.reports.front().workLeft == seconds(3));
+        CHECK(again.reports.front().endLeft == seconds(4));
         CHECK(again.reports.front().evidence == notice.reports.front().evidence);
         CHECK(std::holds_alternative<crash_query>(
             *decodeCrashMessage(encodeCrashMessage(crash_query()))));
--- a/test/logic/crash_watch_test.cpp
+++ b/test/logic/crash_watch_test.cpp
@@ -144,6 +144,32 @@
         }
     }
 
+    // Guards against a process that closes the connection, answers others, and only then ends.
+    TEST_CASE_FIXTURE(watch_fixture, "a replica that closed the connection may still end")
+    {
+        lose(send_loss::ConnectionEnded, seconds(4));
+        const std::vector<crash_finding> found = watch.takeFindings();
+        REQUIRE(found.size() == 1);
+        CHECK(found.front().workLeft == duration::zero());
+        CHECK(found.front().endLeft == seconds(4));
+
+        sight.lastReceivedAt = now + seconds(1);
+        wait(seconds(2));
+        CHECK(fates().empty());
+        SUBCASE("under the request, until its deadline")
+        {
+            sight.isListed = false;
+            wait(seconds(1));
+            CHECK(fates() == fate_list{replica_fate::Ended});
+        }
+        SUBCASE("for other reasons, afterwards")
+        {
+            sight.lastReceivedAt = now + seconds(3);
+            wait(seconds(4));
+            CHECK(fates() == fate_list{replica_fate::Cleared});
+        }
+    }
+
     TEST_CASE_FIXTURE(watch_fixture,
                       "a replica that answered others before it ended did not run the "
                       "request any more")
