--- a/test/io/lost_request_test.cpp
+++ b/test/io/lost_request_test.cpp
@@ -298,7 +298,7 @@
         }
     }
 
-    // Guards against a request that is refused because nothing was heard of replicas that live.
+    // Guards against a request that is refused although its replicas live and answer when asked.
     TEST_CASE("replicas that lost a request and live are asked, and it is sent at once")
     {
         for (const disruption how : {disruption::ClosesBeforeHead, disruption::ClosesInsideBody}) {
