A replica's status promises "not run" only where the replica says so

Cause: classifyReply took each answer without the Not-Run header for an ordinary one, whatever its status, and five functions pass the status of an ordinary answer on.

Ruled out: that the handlers are at fault (a check in each is the same fault waiting for the next one); that the answer's kind depends on the route (it does not: what a head proves does not depend on the request).

Change: the head alone decides. A status of 408, 425, 429 or 503 without the header is an unproven rejection. It never reaches those who pass answers on: the sender reads its body, counts the send as one that may have run, and as a failure of the replica if its status is a 5xx, as before. Requests that may be repeated go to another replica as after any lost answer; all others, and the last attempt, get 502 without the replica's stamp. A replica's Retry-After is kept for requests that may be repeated.

--- a/src/entry/client_request.h
+++ b/src/entry/client_request.h
@@ -72,6 +72,9 @@
     NotRun,
     /// Like NotRun; another replica has the address.
     WrongReplica,
+    /// The status promises a client that the request did not run, and nothing shows that it did
+    /// not.
+    UnprovenRejection,
     /// The head belongs to another request, or is not the replica's own.
     Foreign,
 };
@@ -79,8 +82,8 @@
 template <>
 struct enum_names<reply_kind>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"answer", "not_run", "wrong_replica", "foreign"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"answer", "not_run", "wrong_replica", "unproven_rejection", "foreign"};
 };
 
 /// \brief Kinds of answers that the daemon itself gives in place of a replica.
@@ -100,6 +103,8 @@
     Quarantined,
     /// The request may have run.
     UpstreamFailed,
+    /// The request may have run, although its replica rejected it.
+    UpstreamRejected,
     /// The request may have run; its deadline has passed.
     TimedOut,
 };
@@ -107,9 +112,9 @@
 template <>
 struct enum_names<local_reply>
 {
-    static constexpr std::array<std::string_view, 11> names
+    static constexpr std::array<std::string_view, 12> names
         = {"no_route", "no_access",  "no_such_turn", "budget_spent", "malformed", "too_large",
-           "refused",  "over_quota", "quarantined",  "broken",       "timed_out"};
+           "refused",  "over_quota", "quarantined",  "broken",       "rejected",  "timed_out"};
 };
 
 } // namespace azurehill
--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -1,6 +1,5 @@
-#include "entry/local_reply_writer.h"
-
 #include "core/log_event.h"
+#include "entry/local_reply_writer.h"
 #include "platform/ingress.h"
 
 #include <fmt/format.h>
@@ -12,10 +11,12 @@
 /// Cause of a refusal by a daemon that stops.
 constexpr std::string_view shuttingDownDetail = "the daemon is shutting down";
 
-/// \returns whether \p answer tells the client when to retry.
-bool hasRetryAfter(local_reply answer)
+/// \returns when the client of \p answer is told to retry, if it is.
+std::optional<duration> retryAfterFor(local_reply answer, duration retryAfter)
 {
-    return answer == local_reply::Refused || answer == local_reply::OverQuota;
+    const bool isRefusal = answer == local_reply::Refused || answer == local_reply::OverQuota;
+    const bool isStated = answer == local_reply::UpstreamRejected && retryAfter > duration::zero();
+    return isRefusal || isStated ? std::optional(retryAfter) : std::nullopt;
 }
 
 /// \brief The local reply to a request that may not be sent.
@@ -57,23 +58,23 @@
         detail = shuttingDownDetail;
         retryAfter = duration::zero();
     }
-    logDecision(
-        log_event::LocalReply,
-        {{"request", call->request.id},
-         {"program", call->request.program.value},
-         {"previous", call->request.previousTurn.value},
-         {"answer", std::string(toName(answer))},
-         {"detail", detail},
-         {"fingerprint", toText(call->fingerprint)},
-         {"account", call->accountName().value},
-         {"route", call->route ? call->route->name : std::string()},
-         {"sends", std::int64_t(call->sends)},
-         {"retry_after_ms", hasRetryAfter(answer) ? toMilliseconds(retryAfter) : std::int64_t(0)},
-         {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
+    const std::optional<duration> wait = retryAfterFor(answer, retryAfter);
+    logDecision(log_event::LocalReply,
+                {{"request", call->request.id},
+                 {"program", call->request.program.value},
+                 {"previous", call->request.previousTurn.value},
+                 {"answer", std::string(toName(answer))},
+                 {"detail", detail},
+                 {"fingerprint", toText(call->fingerprint)},
+                 {"account", call->accountName().value},
+                 {"route", call->route ? call->route->name : std::string()},
+                 {"sends", std::int64_t(call->sends)},
+                 {"retry_after_ms", toMilliseconds(wait.value_or(duration::zero()))},
+                 {"ms", toMilliseconds(runtime_clock::now() - call->arrivedAt)}});
     // Only the text before a colon becomes a label: what follows are figures, which would create a
     // time series each.
     m_metrics.onAnswer(toName(answer), std::string_view(detail).substr(0, detail.find(':')));
-    http_response response = encodeLocalReply(answer, detail, retryAfter);
+    http_response response = encodeLocalReply(answer, detail, wait);
     call->isLocalReply = true;
     co_await writer.write(std::move(response));
 }
@@ -91,6 +92,11 @@
         co_await replyWithVerdict(call, verdict, writer);
         co_return;
     }
+    if (failure.end == send_outcome::Failed) {
+        const duration retryAfter = failure.retryAfter.value_or(duration::zero());
+        co_await write(call, local_reply::UpstreamRejected, failure.detail, writer, retryAfter);
+        co_return;
+    }
     local_reply answer = local_reply::Refused;
     const bool isInTime = runtime_clock::now() < call->deadline;
     // An idempotent request may run again whatever happened to it, but gets no 503, which says that
--- a/src/entry/local_reply_writer.h
+++ b/src/entry/local_reply_writer.h
@@ -26,7 +26,8 @@
 
     /// \brief Answers \p call with \p answer.
     /// \param detail the cause, for log and metrics; what follows a colon are figures.
-    /// \param retryAfter when a retry makes sense; only for Refused and OverQuota.
+    /// \param retryAfter when a retry makes sense; only for Refused and OverQuota, and for
+    /// UpstreamRejected unless it is zero.
     awaitable<void> write(entry_call_ptr call, local_reply answer, std::string detail,
                           response_writer &writer, duration retryAfter = busyRetryAfter);
 
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -1,9 +1,10 @@
-#include "entry/upstream_sender.h"
-
 #include "core/log_event.h"
+#include "entry/upstream_sender.h"
 #include "platform/ingress.h"
 #include "runtime/runtime.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace azurehill {
@@ -108,17 +109,22 @@
 }
 
 /// \brief Reads the rest of a refusal, so that the connection can be reused, unless it is long.
-awaitable<void> discardBody(std::shared_ptr<http_connection> connection)
+/// \returns false if its end was not reached.
+awaitable<bool> discardBody(open_reply &reply)
 {
+    const std::shared_ptr<http_connection> connection = reply.connection;
     const time_point deadline = runtime_clock::now() + refusalBodyTimeout;
     std::size_t bytes = 0;
     while (bytes <= maxRefusalBody) {
         const auto chunk = co_await connection->readSome(deadline);
+        if (!chunk)
+            reply.setFailure(chunk.error());
         if (!chunk || chunk->empty())
-            co_return;
+            co_return chunk.has_value();
         bytes += chunk->size();
     }
     connection->close();
+    co_return false;
 }
 
 } // namespace
@@ -353,6 +359,11 @@
         reply.head = std::move(*head);
         co_return reply;
     }
+    if (kind == reply_kind::UnprovenRejection) {
+        reply.head = std::move(*head);
+        send_failure failure = co_await finishUnprovenRejection(call, reply);
+        co_return tl::unexpected(std::move(failure));
+    }
     if (kind == reply_kind::Foreign) {
         call->mayHaveRun = true;
         connection->close();
@@ -365,11 +376,26 @@
     } else if (m_hasSharedReplicas) {
         m_loadBalancer.onShed(where, placementRequest, call->lastByteAt);
     }
-    co_await discardBody(connection);
+    co_await discardBody(reply);
     finish(*call, reply, send_outcome::NotRun);
     co_return tl::unexpected(send_failure{send_outcome::NotRun, std::string(toName(kind))});
 }
 
+awaitable<send_failure> upstream_sender::finishUnprovenRejection(entry_call_ptr call,
+                                                                 open_reply &reply)
+{
+    call->mayHaveRun = true;
+    send_failure failure;
+    failure.end = send_outcome::Failed;
+    failure.detail
+        = fmt::format("rejected without proof that it did not run: {}", reply.head.status);
+    if (call->route->isRepeatable())
+        failure.retryAfter = retryAfterOf(reply.head);
+    const bool isWhole = co_await discardBody(reply);
+    finish(*call, reply, isWhole ? send_outcome::Answered : send_outcome::Broken);
+    co_return failure;
+}
+
 void upstream_sender::finish(entry_call &call, open_reply &reply, send_outcome end)
 {
     const time_point now = runtime_clock::now();
@@ -490,8 +516,7 @@
             continue;
         }
         ++call->sends;
-        const bool mayRetry
-            = call->route->kind == route_kind::Idempotent || call->route->isResumable;
+        const bool mayRetry = call->route->isRepeatable();
         if (call->abortReason == abort_reason::AttemptTimeout && mayRetry)
             call->abortReason = abort_reason::None;
         if (!mayRetry || call->abortReason != abort_reason::None)
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -37,6 +37,8 @@
     std::string detail;
     /// Whether the connection failed at once: no process listens at the address, or it is cut off.
     bool isConnectionRefused = false;
+    /// When a replica that rejected the request wants it again, if the request may be repeated.
+    std::optional<duration> retryAfter = std::nullopt;
 };
 
 /// \returns the placement request for \p call.
@@ -104,6 +106,9 @@
     awaitable<tl::expected<open_reply, send_failure>>
     sendAndRepeat(entry_call_ptr call, placement where, const placement_request &placementRequest,
                   const http_request &original, std::string body);
+    /// \brief Finishes a send that the replica of \p reply rejected without proof that the request
+    /// did not run. \returns the failure of the send.
+    awaitable<send_failure> finishUnprovenRejection(entry_call_ptr call, open_reply &reply);
     /// \returns whether the configuration in force still allows \p call, which may have waited
     /// since it was last checked.
     bool isStillAllowed(const entry_call &call) const;
--- a/src/routes/routing_config.h
+++ b/src/routes/routing_config.h
@@ -61,6 +61,8 @@
     /// Whether requests need no key.
     bool isPublic = false;
 
+    /// \returns whether a request may be sent to a replica again after it may have run.
+    bool isRepeatable() const { return kind == route_kind::Idempotent || isResumable; }
     /// \returns how long the token account of a program is retained after a turn on this route. A
     /// route whose clients keep the history may state no retention time.
     duration accountRetention() const
