A turn that may have run gets no promise from a later refusal

The daemon asked the dispatcher for another slot, got none, and answered 503 with Retry-After: "did not run, and never will". The replica may have run it.

Cause: replyWithFailure asked whether the call may have run; the nine other callers of local_reply_writer::write did not, and after a lost send at a replica that has ended the dispatched path comes to three of them: a refusal by the dispatcher (503, 402), the stop of the daemon, and the local path with its own 402 and 503.

Change: write() is the one place where local replies begin, and asks there. An answer that promises "not run" (by its status, so that new kinds can't be forgotten) becomes 502, or 504 past the deadline, if the call may have run.

--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -1,5 +1,6 @@
-#include "core/log_event.h"
 #include "entry/local_reply_writer.h"
+
+#include "core/log_event.h"
 #include "platform/ingress.h"
 
 #include <fmt/format.h>
@@ -19,6 +20,16 @@
     return isRefusal || isStated ? std::optional(retryAfter) : std::nullopt;
 }
 
+/// \returns \p answer, or what \p call is answered in its place if it may have run and \p answer
+/// promises that it did not.
+local_reply withoutFalsePromise(const entry_call &call, local_reply answer)
+{
+    if (!call.mayHaveRun || !promisesNotRun(answer))
+        return answer;
+    return runtime_clock::now() < call.deadline ? local_reply::UpstreamFailed
+                                                : local_reply::TimedOut;
+}
+
 /// \brief The local reply to a request that may not be sent.
 struct quarantine_reply
 {
@@ -53,6 +64,7 @@
                                           std::string detail, response_writer &writer,
                                           duration retryAfter)
 {
+    answer = withoutFalsePromise(*call, answer);
     if (answer == local_reply::Refused && call->abortReason == abort_reason::ShuttingDown) {
         // Any other daemon may serve the request at once.
         detail = shuttingDownDetail;
@@ -97,13 +109,7 @@
         co_await write(call, local_reply::UpstreamRejected, failure.detail, writer, retryAfter);
         co_return;
     }
-    local_reply answer = local_reply::Refused;
-    const bool isInTime = runtime_clock::now() < call->deadline;
-    // An idempotent request may run again whatever happened to it, but gets no 503, which says that
-    // it never will.
-    if (call->mayHaveRun)
-        answer = isInTime ? local_reply::UpstreamFailed : local_reply::TimedOut;
-    co_await write(call, answer, failure.detail, writer);
+    co_await write(call, local_reply::Refused, failure.detail, writer);
 }
 
 awaitable<void> local_reply_writer::replyWithVerdict(entry_call_ptr call, send_verdict verdict,
--- a/src/entry/local_reply_writer.h
+++ b/src/entry/local_reply_writer.h
@@ -24,7 +24,8 @@
         : m_quarantine(quarantine), m_metrics(metrics)
     { }
 
-    /// \brief Answers \p call with \p answer.
+    /// \brief Answers \p call with \p answer. If that promises that the request did not run, and
+    /// the request may have run, the client gets an answer without the promise in its place.
     /// \param detail the cause, for log and metrics; what follows a colon are figures.
     /// \param retryAfter when a retry makes sense; only for Refused and OverQuota, and for
     /// UpstreamRejected unless it is zero.
--- a/test/io/dispatched_turn_test.cpp
+++ b/test/io/dispatched_turn_test.cpp
@@ -289,6 +289,23 @@
         }
     }
 
+    // Guards against a dispatcher's refusal that promises "not run" for a turn that a replica ran
+    // before it ended.
+    TEST_CASE("a turn that may have run gets no promise when no slot is left for another try")
+    {
+        dispatch_world w;
+        w.entry.model.script = {""};
+        w.entry.model.onReply = [&] {
+            w.entry.model.closeAcceptor();
+            w.entry.service->setReplicas({w.entry.a.entry, w.entry.b.entry});
+        };
+        const asked_turn_ptr turn = w.chat("t1", "p", "\r\nX-Azurehill-Request-Deadline: 1000");
+        CHECK(w.entry.model.arrived.size() == 1);
+        CHECK(turn->status() == 502);
+        CHECK_FALSE(turn->contains("did not run"));
+        CHECK_FALSE(turn->contains("Retry-After"));
+    }
+
     // Guards against programs that end because a dispatcher that is gone holds tokens that no turn
     // used.
     TEST_CASE("the local path does not call a budget spent that a dispatcher holds")
--- a/test/io/platform_codec_test.cpp
+++ b/test/io/platform_codec_test.cpp
@@ -284,6 +284,17 @@
         }
     }
 
+    // Guards against a way past the decision on a replica's answer: a promise of the daemon's own.
+    TEST_CASE("local replies that promise that a request did not run are known as such")
+    {
+        for (const local_reply answer : {local_reply::Refused, local_reply::OverQuota,
+                                         local_reply::Quarantined, local_reply::BudgetExhausted})
+            CHECK(promisesNotRun(answer));
+        for (const local_reply answer : {local_reply::UpstreamFailed, local_reply::UpstreamRejected,
+                                         local_reply::TimedOut, local_reply::NoRoute})
+            CHECK_FALSE(promisesNotRun(answer));
+    }
+
     TEST_CASE("a replica's Retry-After counts if it is a number of seconds")
     {
         const auto read = [](std::string_view text) {
