azurehilld: an odd entry of the host list hides no other host

Operators saw (report of another operator, shown here by test): one entry with a port out of range, a number too large or deep nesting, and the daemon no longer followed the list: new upstreams were not used, and ended ones were.

Cause: hosts() parsed the list as one JSON text and threw for the whole of it at the first value that it could not read.

Change: the list is split into its elements first, and each is parsed by itself; one that can't be read, or has port 0, is left out. The JSON library can't skip an element with a number that no type holds, or one that is nested beyond its limit: both end the parse of the whole text. So the elements are split by a scanner of strings, brackets and commas that looks at no value.

--- a/src/platform/platform_client.cpp
+++ b/src/platform/platform_client.cpp
@@ -1,5 +1,7 @@
 #include "platform/platform_client.h"
 
+#include "platform/json_elements.h"
+
 #include <boost/json.hpp>
 
 namespace azurehill {
@@ -63,6 +65,23 @@
     }
 }
 
+/// \returns the host in \p entry, or nothing if it can't be read: other writers' odd entries must
+/// not hide the hosts beside them.
+std::optional<listed_host> parseHost(std::string_view entry)
+{
+    try {
+        const json::value h = json::parse(json::string_view(entry.data(), entry.size()));
+        listed_host host{asString(h.at("name")),
+                         asString(h.at("service")),
+                         {asString(h.at("host")), h.at("port").to_number<std::uint16_t>()},
+                         asString(h.at("data_centre")),
+                         h.at("leaving").as_bool()};
+        return host.address.port == 0 ? std::nullopt : std::optional(std::move(host));
+    } catch (const std::exception &) {
+        return std::nullopt;
+    }
+}
+
 std::vector<table_row> parseRows(const json::value &body)
 {
     std::vector<table_row> rows;
@@ -220,17 +239,16 @@
     auto response = co_await call(std::move(request));
     if (!response)
         co_return tl::unexpected(response.error());
-    co_return parseBody(*response, [](const json::value &body) {
-        std::vector<listed_host> hosts;
-        for (const json::value &h : body.at("hosts").as_array()) {
-            hosts.push_back({asString(h.at("name")),
-                             asString(h.at("service")),
-                             {asString(h.at("host")), h.at("port").to_number<std::uint16_t>()},
-                             asString(h.at("data_centre")),
-                             h.at("leaving").as_bool()});
-        }
-        return hosts;
-    });
+    const auto entries = arrayElements(response->body, "hosts");
+    if (!entries)
+        co_return tl::unexpected(
+            platform_error{platform_error_kind::Unknown, "not a list of hosts"});
+    std::vector<listed_host> hosts;
+    for (const std::string_view entry : *entries) {
+        if (auto host = parseHost(entry))
+            hosts.push_back(std::move(*host));
+    }
+    co_return hosts;
 }
 
 } // namespace azurehill
