azurehilld: a peer's answer that is nested deeply does not end the daemon

Operators would see: a daemon ends on each heartbeat to a peer, or to whatever process has the peer's address by now, whose answer is nested beyond 1,000 levels.

Cause: the JSON parser of the inner protocol throws at its depth limit instead of returning an error. decodeResponse called it outside of its try block, and the loop of heartbeats ends the process on an exception. On the server's side the same exception became a 500; it is a JSON-RPC error now.

Evidence: case "heartbeats of azurehilld's peers" failed before (14 of 105 assertions, "Exceeded stackLimit in readValue()") and passes now.

With it, odd values (20,000 brackets, numbers of 60,000 digits, ports that don't exist) in fields chosen at random of each list and message that daemons read: replicas, members, accounts and turns of programs, quotas, configuration, settings, gossip, slots, crash reports, heads and events. None of the other decoders failed on the code before.

--- a/src/inner/heartbeat.cpp
+++ b/src/inner/heartbeat.cpp
@@ -60,9 +60,10 @@
     const Json::CharReaderBuilder builder;
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     std::string errors;
-    if (!reader->parse(text.data(), text.data() + text.size(), &response, &errors))
-        return std::nullopt;
     try {
+        // Throws if the text is nested too deeply.
+        if (!reader->parse(text.data(), text.data() + text.size(), &response, &errors))
+            return std::nullopt;
         if (!response.isObject() || !response["result"].isObject())
             return std::nullopt;
         return internal::toHeartbeat(response["result"]);
--- a/src/inner/inner_server.cpp
+++ b/src/inner/inner_server.cpp
@@ -73,7 +73,12 @@
 
 std::string inner_server::answer(const std::string &request)
 {
-    return m_state->connector.handle(request);
+    try {
+        return m_state->connector.handle(request);
+    } catch (const Json::Exception &) {
+        // The library's parser throws if the request is nested too deeply.
+        return R"({"jsonrpc":"2.0","id":null,"error":{"code":-32700,"message":"Parse error"}})";
+    }
 }
 
 } // namespace azurehill
--- a/test/io/decoder_fuzz_test.cpp
+++ b/test/io/decoder_fuzz_test.cpp
@@ -1,6 +1,7 @@
 #include "core/log.h"
 #include "dispatch/slot_message.h"
 #include "http/sse.h"
+#include "inner/inner.h"
 #include "members/members.h"
 #include "platform/base64.h"
 #include "platform/config_codec.h"
@@ -11,6 +12,7 @@
 #include "quarantine/quarantine.h"
 #include "quota/quota.h"
 #include "turns/token_account.h"
+#include "turns/turn.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -64,6 +66,46 @@
     return texts;
 }
 
+/// \returns values that another writer might leave in any field: nested deeply, numbers that no
+/// type holds, ports that don't exist.
+const std::vector<std::string> &oddValues()
+{
+    static const std::vector<std::string> values = [] {
+        constexpr std::size_t depth = 20'000;
+        constexpr std::size_t digits = 60'000;
+        const std::string number(digits, '9');
+        return std::vector<std::string>{std::string(depth, '[') + std::string(depth, ']'),
+                                        std::string(depth, '['),
+                                        number,
+                                        "-" + number,
+                                        "0." + number,
+                                        "1e" + number,
+                                        "1e400",
+                                        "9223372036854775808",
+                                        R"("10.0.0.1:0")",
+                                        R"("10.0.0.1:-1")",
+                                        R"("10.0.0.1:65536")",
+                                        "\"10.0.0.1:" + number + "\"",
+                                        R"("a\r\nb: c")",
+                                        "true",
+                                        "{}"};
+    }();
+    return values;
+}
+
+/// \returns \p text with \p value in place of what follows its colon number \p place.
+std::string withValue(const std::string &text, std::size_t place, const std::string &value)
+{
+    std::vector<std::size_t> starts;
+    for (std::size_t at = text.find(':'); at != std::string::npos; at = text.find(':', at + 1))
+        starts.push_back(at + 1);
+    if (starts.empty())
+        return value;
+    const std::size_t start = starts[place % starts.size()];
+    const std::size_t end = std::min(text.find_first_of(",}\n", start), text.size());
+    return text.substr(0, start) + value + text.substr(end);
+}
+
 std::string damaged(std::string text, const damage &d)
 {
     const std::size_t at = d.place % (text.size() + 1);
@@ -123,6 +165,13 @@
             text = damaged(std::move(text), d);
         decode(text);
     }));
+    // Guards against a process that ends again and again as it reads one odd entry of a list.
+    CHECK(rc::check("odd values in " + corpus, [&] {
+        const std::string text = *rc::gen::elementOf(texts);
+        const std::string odd = *rc::gen::elementOf(oddValues());
+        decode(withValue(text, *rc::gen::inRange<std::size_t>(0, 200), odd));
+        decode(odd);
+    }));
 }
 
 /// \returns the lines of \p text, "Name: value" each, as headers.
@@ -245,6 +294,36 @@
         }));
     }
 
+    TEST_CASE("rows of turns")
+    {
+        const quiet_log quiet;
+        CHECK_FALSE(decodeTurn(""));
+        for (const std::string &odd : oddValues()) {
+            CHECK_FALSE(decodeTurn(odd));
+            CHECK_FALSE(decodeTurn(odd + "\ninput"));
+            CHECK_FALSE(decodeTurn(R"({"program":)" + odd + "}\ninput"));
+        }
+    }
+
+    // Guards against a daemon that ends on a peer's answer that is nested too deeply.
+    TEST_CASE("heartbeats of azurehilld's peers")
+    {
+        inner_server server([](const heartbeat &beat) { return beat; });
+        const auto decode = [&](const std::string &text) {
+            static_cast<void>(decodeResponse(text));
+            static_cast<void>(server.answer(text));
+        };
+        for (const std::string &odd : oddValues()) {
+            CAPTURE(odd.substr(0, 10));
+            CHECK_NOTHROW(decode(odd));
+            for (const std::string field : {"daemon", "incarnation", "evidence"}) {
+                CHECK_NOTHROW(decode(R"({"result":{")" + field + "\":" + odd + "}}"));
+                CHECK_NOTHROW(decode(R"({"jsonrpc":"2.0","id":1,"method":"heartbeat","params":{")"
+                                     + field + "\":" + odd + "}}"));
+            }
+        }
+    }
+
     TEST_CASE("accounts of programs")
     {
         fuzz("account", [](const std::string &text) {
