--- a/test/io/replica_discovery_test.cpp
+++ b/test/io/replica_discovery_test.cpp
@@ -164,6 +164,76 @@
         }
     }
 
+    // Guards against a daemon that ends, or no longer follows the table, as another writer left odd
+    // entries among those of the replicas.
+    TEST_CASE("odd entries hide no replica, at the start, later, and in what a peer hands on")
+    {
+        constexpr std::size_t depth = 20'000;
+        const std::string number(60'000, '9');
+        const std::string usual = entryText(4);
+        const auto withField = [&](const std::string &field, const std::string &value) {
+            std::string text = usual;
+            const std::size_t start = text.find("\"" + field + "\":") + field.size() + 3;
+            return text.replace(start, text.find_first_of(",}", start) - start, value);
+        };
+        std::vector<std::pair<std::string, std::string>> odd;
+        int count = 0;
+        for (const std::string &value :
+             {std::string(depth, '[') + std::string(depth, ']'), number, "-" + number,
+              std::string("1e400"), std::string("9223372036854775808"), std::string("null"),
+              std::string(R"("10.0.0.7:0")"), std::string(R"("10.0.0.7:-1")"),
+              std::string(R"("10.0.0.7:65536")"), "\"10.0.0.7:" + number + "\"",
+              std::string("\"\xff\""), std::string(R"("a\r\nX: y")")}) {
+            for (const std::string field : {"address", "slots", "seq_no", "born"})
+                odd.emplace_back("odd" + std::to_string(++count), withField(field, value));
+            odd.emplace_back("odd" + std::to_string(++count), value);
+        }
+        odd.emplace_back("i-1\r\nX: y", usual);
+        odd.emplace_back("\xff", usual);
+        odd.emplace_back("big", std::string(65'536, '['));
+
+        const paused_clock pause;
+        row_store rows;
+        asio::io_context context;
+        discovery_daemon reader(context, rows, "reader");
+        discovery_daemon other(context, rows, "other");
+        const auto wait = [&](duration time) {
+            auto sleep = [time]() -> awaitable<void> { co_await sleepFor(time); };
+            runInSteps(context, sleep(), milliseconds(50));
+        };
+        put(rows, "i-1", usual);
+        for (const auto &[id, value] : odd)
+            put(rows, id, value);
+        spawn(context.get_executor(), "follow", reader.discovery.follow());
+        wait(seconds(3));
+        CHECK(reader.discovery.replicas().contains({"i-1"}));
+
+        for (int round = 0; round < 20; ++round) {
+            store_transaction t;
+            for (const auto &[id, value] : odd) {
+                if (round % 2 == 0)
+                    t.removals.push_back({"servers", "", id});
+                else
+                    t.writes.push_back({{"servers", "", id}, value});
+            }
+            REQUIRE(rows.apply(t));
+            const std::string id = "new" + std::to_string(round);
+            put(rows, id, usual);
+            wait(seconds(2));
+            CHECK(reader.discovery.replicas().contains({id}));
+        }
+        auto fetch = [&]() -> awaitable<void> {
+            other.discovery.onDigest(reader.announcement());
+            co_await untilUpdates(other, 1);
+        };
+        runIn(context, fetch());
+        for (const discovery_daemon *daemon : {&reader, &other}) {
+            CHECK(daemon->discovery.replicas().size() >= 21);
+            for (const auto &[id, entry] : daemon->discovery.replicas())
+                CHECK(entry.address.port == 80);
+        }
+    }
+
     // Guards against reads that grow with the number of replicas, whatever changes.
     TEST_CASE("a daemon that has a copy reads what changed since")
     {
