--- a/test/io/broken_upstream_answer_test.cpp
+++ b/test/io/broken_upstream_answer_test.cpp
@@ -131,6 +131,22 @@
               == "w (unfinished)");
         CHECK(w.world.exchange(call).status == 502);
     }
+
+    // Guards against a success with an empty body, framed as whole, for a head of which only a part
+    // arrived.
+    TEST_CASE("an upstream ends its connection inside the head of its answer")
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+        for (const std::size_t size : {1U, 9U, 17U, 30U, 44U}) {
+            CAPTURE(size);
+            scripted_world w("proof", head.substr(0, size) + "<close>");
+            const http_request call = door_world::toolCall(w.world.createProgram(), 1, "k");
+            const http_response failed = w.world.exchange(call);
+            CHECK(failed.status == 502);
+            CHECK(failed.body.find(R"("outcome":"unknown")") != std::string::npos);
+            CHECK(w.upstream.arrived.size() == 1);
+        }
+    }
 }
 
 } // namespace azurehill::test
