A copy of the table grows no younger by a page of changes that others follow

Callers would see: a request at a replica after its drain time. Each page made the copy as young as its read, although the table had further changes by then; if the next read failed, the copy counted as equal to a table that it did not have. A notice among the changes that were left was then taken for younger than it is, by the time between the two reads.

Only the last page makes the copy younger now; its version still grows with each. Case "a page of changes that others follow does not, until the last one was read" covers it; it needs the new parameter, so it does not build on the code before.

--- a/src/entry/replica_discovery.cpp
+++ b/src/entry/replica_discovery.cpp
@@ -150,7 +150,7 @@
             co_return !isGone;
         }
         rows = page->rows.size();
-        isChanged = m_table.onFeed(*page, began) || isChanged;
+        isChanged = m_table.onFeed(*page, began, rows < fullPageRows) || isChanged;
     }
     if (isChanged)
         applyChanges("feed");
--- a/src/rows/table_cache.cpp
+++ b/src/rows/table_cache.cpp
@@ -95,7 +95,7 @@
     return isFirst || m_hash != before;
 }
 
-bool table_cache::onFeed(const row_page &page, time_point began)
+bool table_cache::onFeed(const row_page &page, time_point began, bool isLast)
 {
     // Changes from another daemon may have advanced this copy in the meantime.
     if (!m_freshAt || page.version < m_version)
@@ -108,7 +108,7 @@
         else if (known == m_rows.end() || known->second.version < row.version)
             setRow(row);
     }
-    markFresh(page.version, began);
+    markFresh(page.version, isLast ? began : *m_freshAt);
     return m_hash != before;
 }
 
--- a/src/rows/table_cache.h
+++ b/src/rows/table_cache.h
@@ -60,8 +60,10 @@
     bool onRead(const row_page &page, time_point began);
     /// \brief Applies a response of the store's change feed since this copy's version, requested
     /// at \p began: changed rows and removed ones.
+    /// \param isLast whether the table had no further changes then; if not, the copy grows no
+    /// younger.
     /// \returns whether rows changed.
-    bool onFeed(const row_page &page, time_point began);
+    bool onFeed(const row_page &page, time_point began, bool isLast = true);
     /// \brief Compares with the digest of another daemon's copy, received in response to a
     /// request sent at \p askedAt. If the copies are equal, this one gets the lower age of the
     /// two.
--- a/test/logic/table_cache_test.cpp
+++ b/test/logic/table_cache_test.cpp
@@ -107,6 +107,14 @@
             CHECK(own.age(at(1000)) == milliseconds(150));
             CHECK(own.version() == 12);
         }
+        SUBCASE("a page of changes that others follow does not, until the last one was read")
+        {
+            CHECK(own.onFeed(page(12, {row("a", 12)}), at(900), false));
+            CHECK(own.age(at(1000)) == milliseconds(1000));
+            CHECK(own.version() == 12);
+            CHECK(own.onFeed(page(14, {row("b", 14)}), at(950)));
+            CHECK(own.age(at(1000)) == milliseconds(50));
+        }
         SUBCASE("an old answer makes it no older")
         {
             const table_digest same{8, own.digest(at(0))->hash, milliseconds(5000)};
