A replica's own 402 makes no promise to a turn

Callers would see: a turn that a replica answers 402 of its own gets that status, which promises that the turn was not run and never will be, and its program ends.

Cause: the same as for 503: the status of an ordinary answer is passed on. 402 makes the promise to turns only, which the head does not show; the request's token budget does.

Change: classifyReply knows whether the request has a token budget; 402 is then one of the statuses that need a proof. On all other requests it still comes byte for byte.

Evidence: subcase "nor by 402, which promises the same to a turn that has a token budget" failed before (8 of 284 assertions of the suite) and passes now; 402 on a plain route is among the statuses that come byte for byte.

--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -384,7 +384,8 @@
         co_return tl::unexpected(send_failure{end, head.error().detail});
     }
     call->lastByteAt = runtime_clock::now();
-    const reply_kind kind = classifyReply(*head, call->request.id);
+    const reply_kind kind
+        = classifyReply(*head, call->request.id, call->request.tokenBudget.has_value());
     if (kind == reply_kind::Answer) {
         // The response time of a failure says nothing about how long answers take.
         if (head->status < minFailureStatus)
--- a/test/io/platform_codec_test.cpp
+++ b/test/io/platform_codec_test.cpp
@@ -281,6 +281,9 @@
             for (const int status : {408, 425, 429, 503})
                 CHECK(classifyReply(head(status, {id, stamp}), "r")
                       == reply_kind::UnprovenRejection);
+            CHECK(classifyReply(head(402, {id, stamp}), "r") == reply_kind::Answer);
+            CHECK(classifyReply(head(402, {id, stamp}), "r", true)
+                  == reply_kind::UnprovenRejection);
         }
     }
 
--- a/test/io/unproven_rejection_test.cpp
+++ b/test/io/unproven_rejection_test.cpp
@@ -112,6 +112,14 @@
                 CHECK(w.model.arrived.size() == 1);
             });
         }
+        SUBCASE("nor by 402, which promises the same to a turn that has a token budget")
+        {
+            entry_fixture w;
+            w.model.script = {reply(402)};
+            checkPromisesNothing(w.turn("t1", "", "one;"));
+            w.model.script = {reply(402)};
+            checkPromisesNothing(w.chat("t2", "one;"));
+        }
         SUBCASE("a stream that may be resumed, with one attempt: likewise")
         {
             forEachRejection([](entry_fixture &w, int status) {
@@ -220,7 +228,7 @@
         }
         SUBCASE("a failure of another status comes byte for byte")
         {
-            for (const int status : {400, 404, 409, 418, 500, 501, 502, 504}) {
+            for (const int status : {400, 402, 404, 409, 418, 500, 501, 502, 504}) {
                 CAPTURE(status);
                 w.restart();
                 w.a.script = w.b.script = {reply(status, "Retry-After: 7\r\n")};
