--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -12,7 +12,7 @@
 /// Cause of a refusal by a daemon that stops.
 constexpr std::string_view shuttingDownDetail = "the daemon is shutting down";
 
-/// \returns when the client of \p answer is told to retry, if it is.
+/// \returns the Retry-After of \p answer, or nothing if it has none.
 std::optional<duration> retryAfterFor(local_reply answer, duration retryAfter)
 {
     const bool isRefusal = answer == local_reply::Refused || answer == local_reply::OverQuota;
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -43,7 +43,7 @@
 
 /// \brief Whether a request may go to another replica than the one that was chosen for it.
 enum class placement_binding {
-    /// No replica has it: any may run it.
+    /// Another replica may run it as well.
     Free,
     /// The chosen replica had it before, and no other may run it while that one is alive.
     Bound
