--- a/test/io/ending_replica.h
+++ b/test/io/ending_replica.h
@@ -38,7 +38,9 @@
     /// It closes the connection before the answer, and answers other requests for a while.
     ClosesAndLingers,
     /// It sends its answer bit by bit, and its entry is removed meanwhile.
-    OutlivesEntry
+    OutlivesEntry,
+    /// It announces that it drains, and closes the connection long before its drain time is over.
+    DrainsBeforeEnd
 };
 
 } // namespace azurehill::test
@@ -48,11 +50,11 @@
 template <>
 struct enum_names<test::disruption>
 {
-    static constexpr std::array<std::string_view, 11> names
+    static constexpr std::array<std::string_view, 12> names
         = {"closes_before_head",       "closes_inside_body",  "falls_silent_before_head",
            "falls_silent_inside_body", "sends_garbage",       "sends_foreign_answer",
            "sends_broken_chunk",       "sends_interim_heads", "works_on",
-           "closes_and_lingers",       "outlives_entry"};
+           "closes_and_lingers",       "outlives_entry",      "drains_before_end"};
 };
 
 } // namespace azurehill
@@ -102,6 +104,10 @@
     static constexpr duration earlyLapseTime = milliseconds(100);
     static constexpr duration bitInterval = milliseconds(50);
     static constexpr int bits = 20;
+    /// Time for which a replica that drains serves on, and time between its announcement and its
+    /// last bytes.
+    static constexpr duration drainTime = seconds(2);
+    static constexpr duration noticeTime = milliseconds(250);
 
     awaitable<void> acceptAll()
     {
@@ -148,6 +154,11 @@
         }
         if (m_how == disruption::WorksOn)
             co_await sleepFor(workTime);
+        if (m_how == disruption::DrainsBeforeEnd) {
+            entry.draining = true;
+            entry.drainDeadline = runtime_clock::now() + drainTime;
+            co_await sleepFor(noticeTime);
+        }
         if (m_how == disruption::OutlivesEntry)
             co_await sendBits(socket, isStream(request));
         co_await sleepFor(lastBytesTime);
@@ -184,6 +195,7 @@
         case disruption::FallsSilentBeforeHead:
         case disruption::WorksOn:
         case disruption::ClosesAndLingers:
+        case disruption::DrainsBeforeEnd:
             break;
         case disruption::ClosesInsideBody:
         case disruption::FallsSilentInsideBody:
