Evidence against a request is kept in the store, and read before a daemon serves

What callers saw: a request under which three replicas had ended was sent on by each daemon that had just started, and by all of them after a loss of power on all hosts.

Cause: what is known of lost sends lay in the memory of daemons only, and a daemon that started decided before it knew anything: it asked three others and did not wait.

Why this works: each lost send has a row of its own in the table "crashes", written by the daemon that lost it before its client is answered (120 ms at most, not while the store is away), and again until the store has it. A daemon decides nothing until it has read the table; requests wait for that up to a second, then they are refused with a time to come back, and the daemon is not ready before. A request that lost nothing pays nothing. Rows go when a send is cleared, when an operator lifts the request, and with their record.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -51,6 +51,8 @@
     SendLost,
     RequestQuarantined,
     QuarantineLifted,
+    QuarantineRestored,
+    EvidenceWriteFailed,
     SilentReplicaProbed,
     ReplicaProbed,
     TurnDurable,
@@ -70,7 +72,7 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 55> names = {"started",
+    static constexpr std::array<std::string_view, 57> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
@@ -111,6 +113,8 @@
                                                                "send_lost",
                                                                "request_quarantined",
                                                                "quarantine_lifted",
+                                                               "quarantine_restored",
+                                                               "evidence_not_written",
                                                                "silence_checked",
                                                                "replica_checked",
                                                                "turn_durable",
@@ -154,6 +158,7 @@
     case log_event::DispatcherUnreachable:
     case log_event::SlotRefused:
     case log_event::RequestQuarantined:
+    case log_event::EvidenceWriteFailed:
         return log_level::Warning;
     default:
         return log_level::Info;
--- a/src/crashes/crash_exchange.cpp
+++ b/src/crashes/crash_exchange.cpp
@@ -63,7 +63,7 @@
 }
 
 std::vector<const member_state *>
-crash_exchange::custodiansOf(const request_fingerprint &request) const
+crash_exchange::rankCustodians(const request_fingerprint &request) const
 {
     std::uint64_t seed = 0;
     std::memcpy(&seed, request.bytes.data(), sizeof seed);
@@ -76,11 +76,16 @@
     std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
                       ranked.end(), std::greater<>());
     std::vector<const member_state *> result;
-    for (std::size_t i = 0; i < count; ++i) {
-        // This daemon itself needs no message.
-        if (ranked[i].second)
-            result.push_back(ranked[i].second);
-    }
+    std::transform(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count),
+                   std::back_inserter(result), [](const auto &r) { return r.second; });
+    return result;
+}
+
+std::vector<const member_state *>
+crash_exchange::custodiansOf(const request_fingerprint &request) const
+{
+    std::vector<const member_state *> result = rankCustodians(request);
+    std::erase(result, nullptr);
     return result;
 }
 
@@ -172,11 +177,19 @@
 {
     while (true) {
         co_await sleepFor(reminderInterval);
-        m_ledger.expire(runtime_clock::now());
+        expire();
         sendReminder();
     }
 }
 
+void crash_exchange::expire()
+{
+    for (const crash_report &report : m_ledger.expire(runtime_clock::now())) {
+        if (m_onExpired && rankCustodians(report.request).front() == nullptr)
+            m_onExpired(report);
+    }
+}
+
 void crash_exchange::sendReminder()
 {
     const std::vector<crash_report> all = m_ledger.quarantined(runtime_clock::now());
--- a/src/crashes/crash_exchange.h
+++ b/src/crashes/crash_exchange.h
@@ -40,6 +40,13 @@
     crash_exchange(const asio::any_io_executor &executor, crash_ledger &ledger, std::uint64_t seed,
                    std::function<void(const request_fingerprint &)> onChanged);
 
+    /// \brief Sets the callback for each record that has expired and that this daemon, of all that
+    /// live, keeps first.
+    void onExpired(std::function<void(const crash_report &)> callback)
+    {
+        m_onExpired = std::move(callback);
+    }
+
     /// \brief Binds \p address and starts the periodic messages.
     /// \returns the bound port, or 0 on failure.
     std::uint16_t start(const endpoint &address);
@@ -78,7 +85,11 @@
         time_point sharedAt;
     };
 
+    /// \returns the custodians of \p request in their order; null stands for this daemon.
+    std::vector<const member_state *> rankCustodians(const request_fingerprint &request) const;
+    /// \returns the custodians of \p request but this daemon.
     std::vector<const member_state *> custodiansOf(const request_fingerprint &request) const;
+    void expire();
     notice_audience audienceOf(const request_fingerprint &request, crash_audience audience) const;
     /// \brief Sends a notice on \p request until all but \p optional of its recipients have
     /// acknowledged it.
@@ -96,6 +107,7 @@
     asio::any_io_executor m_executor;
     crash_ledger &m_ledger;
     std::function<void(const request_fingerprint &)> m_onChanged;
+    std::function<void(const crash_report &)> m_onExpired;
     datagram_socket m_socket;
     std::minstd_rand m_random;
     daemon_id m_self;
--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -2,6 +2,8 @@
 
 #include "core/log_event.h"
 
+#include <boost/asio/redirect_error.hpp>
+
 #include <algorithm>
 #include <iterator>
 
@@ -12,6 +14,11 @@
 constexpr duration updateInterval = milliseconds(200);
 /// Interval between looks at the list of replicas, which may be long.
 constexpr duration adoptionInterval = seconds(5);
+constexpr duration restoreRetryInterval = milliseconds(100);
+constexpr duration restoreTimeout = seconds(1);
+/// Time after the start for which requests wait for the evidence in the store.
+constexpr duration maxRestoreWait = seconds(1);
+constexpr duration undecidedRetryAfter = milliseconds(500);
 
 /// \brief Visitor that names a verdict in the log.
 struct verdict_name
@@ -19,8 +26,15 @@
     std::string_view operator()(const send_allowed &) const { return "allowed"; }
     std::string_view operator()(const send_deferred &) const { return "deferred"; }
     std::string_view operator()(const send_rejected &) const { return "rejected"; }
+    std::string_view operator()(const send_undecided &) const { return "undecided"; }
 };
 
+/// \returns the report of \p evidence on a send of \p request, on which no replica works any more.
+crash_report reportOn(const request_fingerprint &request, const crash_evidence &evidence)
+{
+    return {request, duration::zero(), {evidence}};
+}
+
 /// \returns the fate of a suspected replica that showed \p sight when it was asked.
 replica_fate fateBy(process_sight sight)
 {
@@ -43,8 +57,60 @@
                  [this](const request_fingerprint &request) { logVerdict(request); })
 { }
 
+void request_quarantine::setStore(store &evidence, std::function<void()> onRestored)
+{
+    m_archive = std::make_unique<crash_archive>(m_executor, evidence);
+    m_onRestored = std::move(onRestored);
+    m_exchange.onExpired([this](const crash_report &report) { m_archive->remove(report); });
+}
+
+std::uint16_t request_quarantine::start(const endpoint &address)
+{
+    m_startedAt = runtime_clock::now();
+    if (m_archive)
+        spawn(m_executor, "restoreQuarantine", restore());
+    return m_exchange.start(address);
+}
+
+awaitable<void> request_quarantine::restore()
+{
+    auto reports = co_await m_archive->read(crash_rows::all(), restoreTimeout);
+    while (!reports) {
+        co_await sleepFor(restoreRetryInterval);
+        reports = co_await m_archive->read(crash_rows::all(), restoreTimeout);
+    }
+    const time_point now = runtime_clock::now();
+    for (const crash_report &report : *reports)
+        m_ledger.merge(report, now);
+    m_isRestored = true;
+    for (const auto &waiter : m_restoreWaiters)
+        waiter->cancel();
+    logDecision(log_event::QuarantineRestored,
+                {{"sends", std::int64_t(reports->size())},
+                 {"requests", std::int64_t(m_ledger.size())},
+                 {"quarantined", std::int64_t(m_ledger.quarantined(now).size())},
+                 {"ms", toMilliseconds(now - m_startedAt)}});
+    if (m_onRestored)
+        m_onRestored();
+}
+
+awaitable<void> request_quarantine::waitUntilRestored()
+{
+    const time_point until = m_startedAt + maxRestoreWait;
+    const auto wait = std::make_shared<timer>(m_executor);
+    m_restoreWaiters.insert(wait);
+    while (!isRestored() && runtime_clock::now() < until) {
+        wait->expires_at(until);
+        boost::system::error_code code;
+        co_await wait->async_wait(asio::redirect_error(use_awaitable, code));
+    }
+    m_restoreWaiters.erase(wait);
+}
+
 send_verdict request_quarantine::verdict(const request_fingerprint &request) const
 {
+    if (!isRestored())
+        return send_undecided{undecidedRetryAfter};
     return m_ledger.verdict(request, runtime_clock::now());
 }
 
@@ -59,6 +125,8 @@
 
 awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
 {
+    if (!isRestored())
+        co_await waitUntilRestored();
     co_await waitUntilShared(request);
     const send_verdict known = verdict(request);
     if (!std::holds_alternative<send_deferred>(known) || !m_inquiry)
@@ -86,6 +154,8 @@
             alive.push_back(found.evidence[i]);
         else
             found.evidence[i].fate = fate;
+        if (m_archive && found.evidence[i].fate == replica_fate::Cleared)
+            m_archive->remove(reportOn(request, found.evidence[i]));
     }
     const bool isNew = m_ledger.merge(found, runtime_clock::now());
     if (isNew) {
@@ -150,6 +220,8 @@
     const bool isKnown = m_ledger.lift(request, runtime_clock::now());
     if (isKnown)
         startSharing(request, crash_audience::Everyone);
+    if (m_archive)
+        spawn(m_executor, "removeCrashRows", m_archive->removeAll(request));
     return isKnown;
 }
 
@@ -163,14 +235,28 @@
                      {"loss", std::string(toName(finding.loss))},
                      {"fate", std::string(toName(finding.fate))},
                      {"after_ms", toMilliseconds(finding.after)}});
+        const bool wasKnown = m_ledger.isKnown(request, finding.lost.send);
         const bool isNew = m_ledger.merge(reportOf(finding), runtime_clock::now());
         if (!isNew)
             continue;
+        archive(finding, wasKnown);
         logVerdict(request);
         startSharing(request, crash_audience::AsNeeded);
     }
 }
 
+void request_quarantine::archive(const crash_finding &finding, bool wasKnown)
+{
+    if (!m_archive)
+        return;
+    const crash_report report = reportOf(finding);
+    if (finding.fate == replica_fate::Cleared)
+        m_archive->remove(report);
+    else if (!wasKnown)
+        // A suspicion counts like an end, so that the row need not change with the fate.
+        m_archive->put(report);
+}
+
 void request_quarantine::startSharing(const request_fingerprint &request, crash_audience audience)
 {
     auto done = std::make_shared<notifier>();
@@ -182,6 +268,8 @@
                                           std::shared_ptr<notifier> done)
 {
     co_await m_exchange.share(request, audience);
+    if (m_archive)
+        co_await m_archive->waitUntilStored(request);
     const auto current = m_sharing.find(request);
     if (current != m_sharing.end() && current->second == done)
         m_sharing.erase(current);
@@ -190,7 +278,7 @@
 
 void request_quarantine::logVerdict(const request_fingerprint &request) const
 {
-    const send_verdict now = verdict(request);
+    const send_verdict now = m_ledger.verdict(request, runtime_clock::now());
     if (isAllowed(now))
         return;
     logDecision(log_event::RequestQuarantined,
--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crashes/crash_archive.h"
 #include "crashes/crash_exchange.h"
 #include "runtime/notifier.h"
 
@@ -41,13 +42,20 @@
 /// Before a request is deferred, the replicas that may have ended under it are asked whether they
 /// live, so that slow replicas and cut connections don't keep it back. Those that may still end are
 /// asked again for each decision.
+///
+/// The evidence is kept in the store as well. A daemon that starts decides nothing until it has
+/// read it: requests wait for that, and are refused if it takes long.
 class request_quarantine
 {
 public:
     /// \param seed seed of random choices.
     request_quarantine(const asio::any_io_executor &executor, std::uint64_t seed);
 
-    std::uint16_t start(const endpoint &address) { return m_exchange.start(address); }
+    /// \brief Sets the store that keeps the evidence; call it before start(). Without it the
+    /// evidence lives in the memory of the daemons only.
+    /// \param onRestored called once the evidence in the store has been read.
+    void setStore(store &evidence, std::function<void()> onRestored);
+    std::uint16_t start(const endpoint &address);
     void setMembers(const member_state &self, std::vector<member_state> others)
     {
         m_exchange.setMembers(self, std::move(others));
@@ -61,6 +69,8 @@
         m_listed = std::move(listed);
     }
 
+    /// \returns whether this daemon has read the evidence in the store.
+    bool isRestored() const { return !m_archive || m_isRestored; }
     /// \returns whether \p request may be sent to a replica, by what is known now.
     send_verdict verdict(const request_fingerprint &request) const;
     /// \brief Waits until the other daemons know what this one knows of \p request.
@@ -84,6 +94,12 @@
     bool lift(const request_fingerprint &request);
 
 private:
+    /// \brief Reads the evidence in the store.
+    awaitable<void> restore();
+    awaitable<void> waitUntilRestored();
+    /// \brief Updates the row of the send of \p finding.
+    /// \param wasKnown whether the row was written before.
+    void archive(const crash_finding &finding, bool wasKnown);
     /// \brief Records the findings on lost sends, and shares them with the other daemons.
     void processFindings();
     /// \brief Asks the replicas that may have ended under \p request whether they live.
@@ -100,6 +116,12 @@
     crash_watch m_watch;
     crash_ledger m_ledger;
     crash_exchange m_exchange;
+    std::unique_ptr<crash_archive> m_archive;
+    std::function<void()> m_onRestored;
+    bool m_isRestored = false;
+    time_point m_startedAt;
+    /// Timers of the requests that wait for the evidence in the store.
+    std::set<std::shared_ptr<timer>> m_restoreWaiters;
     /// Requests that are being shared, and who waits for that.
     std::map<request_fingerprint, std::shared_ptr<notifier>> m_sharing;
     process_inquiry m_inquiry;
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -455,8 +455,9 @@
     while (true) {
         updateDaemonCount();
         updateReplicaDigest();
-        m_membership.setSelf(!m_isLeaving && m_routes && m_replicas.hasReplicas(),
-                             m_transport->isDirectWorking());
+        const bool isServing
+            = !m_isLeaving && m_routes && m_replicas.hasReplicas() && m_isQuarantineRestored;
+        m_membership.setSelf(isServing, m_transport->isDirectWorking());
         send(m_membership.onRound(runtime_clock::now()));
         logMembers();
         // Until the store has listed a member, the seeds are the only way to reach the others. They
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -63,6 +63,9 @@
     void setAdmissionReport(concurrency_reports report);
     /// \brief Sets the replica report that is sent to the other daemons.
     void setReplicaReport(replica_reports report);
+    /// \brief The traffic thread has read the evidence against requests, without which it serves
+    /// none. The daemon is not ready before.
+    void setQuarantineRestored() { m_isQuarantineRestored = true; }
     /// \brief Applies the bounds and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
     /// \returns the current state of the daemon for the metrics.
@@ -122,6 +125,7 @@
     /// Whether the store's rows were read, so that no earlier run of this daemon has a larger
     /// incarnation.
     bool m_isIncarnationFinal = false;
+    bool m_isQuarantineRestored = false;
     bool m_isLeaving = false;
 };
 
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -148,6 +148,10 @@
             return m_prober.inquire(std::move(replicas));
         },
         [this] { return m_prober.listed(); });
+    m_quarantine.setStore(m_pacedStore, [this] {
+        if (m_onQuarantineRestored)
+            m_onQuarantineRestored();
+    });
 }
 
 std::uint16_t entry_service::start()
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -62,6 +62,13 @@
         m_publishAdmissionReport = std::move(publish);
     }
 
+    /// \brief Sets the callback for the moment from which this daemon decides on requests: it has
+    /// read the evidence against them. Call it before start().
+    void onQuarantineRestored(std::function<void()> callback)
+    {
+        m_onQuarantineRestored = std::move(callback);
+    }
+
     /// \returns the requests that may not be sent, as JSON text: fingerprint, age in milliseconds
     /// and the number of replicas that ended under each. Call it on the traffic thread.
     std::string quarantineText() const;
@@ -136,6 +143,7 @@
     int m_daemons = 1;
     std::function<void(concurrency_reports)> m_publishAdmissionReport;
     std::function<void(replica_reports)> m_publishReplicaReport;
+    std::function<void()> m_onQuarantineRestored;
     time_point m_reportsPublishedAt;
     time_point m_quarantineMeasuredAt;
 };
--- a/src/entry/local_reply_writer.cpp
+++ b/src/entry/local_reply_writer.cpp
@@ -56,6 +56,11 @@
                 fmt::format("replicas ended under the request: {}", verdict.endedReplicas),
                 duration::zero()};
     }
+    quarantine_reply operator()(const send_undecided &verdict) const
+    {
+        return {local_reply::Refused, "the evidence against requests has not been read yet",
+                verdict.retryAfter};
+    }
 };
 
 } // namespace
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -198,9 +198,24 @@
     return true;
 }
 
-void crash_ledger::expire(time_point now)
+std::vector<crash_report> crash_ledger::expire(time_point now)
 {
-    std::erase_if(m_records, [now](const auto &item) { return isExpired(item.second, now); });
+    std::vector<crash_report> expired;
+    std::erase_if(m_records, [&expired, now](const auto &item) {
+        const bool isOver = isExpired(item.second, now);
+        if (isOver)
+            expired.push_back(reportOf(item.first, item.second, now));
+        return isOver;
+    });
+    return expired;
+}
+
+bool crash_ledger::isKnown(const request_fingerprint &request, std::uint64_t send) const
+{
+    const auto found = m_records.find(request);
+    return found != m_records.end()
+        && std::any_of(found->second.evidence.begin(), found->second.evidence.end(),
+                       [send](const crash_evidence &e) { return e.send == send; });
 }
 
 void crash_ledger::evictOne()
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -87,8 +87,10 @@
     std::vector<request_fingerprint> adoptSuspicions(const fate_lookup &fateOf, time_point now);
     /// \brief Clears the evidence against \p request. \returns whether there was any.
     bool lift(const request_fingerprint &request, time_point now);
-    /// \brief Removes evidence whose lifetime is over.
-    void expire(time_point now);
+    /// \brief Removes the records whose lifetime is over. \returns them.
+    std::vector<crash_report> expire(time_point now);
+    /// \returns whether anything is known of the send \p send of \p request.
+    bool isKnown(const request_fingerprint &request, std::uint64_t send) const;
     std::size_t size() const { return m_records.size(); }
 
     /// \returns whether one more crash under a request with \p verdict reaches the limit, or goes
--- a/src/quarantine/quarantine.h
+++ b/src/quarantine/quarantine.h
@@ -7,6 +7,7 @@
 
 #include "quarantine/crash_ledger.h"
 #include "quarantine/crash_message.h"
+#include "quarantine/crash_rows.h"
 #include "quarantine/crash_watch.h"
 #include "quarantine/request_fingerprint.h"
 #include "quarantine/send_loss.h"
--- a/src/quarantine/send_verdict.h
+++ b/src/quarantine/send_verdict.h
@@ -27,8 +27,15 @@
     int endedReplicas = 0;
 };
 
+/// \brief This daemon does not know yet what the others know of lost sends.
+struct send_undecided
+{
+    /// Time after which the client may ask again.
+    duration retryAfter = duration::zero();
+};
+
 /// \brief Decision whether a request may be sent to a replica once more.
-using send_verdict = std::variant<send_allowed, send_deferred, send_rejected>;
+using send_verdict = std::variant<send_allowed, send_deferred, send_rejected, send_undecided>;
 
 /// \returns whether \p verdict allows the request to be sent.
 inline bool isAllowed(const send_verdict &verdict)
--- a/src/sched/call_quarantine.cpp
+++ b/src/sched/call_quarantine.cpp
@@ -25,6 +25,11 @@
                        fmt::format("replicas ended under the call: {}", verdict.endedReplicas),
                        std::nullopt};
     }
+    std::optional<refusal> operator()(const send_undecided &verdict) const
+    {
+        return refusal{refusal_reason::ReplicasInDoubt, "what ended under the call is not known",
+                       verdict.retryAfter};
+    }
 };
 
 /// \returns the process at \p address. The platform lists no start times; a process that comes back
