A replica that ends before its drain time is over did not end as planned

What callers saw: a request whose replica announces that it drains and ends 250 ms later took all twelve replicas along, nine of them after the third had ended.

Cause: the notice of a drain cleared a lost send, or kept it from counting at all, whenever the end came.

Why this works: the moment of the loss is compared with the drain time, which is counted from the last moment at which this daemon's copy of the table was without the notice. A loss before its end counts; a notice clears only what was certainly lost before it.

A case of crash_watch is replaced: "which says that it leaves: it still runs" said that any notice clears, which is the fault. It now states that the notice came after the loss, and a case beside it that an earlier one shows nothing; "it drains" now states the end of the drain time.

--- a/src/entry/entry_call.h
+++ b/src/entry/entry_call.h
@@ -58,8 +58,8 @@
     endpoint replicaAddress;
     /// When the replica last accepted a connection after it had been silent.
     time_point replicaAliveAt;
-    /// Whether that replica is known to leave.
-    bool isReplicaLeaving = false;
+    /// From when on that replica may leave, if it is known to drain.
+    std::optional<time_point> replicaLeavesAt;
     time_point sentAt;
     time_point lastByteAt;
     /// When the current send is aborted in favour of another replica, if ever.
--- a/src/entry/replica_discovery.cpp
+++ b/src/entry/replica_discovery.cpp
@@ -308,13 +308,12 @@
     return jsonResponse(200, encodeChanges(changes));
 }
 
-time_point replica_discovery::earliestDrainDeadline() const
+time_point replica_discovery::earliestDrainDeadline(time_point notBefore) const
 {
-    const auto since = m_table.changedAfter();
-    return since ? *since + m_readSchedule.propagationBound - maxTransmissionTime : time_point();
+    return notBefore + m_readSchedule.propagationBound - maxTransmissionTime;
 }
 
-bool replica_discovery::applyRow(const std::string &key, time_point drainDeadline)
+bool replica_discovery::applyRow(const std::string &key, std::optional<time_point> drainNotBefore)
 {
     const upstream_id id{key};
     const auto old = m_replicas.find(id);
@@ -328,8 +327,10 @@
         return m_replicas.erase(id) != 0;
     }
     // A replica that is not known may have been listed, and draining, before.
-    if (known && read->draining)
-        read->drainDeadline = drainDeadline;
+    if (known && read->draining && drainNotBefore) {
+        read->drainNotBefore = *drainNotBefore;
+        read->drainDeadline = earliestDrainDeadline(*drainNotBefore);
+    }
     replica_entry entry = known ? latestEntry(*known, *read) : *read;
     const bool isChanged
         = !known || known->incarnation != entry.incarnation || known->draining != entry.draining;
@@ -343,10 +344,10 @@
 {
     std::size_t changed = 0;
     m_loggedReplicas = 0;
-    const time_point drainDeadline = earliestDrainDeadline();
+    const std::optional<time_point> drainNotBefore = m_table.changedAfter();
     for (const std::string &key : m_table.takeChanged()) {
         const bool wasKnown = m_replicas.contains({key});
-        changed += applyRow(key, drainDeadline) ? 1 : 0;
+        changed += applyRow(key, drainNotBefore) ? 1 : 0;
         if (wasKnown && !m_replicas.contains({key}) && ++m_loggedReplicas <= maxReplicaLogLines)
             logDecision(log_event::ReplicaGone, {{"replica", key}});
     }
--- a/src/entry/replica_discovery.h
+++ b/src/entry/replica_discovery.h
@@ -87,12 +87,12 @@
     awaitable<void> fetchChanges(peer_digest announcement);
     void applyChanges(std::string_view source);
     /// \brief Applies the current row of \p key. \returns whether its entry changed.
-    /// \param drainDeadline end of the drain time if the change began it.
-    bool applyRow(const std::string &key, time_point drainDeadline);
+    /// \param drainNotBefore a time before the drain time if the change began it, or nothing if
+    /// none is known.
+    bool applyRow(const std::string &key, std::optional<time_point> drainNotBefore);
     /// \returns the earliest time at which the drain time of a replica may end that was not
-    /// draining before the changes that are being applied, less the time that a request needs to
-    /// reach it.
-    time_point earliestDrainDeadline() const;
+    /// draining at \p notBefore, less the time that a request needs to reach it.
+    time_point earliestDrainDeadline(time_point notBefore) const;
     void logReplica(const replica_entry *known, const replica_entry &entry) const;
     void logStoreReachability();
 
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -106,7 +106,8 @@
 {
     // A replica stops work at the deadline that it was given, and at the end of its own answer.
     const bool hasAnswered = loss == send_loss::EndedWithConnection;
-    return {loss, hasAnswered ? now : call.deadline, call.isReplicaLeaving};
+    const bool wasLeaving = call.replicaLeavesAt && now >= *call.replicaLeavesAt;
+    return {loss, hasAnswered ? now : call.deadline, wasLeaving};
 }
 
 /// \brief Reads the rest of a refusal, so that the connection can be reused, unless it is long.
@@ -207,13 +208,21 @@
 
 void upstream_sender::observeReplica(entry_call &call) const
 {
-    call.isReplicaLeaving = call.isReplicaLeaving || m_loadBalancer.isDraining(call.replica);
+    if (m_loadBalancer.isDraining(call.replica))
+        call.replicaLeavesAt = m_loadBalancer.entryOf(call.replica)->drainDeadline;
 }
 
 replica_sight upstream_sender::sightOf(const replica_incarnation &who) const
 {
-    return {m_loadBalancer.isListed(who), m_loadBalancer.isDraining(who),
-            m_loadBalancer.lastReceivedAt(who)};
+    replica_sight sight;
+    sight.lastReceivedAt = m_loadBalancer.lastReceivedAt(who);
+    if (const replica_entry *const entry = m_loadBalancer.entryOf(who)) {
+        sight.isListed = true;
+        sight.isDraining = entry->draining;
+        sight.drainNotBefore = entry->drainNotBefore;
+        sight.drainDeadline = entry->drainDeadline;
+    }
+    return sight;
 }
 
 void upstream_sender::watchLostSend(const entry_call &call, const open_reply &reply,
@@ -315,7 +324,7 @@
     call->connection = connection.get();
     call->replica = where.replica.incarnation;
     call->replicaAddress = address;
-    call->isReplicaLeaving = false;
+    call->replicaLeavesAt.reset();
     call->sentAt = runtime_clock::now();
     call->lastByteAt = call->sentAt;
     call->attemptDeadline.reset();
--- a/src/quarantine/crash_watch.cpp
+++ b/src/quarantine/crash_watch.cpp
@@ -43,7 +43,8 @@
                              const replica_lookup &lookup, time_point now)
 {
     const replica_sight sight = lookup(lost.replica);
-    if (sight.isDraining || seen.wasLeaving)
+    const bool isDrained = sight.isDraining && now >= sight.drainDeadline;
+    if (isDrained || seen.wasLeaving)
         return;
     watched_send w{seen.loss, now, std::max(seen.mayEndUntil, now), replica_fate::Suspected, false};
     if (!sight.isListed) {
@@ -82,7 +83,8 @@
         return;
     }
     const time_point provenFrom = std::max(w.lostAt + lifeSignMargin, w.mayEndUntil);
-    if (sight.lastReceivedAt > provenFrom || sight.isDraining) {
+    const bool hasAnnounced = sight.isDraining && sight.drainNotBefore > provenFrom;
+    if (sight.lastReceivedAt > provenFrom || hasAnnounced) {
         setFate(lost, w, replica_fate::Cleared, now);
     } else if (!sight.isListed) {
         w.wasUnlisted = true;
--- a/src/quarantine/crash_watch.h
+++ b/src/quarantine/crash_watch.h
@@ -60,6 +60,9 @@
     bool isDraining = false;
     /// When bytes of it last arrived on any connection.
     time_point lastReceivedAt;
+    /// If it has announced that: a time before the announcement, and until when it serves on.
+    time_point drainNotBefore = {};
+    time_point drainDeadline = {};
 };
 
 using replica_lookup = std::function<replica_sight(const replica_incarnation &)>;
@@ -69,8 +72,9 @@
 /// How the send was lost does not show that, so each lost send is a suspicion at once. A process
 /// has ended once its entry is gone, another process has its address, or a newer one its id, unless
 /// it showed a sign of life after an end would have counted as one under the request, or had
-/// announced that it leaves. An entry that comes back after an outage of the store is a sign of
-/// life too. Time alone clears nothing.
+/// announced that it leaves and served on for its drain time. The announcement itself is a sign of
+/// life, and so is an entry that comes back after an outage of the store. Time alone clears
+/// nothing.
 class crash_watch
 {
 public:
--- a/src/quarantine/send_loss.h
+++ b/src/quarantine/send_loss.h
@@ -35,7 +35,8 @@
     send_loss loss = send_loss::ConnectionEnded;
     /// Until when an end of the process counts as one under the request.
     time_point mayEndUntil;
-    /// Whether the replica had announced that it leaves: it ended as planned.
+    /// Whether the replica had announced that it leaves, and its drain time was over: it may have
+    /// ended as planned.
     bool wasLeaving = false;
 };
 
--- a/src/replicas/replica_entry.cpp
+++ b/src/replicas/replica_entry.cpp
@@ -14,6 +14,7 @@
     replica_entry latest = isOlder ? known : read;
     latest.draining = known.draining || read.draining;
     latest.drainDeadline = known.draining ? known.drainDeadline : read.drainDeadline;
+    latest.drainNotBefore = known.draining ? known.drainNotBefore : read.drainNotBefore;
     return latest;
 }
 
--- a/src/replicas/replica_entry.h
+++ b/src/replicas/replica_entry.h
@@ -23,6 +23,8 @@
     /// If it drains: the end of the time in which a request that runs there may be sent to it once
     /// more. By default it has passed.
     time_point drainDeadline = {};
+    /// If it drains: a time at which it had not announced that yet. By default it is not known.
+    time_point drainNotBefore = {};
 };
 
 /// \brief Resolves which of two entries with the same id is current.
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -188,6 +188,12 @@
     return const_cast<replica_state *>(std::as_const(*this).find(who));
 }
 
+const replica_entry *replica_load_balancer::entryOf(const replica_incarnation &who) const
+{
+    const replica_state *const r = find(who);
+    return r ? &r->entry : nullptr;
+}
+
 bool replica_load_balancer::isDraining(const replica_incarnation &who) const
 {
     const replica_state *const r = find(who);
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -115,6 +115,8 @@
     void setLeaving(const replica_incarnation &who);
     /// \returns whether \p who is listed, that is, not known to have ended.
     bool isListed(const replica_incarnation &who) const { return find(who) != nullptr; }
+    /// \returns the entry of \p who, or null if it is not listed.
+    const replica_entry *entryOf(const replica_incarnation &who) const;
     /// \returns whether \p who is listed and has announced that it leaves.
     bool isDraining(const replica_incarnation &who) const;
     /// \returns whether \p who takes requests: it is listed, does not leave, and the entries are
--- a/src/sched/call_quarantine.cpp
+++ b/src/sched/call_quarantine.cpp
@@ -51,7 +51,7 @@
     const auto found = m_listed.find(who.id);
     if (found == m_listed.end() || incarnationOf(who.id, found->second.address) != who)
         return {};
-    return {true, found->second.isLeaving, found->second.answeredAt};
+    return {true, found->second.isLeaving, found->second.answeredAt, found->second.leavesNotBefore};
 }
 
 void call_quarantine::onEnded(const request_fingerprint &call, const upstream_id &id,
@@ -75,9 +75,16 @@
     for (const replica &r : listed) {
         const auto known = m_listed.find(r.id);
         const bool isSame = known != m_listed.end() && known->second.address == r.address;
-        next[r.id] = {r.address, r.leaving, isSame ? known->second.answeredAt : time_point()};
+        seen_replica seen{r.address, r.leaving, time_point(), time_point()};
+        if (isSame) {
+            seen.answeredAt = known->second.answeredAt;
+            seen.leavesNotBefore
+                = known->second.isLeaving ? known->second.leavesNotBefore : m_listedAt;
+        }
+        next[r.id] = std::move(seen);
     }
     m_listed = std::move(next);
+    m_listedAt = now;
     update(now);
     settleByList(now);
 }
--- a/src/sched/call_quarantine.h
+++ b/src/sched/call_quarantine.h
@@ -30,6 +30,8 @@
         std::string address;
         bool isLeaving = false;
         time_point answeredAt;
+        /// If it leaves: a time before it announced that.
+        time_point leavesNotBefore;
     };
 
     replica_sight sightOf(const replica_incarnation &who) const;
@@ -38,6 +40,7 @@
     void settleByList(time_point now);
 
     std::map<upstream_id, seen_replica> m_listed;
+    time_point m_listedAt;
     crash_watch m_watch;
     crash_ledger m_ledger;
     std::uint64_t m_sends = 0;
--- a/test/logic/crash_watch_test.cpp
+++ b/test/logic/crash_watch_test.cpp
@@ -99,12 +99,24 @@
             CHECK(fates().empty());
             CHECK(watch.size() == 0);
         }
-        SUBCASE("which says that it leaves: it still runs")
+        SUBCASE("which says later that it leaves: it still runs")
         {
             sight.isDraining = true;
+            sight.drainNotBefore = now + milliseconds(150);
             wait(seconds(1));
             CHECK(fates() == fate_list{replica_fate::Cleared});
         }
+        // Guards against a replica that announces its end and ends before that is seen.
+        SUBCASE("which may have said before that it leaves: that shows nothing")
+        {
+            sight.isDraining = true;
+            sight.drainNotBefore = now - milliseconds(150);
+            wait(seconds(1));
+            CHECK(fates().empty());
+            sight.isListed = false;
+            wait(seconds(3));
+            CHECK(fates() == fate_list{replica_fate::Ended});
+        }
     }
 
     // Guards against losses that are recognised by the error of the connection, or only after an
@@ -219,9 +231,10 @@
     TEST_CASE_FIXTURE(watch_fixture, "a replica that ends as announced did not end under a request")
     {
         bool wasLeaving = false;
-        SUBCASE("it drains")
+        SUBCASE("it drained for its drain time")
         {
             sight.isDraining = true;
+            sight.drainDeadline = now;
         }
         SUBCASE("it drained, and its entry was removed before the send was lost")
         {
@@ -233,6 +246,30 @@
         CHECK(fates().empty());
     }
 
+    // Guards against a notice of drain that makes a replica's crash a planned end.
+    TEST_CASE_FIXTURE(watch_fixture, "a replica that ends before its drain time is over counts")
+    {
+        sight.isDraining = true;
+        sight.drainNotBefore = now - milliseconds(100);
+        sight.drainDeadline = now + seconds(2);
+        lose(send_loss::ConnectionEnded);
+        CHECK(fates() == fate_list{replica_fate::Suspected});
+        SUBCASE("as ended once its entry is gone, even after that time")
+        {
+            wait(seconds(3));
+            CHECK(fates().empty());
+            sight.isListed = false;
+            wait(seconds(1));
+            CHECK(fates() == fate_list{replica_fate::Ended});
+        }
+        SUBCASE("unless it goes on to answer others")
+        {
+            sight.lastReceivedAt = now + seconds(1);
+            wait(seconds(1));
+            CHECK(fates() == fate_list{replica_fate::Cleared});
+        }
+    }
+
     TEST_CASE_FIXTURE(watch_fixture, "the number of watched sends is bounded")
     {
         for (std::uint64_t i = 0; i < 2 * crash_watch::maxWatched; ++i)
