Sends in flight count once another send of the request was lost

What callers saw: attempts at the same time ended five replicas between them, and a daemon that ended with a send in flight took its evidence along: a fourth replica ended.

Cause: evidence begins with a loss. A send in flight was known to its daemon only, and counted nowhere.

Why this works: once a send of a request was lost, each further one is announced to the custodians, and has its row, before it goes out. It counts like a suspicion until its end is told, and becomes one if it is not. The first send of a request, and all of one that lost nothing, are made as before. Daemons of earlier versions pass the new part of a report over.

--- a/src/crashes/crash_exchange.cpp
+++ b/src/crashes/crash_exchange.cpp
@@ -93,7 +93,7 @@
                                                            crash_audience audience) const
 {
     const bool isForCustodians = audience == crash_audience::AsNeeded
-        && isAllowed(m_ledger.verdict(request, runtime_clock::now()));
+        && !m_ledger.isQuarantined(request, runtime_clock::now());
     if (isForCustodians) {
         // Any two majorities of the custodians have one in common.
         const std::size_t all = std::min(custodians, m_others.size() + 1);
--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -124,15 +124,74 @@
 }
 
 awaitable<send_verdict> request_quarantine::settledVerdict(request_fingerprint request)
+{
+    const decision result = co_await decide(request);
+    co_return result.verdict;
+}
+
+awaitable<send_verdict> request_quarantine::announce(lost_send send, duration timeLeft)
+{
+    decision result = co_await decide(send.request);
+    const auto *const allowed = std::get_if<send_allowed>(&result.verdict);
+    if (!allowed || (allowed->crashes == 0 && result.uncounted.empty()))
+        co_return result.verdict;
+    result.uncounted.push_back(recordInFlight(send, timeLeft));
+    startSharing(send.request, crash_audience::AsNeeded);
+    co_await waitUntilShared(send.request);
+    const send_verdict verdict
+        = m_ledger.verdict(send.request, runtime_clock::now(), result.uncounted);
+    if (!isAllowed(verdict))
+        onSendEnded(send);
+    co_return verdict;
+}
+
+crash_evidence request_quarantine::recordInFlight(const lost_send &send, duration timeLeft)
+{
+    const std::uint64_t replica = digestOf(send.replica);
+    crash_report report;
+    report.request = send.request;
+    report.inFlight = {{replica, send.send, timeLeft}};
+    m_ledger.merge(report, runtime_clock::now());
+    const crash_evidence suspicion{replica, send.send, replica_fate::Suspected};
+    if (m_archive) {
+        crash_report stored = reportOn(send.request, suspicion);
+        stored.workLeft = timeLeft;
+        stored.endLeft = timeLeft;
+        m_archive->put(stored);
+    }
+    return suspicion;
+}
+
+void request_quarantine::onSendEnded(const lost_send &send)
+{
+    if (!m_ledger.isInFlight(send.request, send.send))
+        return;
+    const crash_report report
+        = reportOn(send.request, {digestOf(send.replica), send.send, replica_fate::Cleared});
+    m_ledger.merge(report, runtime_clock::now());
+    if (m_archive)
+        m_archive->remove(report);
+    // No client waits for this.
+    spawn(m_executor, "shareCleared", m_exchange.share(send.request));
+}
+
+awaitable<request_quarantine::decision> request_quarantine::decide(request_fingerprint request)
 {
     if (!isRestored())
         co_await waitUntilRestored();
     co_await waitUntilShared(request);
-    const send_verdict known = verdict(request);
+    send_verdict known = verdict(request);
+    if (std::holds_alternative<send_deferred>(known)
+        && !m_ledger.isQuarantined(request, runtime_clock::now())) {
+        // The custodians may know by now how the sends in flight ended.
+        co_await m_exchange.share(request);
+        known = verdict(request);
+    }
     if (!std::holds_alternative<send_deferred>(known) || !m_inquiry)
-        co_return known;
-    const std::vector<crash_evidence> alive = co_await settleSuspicions(request);
-    co_return m_ledger.verdict(request, runtime_clock::now(), alive);
+        co_return decision{known, {}};
+    std::vector<crash_evidence> alive = co_await settleSuspicions(request);
+    const send_verdict settled = m_ledger.verdict(request, runtime_clock::now(), alive);
+    co_return decision{settled, std::move(alive)};
 }
 
 awaitable<std::vector<crash_evidence>>
@@ -171,6 +230,9 @@
 {
     m_watch.onSendLost(lost, seen, lookup, runtime_clock::now());
     processFindings();
+    // It ended as planned. One that ended with its connection is found out later.
+    if (seen.loss != send_loss::EndedWithConnection)
+        onSendEnded(lost);
 }
 
 void request_quarantine::onAddressTaken(const replica_incarnation &who)
@@ -278,9 +340,9 @@
 
 void request_quarantine::logVerdict(const request_fingerprint &request) const
 {
-    const send_verdict now = m_ledger.verdict(request, runtime_clock::now());
-    if (isAllowed(now))
+    if (!m_ledger.isQuarantined(request, runtime_clock::now()))
         return;
+    const send_verdict now = m_ledger.verdict(request, runtime_clock::now());
     logDecision(log_event::RequestQuarantined,
                 {{"fingerprint", toText(request)},
                  {"verdict", std::string(std::visit(verdict_name(), now))}});
--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -79,7 +79,12 @@
     /// replicas that may have ended under it if they are reason to defer it, and returns whether
     /// the request may be sent.
     awaitable<send_verdict> settledVerdict(request_fingerprint request);
-
+    /// \brief Likewise, for the send \p send. If others of the request were lost, the other daemons
+    /// know of it before this returns, and it is in flight until onSendEnded() or onSendLost().
+    /// \param timeLeft time for which the replica may work on it.
+    awaitable<send_verdict> announce(lost_send send, duration timeLeft);
+    /// \brief The send \p send was not made, was refused, or was answered.
+    void onSendEnded(const lost_send &send);
     /// \brief Records that the replica of \p lost lost a send.
     void onSendLost(const lost_send &lost, const loss_observation &seen,
                     const replica_lookup &lookup);
@@ -94,6 +99,16 @@
     bool lift(const request_fingerprint &request);
 
 private:
+    /// \brief A verdict, and the evidence that was not counted for it.
+    struct decision
+    {
+        send_verdict verdict;
+        std::vector<crash_evidence> uncounted;
+    };
+
+    awaitable<decision> decide(request_fingerprint request);
+    /// \brief Records that \p send is in flight. \returns the suspicion that it amounts to.
+    crash_evidence recordInFlight(const lost_send &send, duration timeLeft);
     /// \brief Reads the evidence in the store.
     awaitable<void> restore();
     awaitable<void> waitUntilRestored();
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -216,9 +216,8 @@
         asio::post(controlContext,
                    [&control, w = std::move(report)] { control.setReplicaReport(w); });
     });
-    service.onQuarantineRestored([&] {
-        asio::post(controlContext, [&control] { control.setQuarantineRestored(); });
-    });
+    service.onQuarantineRestored(
+        [&] { asio::post(controlContext, [&control] { control.setQuarantineRestored(); }); });
     const operator_view view{metrics, control, service, trafficContext.get_executor()};
     http_server metricsServer(controlContext.get_executor(), {},
                               [&view](const http_request &request, response_writer &writer) {
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -229,17 +229,19 @@
                                     send_outcome end)
 {
     const auto loss = lossOf(call, reply, end);
-    if (!loss)
+    const lost_send lost{call.fingerprint, reply.where.replica.incarnation, reply.send};
+    if (!loss) {
+        m_quarantine.onSendEnded(lost);
         return;
-    const lost_send lost{call.fingerprint, reply.where.replica.incarnation,
-                         stableHash(call.request.id, ++m_sends)};
+    }
     m_quarantine.onSendLost(lost, observe(call, *loss, runtime_clock::now()),
                             [this](const replica_incarnation &who) { return sightOf(who); });
 }
 
-awaitable<bool> upstream_sender::passesQuarantine(entry_call_ptr call)
+awaitable<bool> upstream_sender::passesQuarantine(entry_call_ptr call, lost_send send)
 {
-    const send_verdict verdict = co_await m_quarantine.settledVerdict(call->fingerprint);
+    const send_verdict verdict
+        = co_await m_quarantine.announce(send, call->deadline - runtime_clock::now());
     const bool isPassed = isAllowed(verdict);
     if (!isPassed && call->abortReason == abort_reason::None)
         call->abortReason = abort_reason::Quarantined;
@@ -313,8 +315,11 @@
                           const placement_request &placementRequest, const http_request &original,
                           std::string body)
 {
-    const bool isPassed = co_await passesQuarantine(call);
+    const lost_send send{call->fingerprint, where.replica.incarnation,
+                         stableHash(call->request.id, ++m_sends)};
+    const bool isPassed = co_await passesQuarantine(call, send);
     if (!isPassed || !call->isWanted() || runtime_clock::now() >= call->deadline) {
+        m_quarantine.onSendEnded(send);
         co_return tl::unexpected(
             send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
     }
@@ -333,6 +338,7 @@
     open_reply reply;
     reply.where = where;
     reply.connection = connection;
+    reply.send = send.send;
 
     const bool isNew = !connection->isReusable();
     if (isNew) {
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -20,6 +20,8 @@
     std::string readError;
     /// Whether bytes of the request were sent.
     bool isSent = false;
+    /// Number by which evidence names this send.
+    std::uint64_t send = 0;
     /// How the answer could not be read; nothing if no read failed.
     std::optional<http_error_kind> failure;
 
@@ -157,8 +159,9 @@
     replica_sight sightOf(const replica_incarnation &who) const;
     /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
     void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end);
-    /// \brief Decides whether \p call may be sent. If not, its abort reason is Quarantined.
-    awaitable<bool> passesQuarantine(entry_call_ptr call);
+    /// \brief Decides whether \p call may be sent as \p send. If not, its abort reason is
+    /// Quarantined.
+    awaitable<bool> passesQuarantine(entry_call_ptr call, lost_send send);
     /// \brief Starts to probe whether the silent replica of \p call still accepts connections.
     void probeReplica(const entry_call &call);
     /// \brief Opens a connection to \p address. If that fails, the silent sends to \p who are
--- a/src/quarantine/crash_ledger.cpp
+++ b/src/quarantine/crash_ledger.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <tuple>
+#include <utility>
 
 namespace azurehill {
 
@@ -26,8 +27,20 @@
             finding.endLeft};
 }
 
+bool crash_ledger::mergeInFlight(record &r, const send_in_flight &pending, time_point now)
+{
+    const bool isOver
+        = std::any_of(r.evidence.begin(), r.evidence.end(),
+                      [&pending](const crash_evidence &e) { return e.send == pending.send; });
+    if (isOver || r.inFlight.size() >= maxEvidence)
+        return false;
+    return r.inFlight.emplace(pending.send, pending_send{pending.replica, now + pending.left})
+        .second;
+}
+
 bool crash_ledger::mergeOne(record &r, const crash_evidence &evidence)
 {
+    r.inFlight.erase(evidence.send);
     const auto known
         = std::find_if(r.evidence.begin(), r.evidence.end(), [&](const crash_evidence &e) {
               return e.replica == evidence.replica && e.send == evidence.send;
@@ -51,7 +64,7 @@
 
 bool crash_ledger::merge(const crash_report &report, time_point now)
 {
-    if (report.age >= lifetime || report.evidence.empty())
+    if (report.age >= lifetime || (report.evidence.empty() && report.inFlight.empty()))
         return false;
     if (!m_records.contains(report.request) && m_records.size() >= maxRequests)
         evictOne();
@@ -59,6 +72,8 @@
     bool isNew = false;
     for (const crash_evidence &evidence : report.evidence)
         isNew = mergeOne(r, evidence) || isNew;
+    for (const send_in_flight &pending : report.inFlight)
+        isNew = mergeInFlight(r, pending, now) || isNew;
     if (isNew) {
         r.latestAt = std::max(r.latestAt, now - std::max(report.age, duration::zero()));
         r.workUntil = std::max(r.workUntil, now + report.workLeft);
@@ -98,28 +113,50 @@
 }
 
 send_verdict crash_ledger::verdict(const request_fingerprint &request, time_point now,
-                                   const std::vector<crash_evidence> &alive) const
+                                   const std::vector<crash_evidence> &uncounted) const
 {
     const auto found = m_records.find(request);
     if (found == m_records.end() || isExpired(found->second, now))
         return send_allowed();
     const record &r = found->second;
+    const auto isCounted = [&uncounted](const crash_evidence &e) {
+        return std::find(uncounted.begin(), uncounted.end(), e) == uncounted.end();
+    };
     std::vector<crash_evidence> counted;
-    std::copy_if(r.evidence.begin(), r.evidence.end(), std::back_inserter(counted),
-                 [&alive](const crash_evidence &e) {
-                     return std::find(alive.begin(), alive.end(), e) == alive.end();
-                 });
+    std::copy_if(r.evidence.begin(), r.evidence.end(), std::back_inserter(counted), isCounted);
     crash_count count = countOf(counted);
     if (count.ended >= maxEndedReplicas)
         return send_rejected{count.ended};
-    if (now >= r.latestAt + suspicionLifetime)
+    const bool isOld = now >= r.latestAt + suspicionLifetime;
+    if (isOld)
         count.suspected = 0;
-    if (count.ended + count.suspected < maxEndedReplicas)
-        return send_allowed{count.ended + count.suspected};
+    const auto inFlight
+        = std::count_if(r.inFlight.begin(), r.inFlight.end(), [&](const auto &item) {
+              const auto &[send, pending] = item;
+              return isCounted({pending.replica, send, replica_fate::Suspected});
+          });
+    const int crashes = count.ended + count.suspected;
+    const int possible = crashes + (isOld ? 0 : static_cast<int>(inFlight));
+    if (possible < maxEndedReplicas)
+        return send_allowed{possible};
+    // A send in flight may end at any time.
+    if (crashes < maxEndedReplicas)
+        return send_deferred{minRetryAfter};
     const time_point settledAt = now < r.workUntil ? r.workUntil : r.latestAt + lapseTime;
     return send_deferred{std::max<duration>(minRetryAfter, settledAt - now)};
 }
 
+bool crash_ledger::isQuarantined(const request_fingerprint &request, time_point now) const
+{
+    const auto found = m_records.find(request);
+    if (found == m_records.end())
+        return false;
+    std::vector<crash_evidence> uncounted;
+    for (const auto &[send, pending] : found->second.inFlight)
+        uncounted.push_back({pending.replica, send, replica_fate::Suspected});
+    return !isAllowed(verdict(request, now, uncounted));
+}
+
 std::vector<crash_evidence> crash_ledger::suspicions(const request_fingerprint &request,
                                                      time_point now) const
 {
@@ -130,6 +167,10 @@
     std::copy_if(found->second.evidence.begin(), found->second.evidence.end(),
                  std::back_inserter(result),
                  [](const auto &e) { return e.fate == replica_fate::Suspected; });
+    for (const auto &[send, pending] : found->second.inFlight) {
+        if (now >= pending.until)
+            result.push_back({pending.replica, send, replica_fate::Suspected});
+    }
     return result;
 }
 
@@ -165,7 +206,11 @@
 {
     const auto timeLeft
         = [now](time_point until) { return std::max<duration>(until - now, duration::zero()); };
-    return {request, now - r.latestAt, r.evidence, timeLeft(r.workUntil), timeLeft(r.mayEndUntil)};
+    crash_report report{request, now - r.latestAt, r.evidence, timeLeft(r.workUntil),
+                        timeLeft(r.mayEndUntil)};
+    for (const auto &[send, pending] : r.inFlight)
+        report.inFlight.push_back({pending.replica, send, timeLeft(pending.until)});
+    return report;
 }
 
 std::optional<crash_report> crash_ledger::find(const request_fingerprint &request,
@@ -181,7 +226,7 @@
 {
     std::vector<crash_report> reports;
     for (const auto &[request, r] : m_records) {
-        if (!isAllowed(verdict(request, now)))
+        if (isQuarantined(request, now))
             reports.push_back(reportOf(request, r, now));
     }
     return reports;
@@ -192,7 +237,10 @@
     const auto found = m_records.find(request);
     if (found == m_records.end())
         return false;
-    for (crash_evidence &e : found->second.evidence)
+    record &r = found->second;
+    for (const auto &[send, pending] : std::exchange(r.inFlight, {}))
+        r.evidence.push_back({pending.replica, send, replica_fate::Cleared});
+    for (crash_evidence &e : r.evidence)
         e.fate = replica_fate::Cleared;
     found->second.latestAt = now;
     return true;
@@ -214,8 +262,15 @@
 {
     const auto found = m_records.find(request);
     return found != m_records.end()
-        && std::any_of(found->second.evidence.begin(), found->second.evidence.end(),
-                       [send](const crash_evidence &e) { return e.send == send; });
+        && (found->second.inFlight.contains(send)
+            || std::any_of(found->second.evidence.begin(), found->second.evidence.end(),
+                           [send](const crash_evidence &e) { return e.send == send; }));
+}
+
+bool crash_ledger::isInFlight(const request_fingerprint &request, std::uint64_t send) const
+{
+    const auto found = m_records.find(request);
+    return found != m_records.end() && found->second.inFlight.contains(send);
 }
 
 void crash_ledger::evictOne()
--- a/src/quarantine/crash_ledger.h
+++ b/src/quarantine/crash_ledger.h
@@ -21,6 +21,18 @@
     friend bool operator==(const crash_evidence &, const crash_evidence &) = default;
 };
 
+/// \brief A send on which a replica works, while others of the request were lost. Both numbers are
+/// those of the evidence if it is lost too.
+struct send_in_flight
+{
+    std::uint64_t replica = 0;
+    std::uint64_t send = 0;
+    /// Time for which the replica may work on it.
+    duration left = duration::zero();
+
+    friend bool operator==(const send_in_flight &, const send_in_flight &) = default;
+};
+
 /// \brief What a daemon knows of the lost sends of one request.
 struct crash_report
 {
@@ -32,6 +44,7 @@
     duration workLeft = duration::zero();
     /// Time for which an end of such a replica counts as one under the request.
     duration endLeft = duration::zero();
+    std::vector<send_in_flight> inFlight = {};
 };
 
 /// \returns the digest of \p who, by which evidence names it. All daemons compute it alike.
@@ -47,7 +60,8 @@
 ///
 /// Reports may arrive more than once and in any order: for each lost send, a later fate replaces an
 /// earlier one (suspected, ended, cleared) and never the other way round, so that all daemons that
-/// have the same reports decide alike. Memory is bounded by the number of requests, of evidence
+/// have the same reports decide alike. A send in flight counts like a suspicion, and becomes one if
+/// its daemon does not tell how it ended. Memory is bounded by the number of requests, of evidence
 /// per request, and a fixed lifetime.
 class crash_ledger
 {
@@ -68,12 +82,16 @@
     /// \brief Merges \p report. \returns whether it says anything new.
     bool merge(const crash_report &report, time_point now);
     /// \brief Decides whether a request may be sent to a replica.
-    /// \param alive suspicions against replicas that were seen alive just now. They don't count.
+    /// \param uncounted evidence that doesn't count: against replicas that were seen alive just
+    /// now, or on the send that is decided on.
     send_verdict verdict(const request_fingerprint &request, time_point now,
-                         const std::vector<crash_evidence> &alive = {}) const;
+                         const std::vector<crash_evidence> &uncounted = {}) const;
+    /// \returns whether the lost sends of \p request keep it from being sent, whatever becomes of
+    /// those in flight.
+    bool isQuarantined(const request_fingerprint &request, time_point now) const;
     /// \returns what is known of \p request, or nothing.
     std::optional<crash_report> find(const request_fingerprint &request, time_point now) const;
-    /// \returns the reports of all requests that may not be sent.
+    /// \returns the reports of all requests that are quarantined.
     std::vector<crash_report> quarantined(time_point now) const;
     /// \returns the suspicions against replicas under \p request. None while one of these may still
     /// work on it.
@@ -91,6 +109,8 @@
     std::vector<crash_report> expire(time_point now);
     /// \returns whether anything is known of the send \p send of \p request.
     bool isKnown(const request_fingerprint &request, std::uint64_t send) const;
+    /// \returns whether the send \p send of \p request is in flight, by what is known.
+    bool isInFlight(const request_fingerprint &request, std::uint64_t send) const;
     std::size_t size() const { return m_records.size(); }
 
     /// \returns whether one more crash under a request with \p verdict reaches the limit, or goes
@@ -103,9 +123,17 @@
     }
 
 private:
+    struct pending_send
+    {
+        std::uint64_t replica = 0;
+        /// When its replica no longer works on it.
+        time_point until;
+    };
     struct record
     {
         std::vector<crash_evidence> evidence;
+        /// Sends in flight by their numbers. None of them is among the evidence.
+        std::map<std::uint64_t, pending_send> inFlight;
         time_point latestAt;
         /// When no replica works on a lost send any more.
         time_point workUntil;
@@ -122,6 +150,7 @@
     static crash_count countOf(const std::vector<crash_evidence> &evidence);
     static bool isExpired(const record &r, time_point now);
     static bool mergeOne(record &r, const crash_evidence &evidence);
+    static bool mergeInFlight(record &r, const send_in_flight &pending, time_point now);
     static crash_report reportOf(const request_fingerprint &request, const record &r,
                                  time_point now);
     /// \brief Removes the record of the request with the fewest crashes, the oldest of these.
--- a/src/quarantine/crash_message.cpp
+++ b/src/quarantine/crash_message.cpp
@@ -15,6 +15,14 @@
 /// of the wire format.
 enum class message_kind { Notice, Acknowledgement, Query };
 
+json::array encodeInFlight(const std::vector<send_in_flight> &sends)
+{
+    json::array list;
+    for (const send_in_flight &pending : sends)
+        list.push_back(json::array{pending.replica, pending.send, toMilliseconds(pending.left)});
+    return list;
+}
+
 json::array encodeReports(const std::vector<crash_report> &reports)
 {
     json::array list;
@@ -22,9 +30,11 @@
         json::array evidence;
         for (const crash_evidence &e : report.evidence)
             evidence.push_back(json::array{e.replica, e.send, static_cast<int>(e.fate)});
-        list.push_back(json::array{toText(report.request), toMilliseconds(report.age),
-                                   std::move(evidence), toMilliseconds(report.workLeft),
-                                   toMilliseconds(report.endLeft)});
+        json::array item{toText(report.request), toMilliseconds(report.age), std::move(evidence),
+                         toMilliseconds(report.workLeft), toMilliseconds(report.endLeft)};
+        if (!report.inFlight.empty())
+            item.push_back(encodeInFlight(report.inFlight));
+        list.push_back(std::move(item));
     }
     return list;
 }
@@ -62,6 +72,12 @@
     return milliseconds(std::clamp<std::int64_t>(value.to_number<std::int64_t>(), 0, maxTime));
 }
 
+send_in_flight decodeInFlight(const json::array &a)
+{
+    return {a.at(0).to_number<std::uint64_t>(), a.at(1).to_number<std::uint64_t>(),
+            decodeTime(a.at(2))};
+}
+
 crash_report decodeReport(const json::array &a)
 {
     const json::string &text = a.at(0).as_string();
@@ -79,6 +95,13 @@
         report.endLeft = decodeTime(a.at(4));
     for (const json::value &e : evidence)
         report.evidence.push_back(decodeEvidence(e.as_array()));
+    if (a.size() > 5) {
+        const json::array &sends = a.at(5).as_array();
+        if (sends.size() > crash_ledger::maxEvidence)
+            throw std::out_of_range("too many sends");
+        for (const json::value &pending : sends)
+            report.inFlight.push_back(decodeInFlight(pending.as_array()));
+    }
     return report;
 }
 
--- a/test/logic/crash_ledger_test.cpp
+++ b/test/logic/crash_ledger_test.cpp
@@ -160,6 +160,71 @@
         }));
     }
 
+    // Guards against attempts at the same time, and against a daemon that ends with a send in
+    // flight.
+    TEST_CASE("sends in flight count once others were lost")
+    {
+        constexpr duration workTime = seconds(4);
+        crash_ledger ledger;
+        crash_report pending;
+        pending.request = requestNumber(1);
+        pending.inFlight = {{7, 70, workTime}};
+        const auto verdict = [&](duration after = duration::zero()) {
+            return ledger.verdict(requestNumber(1), start + after);
+        };
+        ledger.merge(lossOf(1, 1, replica_fate::Ended), start);
+        ledger.merge(lossOf(1, 2, replica_fate::Suspected), start);
+        CHECK(ledger.merge(pending, start));
+        CHECK_FALSE(ledger.merge(pending, start));
+        CHECK(std::get<send_deferred>(verdict()).retryAfter == milliseconds(500));
+        CHECK(ledger.isInFlight(requestNumber(1), 70));
+
+        SUBCASE("but not against themselves")
+        {
+            const crash_evidence own{7, 70, replica_fate::Suspected};
+            CHECK(is<send_allowed>(ledger.verdict(requestNumber(1), start, {own})));
+        }
+        SUBCASE("until they are answered")
+        {
+            ledger.merge({requestNumber(1), duration::zero(), {{7, 70, replica_fate::Cleared}}},
+                         start);
+            CHECK(std::get<send_allowed>(verdict()).crashes == 2);
+            SUBCASE("and later reports of the flight say nothing new")
+            {
+                CHECK_FALSE(ledger.merge(pending, start));
+                CHECK(is<send_allowed>(verdict()));
+            }
+        }
+        SUBCASE("and when they are lost as well, they count once")
+        {
+            ledger.merge({requestNumber(1), duration::zero(), {{7, 70, replica_fate::Suspected}}},
+                         start);
+            CHECK_FALSE(ledger.isInFlight(requestNumber(1), 70));
+            ledger.merge(lossOf(1, 2, replica_fate::Ended), start);
+            CHECK(is<send_deferred>(verdict()));
+            ledger.merge({requestNumber(1), duration::zero(), {{7, 70, replica_fate::Ended}}},
+                         start);
+            CHECK(std::get<send_rejected>(verdict()).endedReplicas == 3);
+        }
+        SUBCASE("and become suspicions if nothing more is told of them")
+        {
+            CHECK(ledger.suspicions(requestNumber(1), start).size() == 1);
+            CHECK(ledger.suspicions(requestNumber(1), start + workTime).size() == 2);
+            const auto ended = [](std::uint64_t) { return std::optional(replica_fate::Ended); };
+            ledger.adoptSuspicions(ended, start + crash_ledger::adoptionTime);
+            CHECK(is<send_rejected>(verdict(crash_ledger::adoptionTime)));
+        }
+        SUBCASE("and are told to others")
+        {
+            const crash_report report = *ledger.find(requestNumber(1), start + seconds(1));
+            const std::vector<send_in_flight> expected{{7, 70, workTime - seconds(1)}};
+            CHECK(report.inFlight == expected);
+            const auto decoded = decodeCrashMessage(encodeCrashMessage(crash_notice{1, {report}}));
+            REQUIRE(decoded);
+            CHECK(std::get<crash_notice>(*decoded).reports.front().inFlight == expected);
+        }
+    }
+
     // Guards against a wave of crashes that makes the daemon forget the requests that it refuses.
     TEST_CASE("its memory is bounded, and refused requests are the last to be forgotten")
     {
