Daemons that miss others follow the evidence in the store; announcements are repeated

Cause: reports reach other daemons by messages only; the store was read at the start alone.

Why this works: while daemons are missing that were live, the change feed of the table is followed, 200 ms between two calls, and longer the more daemons there are. Before a send of a request that lost one, its rows are read while others are missing or not known yet. A daemon that stood still for two seconds reads the table before it goes on.

--- a/src/crashes/crash_archive.cpp
+++ b/src/crashes/crash_archive.cpp
@@ -38,12 +38,12 @@
 
 awaitable<void> crash_archive::removeAll(request_fingerprint request)
 {
-    auto reports = co_await read(crash_rows::ofRequest(request), storeCallTimeout);
-    while (!reports) {
+    auto page = co_await read(crash_rows::ofRequest(request), storeCallTimeout);
+    while (!page) {
         co_await sleepFor(retryInterval);
-        reports = co_await read(crash_rows::ofRequest(request), storeCallTimeout);
+        page = co_await read(crash_rows::ofRequest(request), storeCallTimeout);
     }
-    for (const crash_report &report : *reports)
+    for (const crash_report &report : page->reports)
         remove(report);
 }
 
@@ -119,20 +119,37 @@
     m_waiters.erase(wait);
 }
 
-awaitable<std::optional<std::vector<crash_report>>> crash_archive::read(row_range range,
-                                                                        duration timeout)
+evidence_page crash_archive::decode(const row_page &page)
 {
-    const auto page = co_await m_store.read(std::move(range), runtime_clock::now() + timeout);
-    if (!page)
-        co_return std::nullopt;
-    std::vector<crash_report> reports;
-    for (const stored_row &row : page->rows) {
+    evidence_page result;
+    result.version = page.version;
+    for (const stored_row &row : page.rows) {
+        if (row.deleted)
+            continue;
         if (auto report = crash_rows::decode(row))
-            reports.push_back(std::move(*report));
+            result.reports.push_back(std::move(*report));
         else
             m_unreadable.logOnce(log_event::RowUnreadable, row, "the row holds no lost send");
     }
-    co_return reports;
+    return result;
+}
+
+awaitable<std::optional<evidence_page>> crash_archive::read(row_range range, duration timeout)
+{
+    const auto page = co_await m_store.read(std::move(range), runtime_clock::now() + timeout);
+    if (!page)
+        co_return std::nullopt;
+    co_return decode(*page);
+}
+
+awaitable<std::optional<evidence_page>> crash_archive::follow(store_version after)
+{
+    std::string table = crash_rows::all().table;
+    const time_point deadline = runtime_clock::now() + followTimeout + storeCallTimeout;
+    const auto page = co_await m_store.changes(std::move(table), after, followTimeout, deadline);
+    if (!page)
+        co_return std::nullopt;
+    co_return decode(*page);
 }
 
 } // namespace azurehill
--- a/src/crashes/crash_archive.h
+++ b/src/crashes/crash_archive.h
@@ -13,6 +13,13 @@
 
 namespace azurehill {
 
+/// \brief Evidence in the store, up to a version of it.
+struct evidence_page
+{
+    std::vector<crash_report> reports;
+    store_version version = 0;
+};
+
 /// \brief Keeps the evidence on lost sends in the store, where it outlives all daemons. Used on the
 /// traffic thread.
 ///
@@ -23,6 +30,7 @@
 public:
     /// Maximum time for which waitUntilStored() waits.
     static constexpr duration storeTimeout = milliseconds(120);
+    static constexpr duration followTimeout = seconds(2);
     /// Maximum number of rows that wait to be written or removed. Further ones are passed over.
     static constexpr std::size_t maxWaiting = 4096;
 
@@ -40,7 +48,10 @@
     awaitable<void> waitUntilStored(request_fingerprint request);
     /// \returns the evidence in the rows of \p range, or nothing if the store does not answer
     /// within \p timeout.
-    awaitable<std::optional<std::vector<crash_report>>> read(row_range range, duration timeout);
+    awaitable<std::optional<evidence_page>> read(row_range range, duration timeout);
+    /// \brief Waits for evidence later than version \p after, for followTimeout at most.
+    /// \returns it, or nothing if the store does not tell the changes since then.
+    awaitable<std::optional<evidence_page>> follow(store_version after);
 
 private:
     /// The new value of each row, or nothing if it is to be removed.
@@ -51,6 +62,7 @@
     /// \brief Writes some of the changes that wait. \returns whether the store has them.
     awaitable<bool> writeSome();
     bool isStored(const request_fingerprint &request) const;
+    evidence_page decode(const row_page &page);
     static bool contains(const row_changes &changes, const row_range &range);
 
     asio::any_io_executor m_executor;
--- a/src/crashes/request_quarantine.cpp
+++ b/src/crashes/request_quarantine.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace azurehill {
 
@@ -19,6 +20,15 @@
 /// Time after the start for which requests wait for the evidence in the store.
 constexpr duration maxRestoreWait = seconds(1);
 constexpr duration undecidedRetryAfter = milliseconds(500);
+/// Interval between reads of the evidence while daemons are missing, and the number of daemons that
+/// read within it. Shorter than clients wait between attempts.
+constexpr duration evidenceReadInterval = milliseconds(200);
+constexpr std::size_t concurrentEvidenceReaders = 16;
+/// Other daemons take one that stands still for longer to have ended, and tell it nothing more.
+constexpr duration minStandstill = seconds(2);
+/// Announcements of one send, and the maximum time between two of them.
+constexpr int maxAnnouncements = 4;
+constexpr duration announcementInterval = milliseconds(60);
 
 /// \brief Visitor that names a verdict in the log.
 struct verdict_name
@@ -52,7 +62,7 @@
 } // namespace
 
 request_quarantine::request_quarantine(const asio::any_io_executor &executor, std::uint64_t seed)
-    : m_executor(executor),
+    : m_executor(executor), m_random(static_cast<std::uint_fast32_t>(seed)),
       m_exchange(executor, m_ledger, seed,
                  [this](const request_fingerprint &request) { logVerdict(request); })
 { }
@@ -66,41 +76,120 @@
 
 std::uint16_t request_quarantine::start(const endpoint &address)
 {
-    m_startedAt = runtime_clock::now();
-    if (m_archive)
+    if (m_archive) {
+        m_isReading = true;
+        m_awaitedUntil = runtime_clock::now() + maxRestoreWait;
         spawn(m_executor, "restoreQuarantine", restore());
+        spawn(m_executor, "followEvidence", followEvidence());
+    }
     return m_exchange.start(address);
 }
 
+void request_quarantine::setMembers(const member_state &self, std::vector<member_state> others)
+{
+    m_missing.update(others, runtime_clock::now());
+    m_daemons = others.size() + 1;
+    m_exchange.setMembers(self, std::move(others));
+}
+
 awaitable<void> request_quarantine::restore()
 {
-    auto reports = co_await m_archive->read(crash_rows::all(), restoreTimeout);
-    while (!reports) {
+    const time_point began = runtime_clock::now();
+    bool isRead = co_await readEvidence(crash_rows::all(), restoreTimeout);
+    while (!isRead) {
         co_await sleepFor(restoreRetryInterval);
-        reports = co_await m_archive->read(crash_rows::all(), restoreTimeout);
+        isRead = co_await readEvidence(crash_rows::all(), restoreTimeout);
     }
-    const time_point now = runtime_clock::now();
-    for (const crash_report &report : *reports)
-        m_ledger.merge(report, now);
     m_isRestored = true;
+    endRestoreWait();
+    logRestored(runtime_clock::now() - began);
+    if (m_onRestored)
+        m_onRestored();
+}
+
+awaitable<void> request_quarantine::readAfterStandstill()
+{
+    const time_point began = runtime_clock::now();
+    m_awaitedUntil = began + maxRestoreWait;
+    const bool isRead = co_await readEvidence(crash_rows::all(), restoreTimeout);
+    endRestoreWait();
+    if (isRead)
+        logRestored(runtime_clock::now() - began);
+}
+
+awaitable<void> request_quarantine::followEvidence()
+{
+    store_version known = 0;
+    while (true) {
+        // The daemons together read no more often the more of them there are.
+        co_await sleepFor(evidenceReadInterval
+                          * std::max<std::size_t>(1, m_daemons / concurrentEvidenceReaders));
+        const bool isNeeded = m_isRestored && m_missing.any(runtime_clock::now());
+        if (isNeeded)
+            known = co_await readChanges(known);
+        else
+            known = 0;
+    }
+}
+
+awaitable<store_version> request_quarantine::readChanges(store_version after)
+{
+    std::optional<evidence_page> page;
+    if (after == 0)
+        page = co_await m_archive->read(crash_rows::all(), restoreTimeout);
+    else
+        page = co_await m_archive->follow(after);
+    if (!page)
+        co_return 0;
+    mergeEvidence(*page);
+    co_return std::max(after, page->version);
+}
+
+awaitable<bool> request_quarantine::readEvidence(row_range range, duration timeout)
+{
+    const auto page = co_await m_archive->read(std::move(range), timeout);
+    if (page)
+        mergeEvidence(*page);
+    co_return page.has_value();
+}
+
+void request_quarantine::mergeEvidence(const evidence_page &page)
+{
+    const time_point now = runtime_clock::now();
+    for (const crash_report &report : page.reports) {
+        if (m_ledger.merge(report, now))
+            logVerdict(report.request);
+    }
+}
+
+bool request_quarantine::mayMissReports(const request_fingerprint &request) const
+{
+    const time_point now = runtime_clock::now();
+    return m_archive && m_ledger.find(request, now)
+        && (!m_missing.hasMembers() || m_missing.any(now));
+}
+
+void request_quarantine::endRestoreWait()
+{
+    m_isReading = false;
     for (const auto &waiter : m_restoreWaiters)
         waiter->cancel();
+}
+
+void request_quarantine::logRestored(duration elapsed) const
+{
     logDecision(log_event::QuarantineRestored,
-                {{"sends", std::int64_t(reports->size())},
-                 {"requests", std::int64_t(m_ledger.size())},
-                 {"quarantined", std::int64_t(m_ledger.quarantined(now).size())},
-                 {"ms", toMilliseconds(now - m_startedAt)}});
-    if (m_onRestored)
-        m_onRestored();
+                {{"requests", std::int64_t(m_ledger.size())},
+                 {"quarantined", std::int64_t(quarantinedRequests().size())},
+                 {"ms", toMilliseconds(elapsed)}});
 }
 
 awaitable<void> request_quarantine::waitUntilRestored()
 {
-    const time_point until = m_startedAt + maxRestoreWait;
     const auto wait = std::make_shared<timer>(m_executor);
     m_restoreWaiters.insert(wait);
-    while (!isRestored() && runtime_clock::now() < until) {
-        wait->expires_at(until);
+    while (m_isReading && runtime_clock::now() < m_awaitedUntil) {
+        wait->expires_at(m_awaitedUntil);
         boost::system::error_code code;
         co_await wait->async_wait(asio::redirect_error(use_awaitable, code));
     }
@@ -129,7 +218,31 @@
     co_return result.verdict;
 }
 
-awaitable<send_verdict> request_quarantine::announce(lost_send send, duration timeLeft)
+awaitable<send_announcement> request_quarantine::announce(lost_send send, duration timeLeft)
+{
+    send_announcement result;
+    result.send = send.send;
+    result.verdict = co_await tryAnnounce(send, timeLeft);
+    // Sends that are announced at the same moment keep each other back.
+    for (int i = 1; i < maxAnnouncements && isKeptBackByFlight(send.request, result.verdict); ++i) {
+        std::uniform_int_distribution<duration::rep> delay(0, announcementInterval.count());
+        co_await sleepFor(duration(delay(m_random)));
+        // The earlier number was withdrawn.
+        send.send = stableHash(send.replica.id.value, send.send);
+        result.send = send.send;
+        result.verdict = co_await tryAnnounce(send, timeLeft);
+    }
+    co_return result;
+}
+
+bool request_quarantine::isKeptBackByFlight(const request_fingerprint &request,
+                                            const send_verdict &verdict) const
+{
+    return std::holds_alternative<send_deferred>(verdict)
+        && !m_ledger.isQuarantined(request, runtime_clock::now());
+}
+
+awaitable<send_verdict> request_quarantine::tryAnnounce(lost_send send, duration timeLeft)
 {
     decision result = co_await decide(send.request);
     const auto *const allowed = std::get_if<send_allowed>(&result.verdict);
@@ -177,12 +290,15 @@
 
 awaitable<request_quarantine::decision> request_quarantine::decide(request_fingerprint request)
 {
-    if (!isRestored())
+    if (m_isReading)
         co_await waitUntilRestored();
     co_await waitUntilShared(request);
     send_verdict known = verdict(request);
-    if (std::holds_alternative<send_deferred>(known)
-        && !m_ledger.isQuarantined(request, runtime_clock::now())) {
+    if (isAllowed(known) && mayMissReports(request)) {
+        co_await readEvidence(crash_rows::ofRequest(request), crash_archive::storeTimeout);
+        known = verdict(request);
+    }
+    if (isKeptBackByFlight(request, known)) {
         // The custodians may know by now how the sends in flight ended.
         co_await m_exchange.share(request);
         known = verdict(request);
@@ -246,7 +362,10 @@
     const time_point now = runtime_clock::now();
     if (now < m_updatedAt + updateInterval)
         return;
+    const bool stoodStill = m_updatedAt != time_point() && now >= m_updatedAt + minStandstill;
     m_updatedAt = now;
+    if (stoodStill && m_archive && !std::exchange(m_isReading, true))
+        spawn(m_executor, "readAfterStandstill", readAfterStandstill());
     m_watch.update(lookup, now);
     processFindings();
     adoptSuspicions(now);
--- a/src/crashes/request_quarantine.h
+++ b/src/crashes/request_quarantine.h
@@ -2,8 +2,11 @@
 
 #include "crashes/crash_archive.h"
 #include "crashes/crash_exchange.h"
+#include "crashes/missing_members.h"
 #include "runtime/notifier.h"
 
+#include <random>
+
 namespace azurehill {
 
 /// \brief What was seen of the process of a replica that was asked whether it lives.
@@ -22,6 +25,13 @@
     static constexpr std::array<std::string_view, 3> names = {"alive", "replaced", "unknown"};
 };
 
+/// \brief Decision on a send, and the number by which evidence names it.
+struct send_announcement
+{
+    send_verdict verdict;
+    std::uint64_t send = 0;
+};
+
 /// \brief Asks replicas, given by their digests, whether their processes live.
 /// \returns what was seen of each, in the same order.
 using process_inquiry
@@ -44,7 +54,8 @@
 /// asked again for each decision.
 ///
 /// The evidence is kept in the store as well. A daemon that starts decides nothing until it has
-/// read it: requests wait for that, and are refused if it takes long.
+/// read it: requests wait for that, and are refused if it takes long. One that misses other
+/// daemons, or stood still, reads it again, since their reports may not have reached it.
 class request_quarantine
 {
 public:
@@ -56,10 +67,7 @@
     /// \param onRestored called once the evidence in the store has been read.
     void setStore(store &evidence, std::function<void()> onRestored);
     std::uint16_t start(const endpoint &address);
-    void setMembers(const member_state &self, std::vector<member_state> others)
-    {
-        m_exchange.setMembers(self, std::move(others));
-    }
+    void setMembers(const member_state &self, std::vector<member_state> others);
 
     /// \brief Sets how replicas are asked whether they live, and how to find those that the store
     /// lists. Without it suspicions are settled by the daemons that have them.
@@ -82,7 +90,8 @@
     /// \brief Likewise, for the send \p send. If others of the request were lost, the other daemons
     /// know of it before this returns, and it is in flight until onSendEnded() or onSendLost().
     /// \param timeLeft time for which the replica may work on it.
-    awaitable<send_verdict> announce(lost_send send, duration timeLeft);
+    /// \returns the verdict, and the number that the send has from now on.
+    awaitable<send_announcement> announce(lost_send send, duration timeLeft);
     /// \brief The send \p send was not made, was refused, or was answered.
     void onSendEnded(const lost_send &send);
     /// \brief Records that the replica of \p lost lost a send.
@@ -107,11 +116,30 @@
     };
 
     awaitable<decision> decide(request_fingerprint request);
+    /// \brief Announces \p send once. \returns whether it may be sent.
+    awaitable<send_verdict> tryAnnounce(lost_send send, duration timeLeft);
     /// \brief Records that \p send is in flight. \returns the suspicion that it amounts to.
     crash_evidence recordInFlight(const lost_send &send, duration timeLeft);
     /// \brief Reads the evidence in the store.
     awaitable<void> restore();
     awaitable<void> waitUntilRestored();
+    /// \brief Merges the evidence in the rows of \p range. \returns whether the store answered.
+    awaitable<bool> readEvidence(row_range range, duration timeout);
+    void mergeEvidence(const evidence_page &page);
+    /// \brief Follows the evidence in the store while other daemons are missing.
+    awaitable<void> followEvidence();
+    /// \brief Reads what has changed since the version \p after, or everything if that is 0.
+    /// \returns the version up to which this daemon knows the evidence, or 0.
+    awaitable<store_version> readChanges(store_version after);
+    /// \returns whether \p verdict on \p request may change as soon as a send in flight ends.
+    bool isKeptBackByFlight(const request_fingerprint &request, const send_verdict &verdict) const;
+    /// \returns whether what other daemons report of \p request may not have arrived here.
+    bool mayMissReports(const request_fingerprint &request) const;
+    /// \brief Reads the evidence again after this daemon stood still; requests wait for that.
+    awaitable<void> readAfterStandstill();
+    /// \brief Lets the requests go on that wait for the evidence in the store.
+    void endRestoreWait();
+    void logRestored(duration elapsed) const;
     /// \brief Updates the row of the send of \p finding.
     /// \param wasKnown whether the row was written before.
     void archive(const crash_finding &finding, bool wasKnown);
@@ -128,13 +156,18 @@
     void logVerdict(const request_fingerprint &request) const;
 
     asio::any_io_executor m_executor;
+    std::minstd_rand m_random;
     crash_watch m_watch;
     crash_ledger m_ledger;
     crash_exchange m_exchange;
     std::unique_ptr<crash_archive> m_archive;
     std::function<void()> m_onRestored;
     bool m_isRestored = false;
-    time_point m_startedAt;
+    /// Until when requests wait for the evidence in the store.
+    time_point m_awaitedUntil;
+    bool m_isReading = false;
+    missing_members m_missing;
+    std::size_t m_daemons = 1;
     /// Timers of the requests that wait for the evidence in the store.
     std::set<std::shared_ptr<timer>> m_restoreWaiters;
     /// Requests that are being shared, and who waits for that.
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -238,14 +238,18 @@
                             [this](const replica_incarnation &who) { return sightOf(who); });
 }
 
-awaitable<bool> upstream_sender::passesQuarantine(entry_call_ptr call, lost_send send)
+awaitable<std::optional<lost_send>> upstream_sender::passQuarantine(entry_call_ptr call,
+                                                                    replica_incarnation replica)
 {
-    const send_verdict verdict
+    lost_send send{call->fingerprint, std::move(replica), stableHash(call->request.id, ++m_sends)};
+    const send_announcement announced
         = co_await m_quarantine.announce(send, call->deadline - runtime_clock::now());
-    const bool isPassed = isAllowed(verdict);
-    if (!isPassed && call->abortReason == abort_reason::None)
+    send.send = announced.send;
+    if (isAllowed(announced.verdict))
+        co_return send;
+    if (call->abortReason == abort_reason::None)
         call->abortReason = abort_reason::Quarantined;
-    co_return isPassed;
+    co_return std::nullopt;
 }
 
 void upstream_sender::probeReplica(const entry_call &call)
@@ -315,11 +319,10 @@
                           const placement_request &placementRequest, const http_request &original,
                           std::string body)
 {
-    const lost_send send{call->fingerprint, where.replica.incarnation,
-                         stableHash(call->request.id, ++m_sends)};
-    const bool isPassed = co_await passesQuarantine(call, send);
-    if (!isPassed || !call->isWanted() || runtime_clock::now() >= call->deadline) {
-        m_quarantine.onSendEnded(send);
+    const auto send = co_await passQuarantine(call, where.replica.incarnation);
+    if (!send || !call->isWanted() || runtime_clock::now() >= call->deadline) {
+        if (send)
+            m_quarantine.onSendEnded(*send);
         co_return tl::unexpected(
             send_failure{send_outcome::Cancelled, std::string(toName(call->abortReason))});
     }
@@ -338,7 +341,7 @@
     open_reply reply;
     reply.where = where;
     reply.connection = connection;
-    reply.send = send.send;
+    reply.send = send->send;
 
     const bool isNew = !connection->isReusable();
     if (isNew) {
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -159,9 +159,11 @@
     replica_sight sightOf(const replica_incarnation &who) const;
     /// \brief Watches the replica of \p reply if its send, which ended as \p end, was lost.
     void watchLostSend(const entry_call &call, const open_reply &reply, send_outcome end);
-    /// \brief Decides whether \p call may be sent as \p send. If not, its abort reason is
+    /// \brief Decides whether \p call may be sent to \p replica. If not, its abort reason is
     /// Quarantined.
-    awaitable<bool> passesQuarantine(entry_call_ptr call, lost_send send);
+    /// \returns the send, or nothing if it may not.
+    awaitable<std::optional<lost_send>> passQuarantine(entry_call_ptr call,
+                                                       replica_incarnation replica);
     /// \brief Starts to probe whether the silent replica of \p call still accepts connections.
     void probeReplica(const entry_call &call);
     /// \brief Opens a connection to \p address. If that fails, the silent sends to \p who are
--- a/test/io/crash_archive_test.cpp
+++ b/test/io/crash_archive_test.cpp
@@ -36,8 +36,8 @@
     {
         std::size_t count = 0;
         auto body = [&]() -> awaitable<void> {
-            const auto reports = co_await archive.read(crash_rows::all(), seconds(1));
-            count = reports ? reports->size() : 0;
+            const auto page = co_await archive.read(crash_rows::all(), seconds(1));
+            count = page ? page->reports.size() : 0;
         };
         runInSteps(m_context, body(), step);
         return count;
