Tests: the daemon of entry_fixture has read the evidence before a test begins

Four cases failed since a daemon reads the evidence at its start: two counted that read among the calls of a turn, and two took the store away from a daemon that had never reached it, which now refuses what it can't decide. They are about a daemon that runs: the fixture waits until it has read, and the two counts begin there.

--- a/test/io/entry_fixture.h
+++ b/test/io/entry_fixture.h
@@ -142,15 +142,29 @@
         answer = co_await exchangeRaw(context, port, std::move(request));
     }
 
+    /// \brief Runs the daemon until it has read the evidence in the store, if that answers.
+    void waitUntilRestored()
+    {
+        constexpr int maxSteps = 300;
+        context.restart();
+        for (int i = 0; i < maxSteps && !*m_isRestored; ++i)
+            context.run_one_for(std::chrono::milliseconds(1));
+    }
+
+    std::shared_ptr<bool> m_isRestored;
+
     void begin(const routing_config_ptr &routes)
     {
         services.push_back(std::make_unique<entry_service>(context, settings, metrics));
         service = services.back().get();
+        m_isRestored = std::make_shared<bool>(false);
+        service->onQuarantineRestored([isRestored = m_isRestored] { *isRestored = true; });
         port = service->start();
         REQUIRE(port != 0);
         service->setReplicas({a.entry, b.entry, model.entry});
         if (routes)
             service->setRoutes(routes);
+        waitUntilRestored();
     }
 };
 
