--- a/test/io/lost_request_fixture.h
+++ b/test/io/lost_request_fixture.h
@@ -58,8 +58,7 @@
 class lost_request_fixture
 {
 public:
-    lost_request_fixture(disruption how, bool endsAfterwards)
-        : m_how(how)
+    lost_request_fixture(disruption how, bool endsAfterwards) : m_how(how)
     {
         for (int i = 0; i < replicas; ++i) {
             m_replicas.emplace_back(m_context, fmt::format("i-{}", i), how, endsAfterwards);
@@ -88,7 +87,8 @@
         return answer;
     }
 
-    /// \brief Sends attempts of one request to the hosts in turn until \p count replicas have ended.
+    /// \brief Sends attempts of one request to the hosts in turn until \p count replicas have
+    /// ended.
     void askUntilEnded(int count, std::string_view target)
     {
         constexpr int maxAttempts = 12;
@@ -139,8 +139,8 @@
     }
     void wait(duration time) { run(sleepFor(time)); }
 
-    /// \brief Ends the daemon of the host number \p host without notice, and starts a new one, which
-    /// knows no other daemon yet.
+    /// \brief Ends the daemon of the host number \p host without notice, and starts a new one,
+    /// which knows no other daemon yet.
     void restart(std::size_t host)
     {
         daemon &old = *m_hosts[host];
