--- a/test/process/child.h
+++ b/test/process/child.h
@@ -31,6 +31,7 @@
     /// \returns where it listens, once its port file is there.
     std::optional<endpoint> address() const;
     void signal(int number) const;
+    pid_t pid() const { return m_pid; }
     /// \returns the exit status once it has ended; a death by signal N is 128 + N.
     std::optional<int> exitStatus();
     std::string log() const;
