HTTP server: unparsed bytes are limited, connections are accounted for and make way

Callers saw a process that was killed for its memory. Clients that opened all connections and asked nothing kept every other one out.

Cause: the limit of a header held for the head only. The reader asked for more until it had a whole chunk line or trailer, parsed a trailer into the message to drop it, and counted nothing but bodies above 64 KiB. A connection kept its place for its idle time.

- request_reader keeps no more unparsed bytes than a header may have, parses a head once it is complete, and accounts for buffer, head, fields and body as they come, before a head is parsed; what it has read is freed before a refusal is written.
- connection_table closes the connection that has waited longest for a request, a second at least, when a new one finds no place, or no descriptor is left.
- Requests in progress have a limit of their own, and the receive buffer a size.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -1,45 +1,48 @@
 #include "http/http_server.h"
 
 #include "core/log.h"
+#include "http/connection_table.h"
 #include "http/problem.h"
+#include "http/request_reader.h"
 #include "http/server_writer.h"
-#include "http/transfer_coding.h"
 #include "runtime/spawn.h"
 #include "runtime/timer.h"
 
 #include <boost/asio/redirect_error.hpp>
-#include <boost/beast/core.hpp>
-#include <boost/beast/http.hpp>
 
 namespace azurehill {
 
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 struct http_server::state
 {
-    state(asio::any_io_executor e, http_limits l, request_handler h)
-        : executor(std::move(e)), limits(l), handler(std::move(h)),
+    state(asio::any_io_executor e, http_limits l, request_handler h,
+          std::shared_ptr<memory_account> m)
+        : executor(std::move(e)), limits(l), handler(std::move(h)), memory(std::move(m)),
           acceptor(asio::make_strand(executor))
     { }
 
     static constexpr int closedMark = -1;
 
-    /// \brief Counts one more request in progress. \returns false if the server is closed.
+    /// \brief Counts one more request in progress. \returns false if the server is closed, or has
+    /// too many.
     bool tryBegin()
     {
         int count = inProgress;
-        while (count != closedMark) {
+        while (count != closedMark && count < limits.maxRequests) {
             if (inProgress.compare_exchange_weak(count, count + 1))
                 return true;
         }
         return false;
     }
+    bool isClosed() const { return inProgress == closedMark; }
 
     asio::any_io_executor executor;
     http_limits limits;
     request_handler handler;
+    std::shared_ptr<memory_account> memory;
+    connection_table table;
     /// Runs on a strand, since stopAccepting() may be called from another thread than the accept
     /// loop's.
     tcp::acceptor acceptor;
@@ -49,64 +52,28 @@
     std::atomic<int> refusing{0};
     /// Requests in progress, or closedMark.
     std::atomic<int> inProgress{0};
-    std::atomic<std::int64_t> bodyBytes{0};
 };
 
 namespace {
 
-using request_parser = http::request_parser<http::string_body>;
-
-constexpr std::size_t readSize = 16U << 10U;
 constexpr duration refusalTimeout = seconds(1);
 constexpr duration overloadRetryAfter = seconds(1);
-/// HTTP/1.1 in the notation of Beast.
-constexpr unsigned firstVersionWithChunks = 11;
-/// Bodies up to this size don't count towards maxTotalBodyBytes: the header limit already admits
-/// memory of this order per connection.
-constexpr std::uint64_t maxUncountedBodyBytes = 64U << 10U;
-
-/// \brief RAII reservation of body memory for one request, against the server's maxTotalBodyBytes.
-class body_reservation
-{
-public:
-    explicit body_reservation(http_server::state &server) : m_server(server) { }
-    ~body_reservation() { m_server.bodyBytes -= m_reservedBytes; }
-    body_reservation(const body_reservation &) = delete;
-    body_reservation &operator=(const body_reservation &) = delete;
-
-    /// \brief Reserves memory for \p parser's body. A body of unknown length reserves maxBodyBytes.
-    /// \returns whether the server's total stays within its limit.
-    bool take(const request_parser &parser)
-    {
-        const auto length = parser.content_length();
-        if (!parser.chunked() && length.value_or(0) <= maxUncountedBodyBytes)
-            return true;
-        m_reservedBytes = static_cast<std::int64_t>(
-            length ? std::min<std::uint64_t>(*length, m_server.limits.maxBodyBytes)
-                   : m_server.limits.maxBodyBytes);
-        return (m_server.bodyBytes += m_reservedBytes) <= m_server.limits.maxTotalBodyBytes;
-    }
 
-private:
-    http_server::state &m_server;
-    std::int64_t m_reservedBytes = 0;
-};
-
-/// \brief Result of reading a request. PeerClosed means that the connection was lost, so that no
-/// response can be sent.
-enum class read_result { Complete, PeerClosed, Malformed, RequestTimeout, NoBodyMemory };
+problem busy(std::string title)
+{
+    return {503, "busy", std::move(title), "", outcome::DidNotRun, overloadRetryAfter};
+}
 
 problem problemOf(read_result result, beast::error_code code)
 {
+    namespace http = beast::http;
     if (result == read_result::RequestTimeout)
         return {408, "request-timeout", "The request came too slowly", "", outcome::DidNotRun, {}};
-    if (result == read_result::NoBodyMemory) {
-        return {503,
-                "busy",
-                "The daemon holds too many bodies",
-                "",
-                outcome::DidNotRun,
-                overloadRetryAfter};
+    if (result == read_result::NoMemory)
+        return busy("The daemon holds too much for its connections");
+    if (result == read_result::LineTooLarge) {
+        return {431, "header-too-large", "A chunk line or the trailer is too large",
+                "",  outcome::DidNotRun, {}};
     }
     if (code == http::error::body_limit)
         return {413, "body-too-large", "The body is too large", "", outcome::DidNotRun, {}};
@@ -127,96 +94,82 @@
             "",  outcome::DidNotRun, duration::zero()};
 }
 
-/// \param fieldCount number of fields in the head. The trailer's fields follow them and are
-/// dropped: they would be taken for header fields, which have been validated.
-http_request toRequest(http::request<http::string_body> in, std::size_t fieldCount)
+/// \brief One connection of a server, with its account. Used on its own strand, except for the
+/// requests to free what it holds.
+class connection : public std::enable_shared_from_this<connection>
 {
-    http_request request;
-    request.method = std::string(in.method_string());
-    request.target = std::string(in.target());
-    for (const auto &field : in) {
-        if (fieldCount-- == 0)
-            break;
-        request.headers.add(field.name_string(), field.value());
+public:
+    connection(std::shared_ptr<http_server::state> owner, tcp::socket raw)
+        : server(std::move(owner)), socket(std::move(raw)),
+          holder(*server->memory, [this] { cancelRead(); })
+    {
+        ++server->connections;
     }
-    request.body = std::move(in.body());
-    return request;
-}
+    ~connection()
+    {
+        server->table.remove(id);
+        --server->connections;
+    }
+    connection(const connection &) = delete;
+    connection &operator=(const connection &) = delete;
 
-/// \brief Sends the interim response 100 (Continue), for which a client with a large body waits.
-awaitable<void> sendContinue(timed_socket &socket)
-{
-    constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    beast::error_code ignored;
-    co_await asio::async_write(socket.socket, asio::buffer(interim),
-                               asio::redirect_error(use_awaitable, ignored));
-}
+    /// \brief Takes a place among the connections of the server.
+    /// \returns false if none is free, or the process holds too much.
+    bool takePlace()
+    {
+        if (!holder.tryResize(connection_cost::idleBytes))
+            return false;
+        id = server->table.add(server->limits.maxConnections, runtime_clock::now(),
+                               [this] { close(); });
+        return id != 0;
+    }
 
-/// \brief Parses and consumes the contents of \p buffer. Stops once at the end of the head, so that
-/// its fields can be counted before those of a trailer are added.
-void parseSome(beast::flat_buffer &buffer, request_parser &parser, beast::error_code &code)
-{
-    const bool headWasDone = parser.is_header_done();
-    while (buffer.size() > 0 && !parser.is_done() && parser.is_header_done() == headWasDone) {
-        const std::size_t used = parser.put(buffer.data(), code);
-        buffer.consume(used);
-        if (code == http::error::need_more)
-            code = {};
-        if (code || used == 0)
-            return;
+    std::shared_ptr<http_server::state> server;
+    timed_socket socket;
+    beast::flat_buffer buffer;
+    memory_account::holder holder;
+    connection_table::connection_id id = 0;
+
+private:
+    /// \brief Ends the read in progress, whose reader then sees that the holder is revoked.
+    void cancelRead()
+    {
+        asio::post(socket.socket.get_executor(), [weak = weak_from_this()] {
+            beast::error_code ignored;
+            if (const auto self = weak.lock())
+                self->socket.socket.cancel(ignored);
+        });
     }
-}
 
-awaitable<read_result> readRequest(timed_socket &socket, beast::flat_buffer &buffer,
-                                   request_parser &parser, body_reservation &share,
-                                   beast::error_code &code, std::size_t &fieldCount)
-{
-    bool headParsed = false;
-    while (true) {
-        parseSome(buffer, parser, code);
-        if (code)
-            co_return read_result::Malformed;
-        if (!headParsed && parser.is_header_done()) {
-            headParsed = true;
-            if (!hasKnownTransferCoding(parser.get())) {
-                code = http::error::bad_transfer_encoding;
-                co_return read_result::Malformed;
-            }
-            fieldCount
-                = static_cast<std::size_t>(std::distance(parser.get().begin(), parser.get().end()));
-            if (!share.take(parser))
-                co_return read_result::NoBodyMemory;
-            if (!parser.is_done()
-                && beast::iequals(parser.get()[http::field::expect], "100-continue"))
-                co_await sendContinue(socket);
-            if (!parser.is_done() && buffer.size() > 0)
-                continue;
-        }
-        if (parser.is_done())
-            co_return read_result::Complete;
-        buffer.commit(co_await socket.socket.async_read_some(
-            buffer.prepare(readSize), asio::redirect_error(use_awaitable, code)));
-        if (socket.expired())
-            co_return read_result::RequestTimeout;
-        if (code)
-            co_return read_result::PeerClosed;
+    void close()
+    {
+        asio::post(socket.socket.get_executor(), [weak = weak_from_this()] {
+            beast::error_code ignored;
+            if (const auto self = weak.lock())
+                self->socket.socket.close(ignored);
+        });
     }
-}
+};
+
+using connection_ptr = std::shared_ptr<connection>;
 
 /// \brief Answers a request that counts as in progress, until it no longer does.
-awaitable<bool> answer(http_server::state &server, timed_socket &socket,
-                       http::request<http::string_body> in, std::size_t fieldCount)
+/// \returns whether the connection is kept alive.
+awaitable<bool> answer(connection_ptr self, request_reader &reader)
 {
-    const bool knowsChunks = in.version() >= firstVersionWithChunks;
-    const bool keepAlive = knowsChunks && in.keep_alive();
-    const bool headOnly = in.method() == http::verb::head;
-    server_writer writer(socket, keepAlive, headOnly, server.limits.writeTimeout);
+    http_server::state &server = *self->server;
+    timed_socket &socket = self->socket;
+    const bool knowsChunks = reader.knowsChunks();
+    server_writer writer(socket, reader.keepsAlive(), reader.isHeadRequest(),
+                         server.limits.writeTimeout);
+    writer.setHolder(self->holder, reader.cost().total());
     writer.setCloseRequested([&server] { return server.stopping || server.announcingClose; });
     if (!knowsChunks)
         writer.setStreamFraming(body_framing::Connection);
     bool failed = false;
     try {
-        co_await server.handler(toRequest(std::move(in), fieldCount), writer);
+        const http_request request = reader.takeRequest();
+        co_await server.handler(request, writer);
     } catch (const std::exception &e) {
         logEvent(log_level::Error, "handler_failed", {{"detail", std::string(e.what())}});
         failed = true;
@@ -235,67 +188,79 @@
     co_return writer.keepsAlive() && writer.finished();
 }
 
+/// \brief Waits until the client sends something.
+/// \returns false if the connection has ended, or was idle for too long.
+awaitable<bool> awaitRequest(connection_ptr self)
+{
+    if (self->buffer.size() > 0)
+        co_return true;
+    beast::error_code code;
+    self->socket.startReadTimeout(self->server->limits.idleTimeout);
+    co_await self->socket.socket.async_wait(tcp::socket::wait_read,
+                                            asio::redirect_error(use_awaitable, code));
+    self->socket.stopTimeout();
+    co_return !code;
+}
+
 /// \brief Reads and answers one request; refuses it if the server has closed in the meantime.
 /// \returns whether the connection is kept alive.
-awaitable<bool> serveRequest(http_server::state &server, timed_socket &socket,
-                             beast::flat_buffer &buffer)
+awaitable<bool> serveRequest(connection_ptr self)
 {
-    beast::error_code code;
-    if (buffer.size() == 0) {
-        socket.startReadTimeout(server.limits.idleTimeout);
-        co_await socket.socket.async_wait(tcp::socket::wait_read,
-                                          asio::redirect_error(use_awaitable, code));
-        socket.stopTimeout();
-        if (code)
-            co_return false;
-    }
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(server.limits.maxHeaderBytes));
-    parser.body_limit(server.limits.maxBodyBytes);
-    body_reservation share(server);
-    socket.startReadTimeout(server.limits.requestTimeout);
-    std::size_t fieldCount = 0;
-    const read_result result
-        = co_await readRequest(socket, buffer, parser, share, code, fieldCount);
-    socket.stopTimeout();
+    http_server::state &server = *self->server;
+    const bool hasBegun = co_await awaitRequest(self);
+    if (!hasBegun)
+        co_return false;
+    self->holder.setRevocable(true);
+    self->socket.startReadTimeout(server.limits.requestTimeout);
+    std::optional<request_reader> reader;
+    reader.emplace(self->socket, self->buffer, server.limits, self->holder);
+    const read_result result = co_await reader->read();
+    self->socket.stopTimeout();
+    self->holder.setRevocable(false);
     if (result == read_result::PeerClosed)
         co_return false;
-    const bool isComplete = result == read_result::Complete;
-    if (isComplete && server.tryBegin())
-        co_return co_await answer(server, socket, parser.release(), fieldCount);
-    server_writer writer(socket, false, false, server.limits.writeTimeout);
-    http_response reply = toResponse(isComplete ? serverClosed() : problemOf(result, code));
+    const bool isComplete = result == read_result::Complete && !self->holder.isRevoked();
+    if (isComplete && server.tryBegin()) {
+        server.table.endWait(self->id);
+        co_return co_await answer(self, *reader);
+    }
+    problem refusal = problemOf(result, reader->error());
+    if (result == read_result::Complete)
+        refusal = server.isClosed() ? serverClosed() : busy("The daemon has too many requests");
+    // Nothing of the request is kept while its client reads the refusal.
+    reader.reset();
+    self->buffer = beast::flat_buffer();
+    self->holder.tryResize(connection_cost::idleBytes);
+    server_writer writer(self->socket, false, false, server.limits.writeTimeout);
+    http_response reply = toResponse(refusal);
     if (co_await writer.write(std::move(reply)))
-        co_await socket.linger();
+        co_await self->socket.linger();
     co_return false;
 }
 
-awaitable<void> serveConnection(std::shared_ptr<http_server::state> server, tcp::socket raw)
+awaitable<void> serveConnection(connection_ptr self)
 {
-    {
-        timed_socket socket(std::move(raw));
-        beast::flat_buffer buffer;
-        while (co_await serveRequest(*server, socket, buffer)) {
-            // Frees the buffer of the last request, so that idle connections hold no memory.
-            if (buffer.size() == 0)
-                buffer = beast::flat_buffer();
-        }
-        beast::error_code ignored;
-        socket.socket.shutdown(tcp::socket::shutdown_send, ignored);
+    bool isKept = co_await serveRequest(self);
+    while (isKept) {
+        // Frees the buffer of the last request, so that idle connections hold no memory.
+        if (self->buffer.size() == 0)
+            self->buffer = beast::flat_buffer();
+        self->holder.tryResize(connection_cost::idleBytes
+                               + static_cast<std::int64_t>(self->buffer.capacity()));
+        self->server->table.beginWait(self->id, runtime_clock::now());
+        isKept = co_await serveRequest(self);
     }
-    --server->connections;
+    beast::error_code ignored;
+    self->socket.socket.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
 /// \brief Answers a connection over the limit with 503 and Retry-After, and closes it.
-awaitable<void> refuseConnection(std::shared_ptr<http_server::state> server, tcp::socket raw)
+awaitable<void> refuseConnection(std::shared_ptr<http_server::state> server, connection_ptr self)
 {
-    {
-        timed_socket socket(std::move(raw));
-        server_writer writer(socket, false, false, refusalTimeout);
-        http_response reply = toResponse(tooManyConnections());
-        if (co_await writer.write(std::move(reply)))
-            co_await socket.linger();
-    }
+    server_writer writer(self->socket, false, false, refusalTimeout);
+    http_response reply = toResponse(tooManyConnections());
+    if (co_await writer.write(std::move(reply)))
+        co_await self->socket.linger();
     --server->refusing;
 }
 
@@ -304,12 +269,12 @@
     beast::error_code ignored;
     socket.set_option(tcp::no_delay(true), ignored);
     auto executor = socket.get_executor();
-    if (server->connections < server->limits.maxConnections) {
-        ++server->connections;
-        spawn(executor, "serveConnection", serveConnection(server, std::move(socket)));
+    auto accepted = std::make_shared<connection>(server, std::move(socket));
+    if (accepted->takePlace()) {
+        spawn(executor, "serveConnection", serveConnection(std::move(accepted)));
     } else if (server->refusing < server->limits.maxConcurrentRefusals) {
         ++server->refusing;
-        spawn(executor, "refuseConnection", refuseConnection(server, std::move(socket)));
+        spawn(executor, "refuseConnection", refuseConnection(server, std::move(accepted)));
     }
     // Otherwise the socket is closed here, before any part of a request has been read.
 }
@@ -323,7 +288,8 @@
         if (code == asio::error::operation_aborted || !server->acceptor.is_open())
             co_return;
         if (code) {
-            // Most likely out of file descriptors: retry after some may have been closed.
+            // Most likely out of file descriptors.
+            server->table.closeLongestWaiting(runtime_clock::now());
             co_await sleepFor(milliseconds(50));
             continue;
         }
@@ -331,11 +297,20 @@
     }
 }
 
+/// \returns an account for a server alone, in which the bodies have \c maxTotalBodyBytes.
+std::shared_ptr<memory_account> ownAccount(const http_limits &limits)
+{
+    connection_cost bodies;
+    bodies.bodyBytes = static_cast<std::uint64_t>(limits.maxTotalBodyBytes);
+    return std::make_shared<memory_account>(bodies.total());
+}
+
 } // namespace
 
 http_server::http_server(asio::any_io_executor executor, http_limits limits,
-                         request_handler handler)
-    : m_state(std::make_shared<state>(std::move(executor), limits, std::move(handler)))
+                         request_handler handler, std::shared_ptr<memory_account> memory)
+    : m_state(std::make_shared<state>(std::move(executor), limits, std::move(handler),
+                                      memory ? std::move(memory) : ownAccount(limits)))
 { }
 
 http_server::~http_server()
@@ -354,6 +329,10 @@
     acceptor.open(local.protocol(), code);
     if (!code)
         acceptor.set_option(asio::socket_base::reuse_address(true), code);
+    // Connections inherit the size, which has to be known before they are opened.
+    if (!code && m_state->limits.receiveBufferBytes > 0)
+        acceptor.set_option(
+            asio::socket_base::receive_buffer_size(m_state->limits.receiveBufferBytes), code);
     if (!code)
         acceptor.bind(local, code);
     if (!code)
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -2,12 +2,14 @@
 
 #include "core/runtime_clock.h"
 #include "http/http_message.h"
+#include "limits/memory_account.h"
 #include "runtime/asio.h"
 
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 
 namespace azurehill {
@@ -17,9 +19,15 @@
 {
     std::size_t maxHeaderBytes = 16U << 10U;
     std::size_t maxBodyBytes = 4U << 20U;
-    /// Limit on the request bodies of all connections together; requests beyond it get a 503.
+    /// Limit on the request bodies of all connections together; requests beyond it get a 503. Only
+    /// for a server without a shared memory_account.
     std::int64_t maxTotalBodyBytes = 128LL << 20U;
+    /// Connections at a time. One that waits for a request makes way for a new one.
     int maxConnections = 4096;
+    /// Requests in progress at a time; those beyond it get a 503.
+    int maxRequests = std::numeric_limits<int>::max();
+    /// Size of the receive buffer that the kernel is asked for, or 0 for its default.
+    int receiveBufferBytes = 0;
     /// Connections beyond maxConnections that may be answered with 503 at one time. Any further
     /// ones are closed without a response.
     int maxConcurrentRefusals = 64;
@@ -46,6 +54,14 @@
     virtual awaitable<bool> end() = 0;
     /// \returns whether a complete response was written.
     virtual bool finished() const = 0;
+    /// \brief Accounts for \p bytes that are held for this request beside the request itself, in
+    /// place of those that were accounted for before.
+    /// \returns whether the process may hold them.
+    virtual bool tryHold(std::size_t bytes)
+    {
+        static_cast<void>(bytes);
+        return true;
+    }
     /// \brief Calls \p gone if the peer closes its connection while the request is being handled.
     virtual void onPeerDisconnect(const std::function<void()> &gone) { static_cast<void>(gone); }
 };
@@ -56,7 +72,10 @@
 class http_server
 {
 public:
-    http_server(asio::any_io_executor executor, http_limits limits, request_handler handler);
+    /// \param memory account of the memory of all connections of the process; if it is null, the
+    /// server has one of its own.
+    http_server(asio::any_io_executor executor, http_limits limits, request_handler handler,
+                std::shared_ptr<memory_account> memory = nullptr);
     ~http_server();
 
     /// \brief Binds \p address and starts to accept connections. Port 0 selects any free port.
--- a/src/http/server_writer.h
+++ b/src/http/server_writer.h
@@ -40,11 +40,24 @@
     /// \returns whether a response has been started.
     bool responseStarted() const { return m_responseStarted; }
     bool finished() const override { return m_finished; }
+    bool tryHold(std::size_t bytes) override
+    {
+        return !m_holder || m_holder->tryResize(m_requestBytes + static_cast<std::int64_t>(bytes));
+    }
+
+    /// \brief Sets the account of the connection, in which its request has \p requestBytes.
+    void setHolder(memory_account::holder &holder, std::int64_t requestBytes)
+    {
+        m_holder = &holder;
+        m_requestBytes = requestBytes;
+    }
 
 private:
     void updateKeepAlive();
 
     timed_socket &m_socket;
+    memory_account::holder *m_holder = nullptr;
+    std::int64_t m_requestBytes = 0;
     bool m_keepAlive;
     std::function<bool()> m_isCloseRequested;
     bool m_headOnly;
--- a/src/http/timed_socket.cpp
+++ b/src/http/timed_socket.cpp
@@ -81,7 +81,7 @@
 {
     boost::system::error_code code;
     socket.shutdown(tcp::socket::shutdown_send, code);
-    std::array<char, 4096> discarded{};
+    std::array<char, 1024> discarded{};
     std::size_t total = 0;
     startReadTimeout(lingerTimeout);
     while (!code && !expired() && total < lingerBytes) {
--- a/test/io/http_server_test.cpp
+++ b/test/io/http_server_test.cpp
@@ -422,3 +422,97 @@
     CHECK(answer.find("Connection: close\r\n") != std::string::npos);
     CHECK(answer.ends_with("ok"));
 }
+
+// Guards against clients that occupy every connection: one that has waited for a while makes way.
+TEST_CASE("A connection that waits makes way when all are taken")
+{
+    const paused_clock clock;
+    http_limits limits = smallLimits();
+    limits.maxConnections = 2;
+    echo_server echo(limits);
+    auto body = [&]() -> awaitable<void> {
+        raw_client oldest(echo.context);
+        raw_client older(echo.context);
+        co_await oldest.connect(echo.port);
+        co_await oldest.send("GET / HT");
+        while (echo.server.openConnections() < 1)
+            co_await yieldOnce();
+        runtime_clock::advance(seconds(2));
+        co_await older.connect(echo.port);
+        co_await older.send(head + "Content-Length: 1\r\n\r\na");
+        co_await older.readUntil("\r\n\r\na");
+
+        const std::string served = co_await exchangeRaw(
+            echo.context, echo.port, head + "Connection: close\r\nContent-Length: 1\r\n\r\nb");
+        CHECK(served.starts_with("HTTP/1.1 200 "));
+        const std::string rest = co_await oldest.readToEnd();
+        CHECK(rest.empty());
+        co_await older.send(head + "Content-Length: 1\r\n\r\nc");
+        const std::string again = co_await older.readUntil("\r\n\r\nc");
+        CHECK(again.starts_with("HTTP/1.1 200 "));
+    };
+    runIn(echo.context, body());
+}
+
+// Guards against a chunk line or a trailer without end.
+TEST_CASE("Bytes that end no line of a chunked body are refused")
+{
+    echo_server echo(smallLimits());
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    CHECK(isProblem(echo.exchange(chunked + "1;a=" + std::string(5000, 'x')), "431"));
+    CHECK(isProblem(echo.exchange(chunked + std::string(5000, '0')), "431"));
+    CHECK(isProblem(echo.exchange(chunked + "0\r\na: " + std::string(5000, 'x')), "431"));
+    SUBCASE("while lines within the limit of a header are not")
+    {
+        const std::string lines = "1;a=" + std::string(500, 'x') + "\r\ny\r\n0\r\na: b\r\n\r\n";
+        raw_client client(echo.context);
+        auto body = [&]() -> awaitable<void> {
+            co_await client.connect(echo.port);
+            co_await client.send(chunked + lines);
+            const std::string answer = co_await client.readUntil("\r\n\r\ny");
+            CHECK(answer.starts_with("HTTP/1.1 200 "));
+        };
+        runIn(echo.context, body());
+    }
+    CHECK(echo.requests <= 1);
+}
+
+// Guards against an unfinished large request that keeps small ones out.
+TEST_CASE("An unfinished large request makes way for a small one")
+{
+    http_limits limits = smallLimits();
+    limits.maxBodyBytes = 1U << 20U;
+    limits.maxTotalBodyBytes = 1 << 17;
+    echo_server echo(limits);
+    auto body = [&]() -> awaitable<void> {
+        raw_client large(echo.context);
+        co_await large.connect(echo.port);
+        co_await large.send(head + "Expect: 100-continue\r\nContent-Length: 80000\r\n\r\n");
+        co_await large.readUntil("100 Continue");
+        raw_client small(echo.context);
+        std::vector<std::unique_ptr<raw_client>> others;
+        std::string answer;
+        for (int i = 0; i < 12; ++i) {
+            others.push_back(std::make_unique<raw_client>(echo.context));
+            co_await others.back()->connect(echo.port);
+            co_await others.back()->send(head + "Content-Length: 9000\r\n\r\n");
+        }
+        co_await small.connect(echo.port);
+        co_await small.send(head + "Content-Length: 1\r\n\r\na");
+        answer = co_await small.readUntil("\r\n\r\na");
+        CHECK(answer.starts_with("HTTP/1.1 200 "));
+        const std::string refused = co_await large.readToEnd();
+        CHECK(isProblem(refused, "503"));
+    };
+    runIn(echo.context, body());
+}
+
+// Guards against requests in progress that use up the descriptors for replicas.
+TEST_CASE("Requests beyond the limit are refused at once")
+{
+    http_limits limits = smallLimits();
+    limits.maxRequests = 0;
+    echo_server echo(limits);
+    CHECK(isProblem(echo.exchange(head + "Content-Length: 1\r\n\r\na"), "503"));
+    CHECK(echo.requests == 0);
+}
