azurehilld: both ports share the memory of the process (--memory-mb)

Each of the two ports had 128 MiB for large bodies and nothing for all else. A value that can't hold one request at the limits of header and body is a fault of the settings, named at the start.

--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/call_runner.h"
 #include "daemon/control.h"
 #include "daemon/door.h"
+#include "limits/limits.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -66,12 +67,14 @@
     control *owner = nullptr;
     door *entry = nullptr;
 
-    http_server outer(trafficExecutor, s.limits, [&](const http_request &r, response_writer &w) {
-        return entry->serve(r, w);
-    });
-    http_server inner(trafficExecutor, s.limits, [&](const http_request &r, response_writer &w) {
-        return entry->serveInner(r, w);
-    });
+    const auto memory
+        = std::make_shared<memory_account>(limitsFor(s.memoryBytes, 0).connectionBytes);
+    http_server outer(
+        trafficExecutor, s.limits,
+        [&](const http_request &r, response_writer &w) { return entry->serve(r, w); }, memory);
+    http_server inner(
+        trafficExecutor, s.limits,
+        [&](const http_request &r, response_writer &w) { return entry->serveInner(r, w); }, memory);
     const std::uint16_t port = outer.listen(s.listen);
     const std::uint16_t innerPort = inner.listen(s.innerListen);
     if (port == 0 || innerPort == 0) {
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -1,5 +1,7 @@
 #include "daemon/settings.h"
 
+#include "limits/limits.h"
+
 namespace azurehill {
 
 namespace {
@@ -35,6 +37,8 @@
         {"max-header-bytes", "N", "longest head of a request, 1024 to 1048576", "16384"},
         {"max-body-bytes", "N", "longest body of a request, 1024 to 1073741824", "4194304"},
         {"max-connections", "N", "most connections at a time, 1 to 1000000", "4096"},
+        {"memory-mb", "N",
+         "memory of the process in MiB, 64 to 1048576; connections share 3/8 of it", "256"},
         {"request-time-ms", "MS", "longest time from the first byte of a request to its last",
          "20000"},
         {"idle-time-ms", "MS", "longest time that a connection may wait for its next request",
@@ -63,6 +67,16 @@
     limits.writeTimeout = in.time("write-time-ms", 1, longestTimeMs);
 }
 
+/// The largest request has to fit into the share of the connections: it would be refused always.
+void readMemory(option_reader &in, settings &s)
+{
+    s.memoryBytes = in.number("memory-mb", 64, 1 << 20) << 20U;
+    const memory_account account(limitsFor(s.memoryBytes, 0).connectionBytes);
+    const connection_cost largest = largestCost(s.limits.maxHeaderBytes, s.limits.maxBodyBytes);
+    if (!account.couldHold(largest.total()))
+        in.addFault("memory-mb", "holds no request of --max-header-bytes and --max-body-bytes");
+}
+
 } // namespace
 
 command_line readSettings(int argc, const char **argv)
@@ -88,6 +102,7 @@
     s.lease.clockMargin = s.lease.ttl / 10;
     readCommit(in, s.commit);
     readLimits(in, s.limits);
+    readMemory(in, s);
 
     result.faults = in.faults();
     for (const std::string &word : in.words())
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -34,6 +34,8 @@
     lease_settings lease;
     commit_settings commit;
     http_limits limits;
+    /// Memory that the process may use; the connections have a share of it.
+    std::int64_t memoryBytes = 256LL << 20U;
 };
 
 /// \brief What the command line asks for.
