State by names of clients is limited: programs, turns with their chains, prompt parts

24,000 programs that one client made up took 34 MB of 24, kept for 60 to 90 s; cached turns counted only themselves, not those before them in their chain, which they keep; prompt parts without tokens were never evicted from the model of a replica's cache.

Accounts beyond a limit are evicted, those unused for longest first, none that is in use: the row in the store is the budget, a reservation is conditional on its version, so an evicted account is read again and nothing is given anew. Programs beyond four times as many are left to the scan for abandoned rows. Turns count until the last of their chain is evicted. The models of all replicas' caches share a number of parts.

--- a/src/replicas/prefix_cache.cpp
+++ b/src/replicas/prefix_cache.cpp
@@ -4,13 +4,6 @@
 
 namespace azurehill {
 
-namespace {
-
-/// Number of entries above which those that the replica has evicted are removed.
-constexpr std::size_t maxParts = 2048;
-
-} // namespace
-
 std::int64_t prefix_cache::cachedTokensOf(const prompt_part &part, std::int64_t capacity) const
 {
     const auto found = m_parts.find(part.id);
@@ -35,14 +28,17 @@
 {
     for (const prompt_part &part : parts)
         m_tokensRead += part.tokens - cachedTokensOf(part, capacity);
-    for (const prompt_part &part : parts)
-        m_parts[part.id] = {part.tokens, m_tokensRead};
-    if (m_parts.size() > maxParts) {
+    // A part without tokens would never be evicted.
+    for (const prompt_part &part : parts) {
+        if (part.tokens > 0)
+            m_parts[part.id] = {part.tokens, m_tokensRead};
+    }
+    if (m_parts.size() > m_maxParts) {
         std::erase_if(m_parts, [&](const auto &item) {
             return m_tokensRead - item.second.usedAt > capacity;
         });
     }
-    if (m_parts.size() > maxParts)
+    if (m_parts.size() > m_maxParts)
         m_parts.clear();
 }
 
--- a/src/replicas/prefix_cache.h
+++ b/src/replicas/prefix_cache.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -29,6 +30,9 @@
     /// \brief Records that the prompt is sent to the replica.
     void recordSend(const std::vector<prompt_part> &parts, std::int64_t capacity);
     void clear();
+    std::size_t size() const { return m_parts.size(); }
+    /// \brief Sets the number of parts above which those that the replica has evicted are removed.
+    void setMaxParts(std::size_t count) { m_maxParts = count; }
 
 private:
     /// \brief A prompt part as it was last sent.
@@ -43,6 +47,7 @@
     /// \returns the tokens at the beginning of \p part that the replica has cached.
     std::int64_t cachedTokensOf(const prompt_part &part, std::int64_t capacity) const;
 
+    std::size_t m_maxParts = 2048;
     /// By part id.
     std::unordered_map<std::string, sent_part> m_parts;
     /// Uncached tokens that the replica has read for this daemon so far.
--- a/src/replicas/replica_load_balancer.cpp
+++ b/src/replicas/replica_load_balancer.cpp
@@ -43,6 +43,9 @@
 /// Time after a replica is first listed at which it has read the parts that many programs share.
 constexpr duration warmUpTime = seconds(3);
 constexpr std::size_t maxSharedParts = 4096;
+/// Bounds on the parts in the model of one replica's cache.
+constexpr std::size_t minPartsPerReplica = 32;
+constexpr std::size_t maxPartsOfReplica = 2048;
 /// Number of answers from which on the time estimate of a service is used.
 constexpr int minSamples = 20;
 /// Interval between the trial requests of all daemons together to a replica that fails requests;
@@ -291,6 +294,12 @@
     m_services[service].cacheTokens = tokens;
 }
 
+std::size_t replica_load_balancer::maxPartsPerReplica() const
+{
+    const std::size_t replicas = std::max<std::size_t>(1, m_replicas.size());
+    return std::clamp(m_maxPromptParts / replicas, minPartsPerReplica, maxPartsOfReplica);
+}
+
 std::int64_t replica_load_balancer::cacheTokensForDaemon(const service_state &service) const
 {
     const std::int64_t all = service.cacheTokens > 0 ? service.cacheTokens : defaultCacheTokens;
@@ -373,6 +382,12 @@
         std::erase_if(service.shared,
                       [now](const auto &item) { return now - item.second.usedAt > sharedPartTtl; });
     }
+    if (service.shared.size() > maxSharedParts) {
+        std::erase_if(service.shared,
+                      [](const auto &item) { return item.second.uses < minUsesForShared; });
+    }
+    if (service.shared.size() > maxSharedParts)
+        service.shared.clear();
     for (const prompt_part &part : parts) {
         shared_part &s = service.shared[part.id];
         s.uses = now - s.usedAt > sharedPartTtl ? 1 : s.uses + 1;
@@ -463,6 +478,7 @@
     ++m_services[request.service].outstanding;
     r.health.onSent(now);
     service_state &service = m_services[request.service];
+    r.cache.setMaxParts(maxPartsPerReplica());
     r.cache.recordSend(request.parts, cacheTokensForDaemon(service));
     recordPartUses(service, request.parts, now);
 }
--- a/src/replicas/replica_load_balancer.h
+++ b/src/replicas/replica_load_balancer.h
@@ -8,6 +8,7 @@
 #include "replicas/replica_reports.h"
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -109,6 +110,9 @@
     /// \brief Sets the number of daemons that send requests to the replicas; this one knows only
     /// its own requests.
     void setDaemons(int count) { m_daemons = std::max(1, count); }
+    /// \brief Sets the number of prompt parts that the models of all replicas' caches hold
+    /// together.
+    void setMaxPromptParts(std::size_t count) { m_maxPromptParts = count; }
     /// \brief Sets the cache size of a replica of \p service in tokens.
     void setCacheTokens(const std::string &service, std::int64_t tokens);
     /// \brief The replica has announced that it is leaving, or another one has its address.
@@ -232,6 +236,7 @@
     void recordOutcome(replica_state &r, send_outcome outcome, time_point now);
     /// \returns the random time until this daemon's next trial request to a failing replica.
     duration trialDelay();
+    std::size_t maxPartsPerReplica() const;
     /// \returns the tokens of a replica's cache that this daemon's prompts may occupy.
     std::int64_t cacheTokensForDaemon(const service_state &service) const;
     std::int64_t cachedTokens(const replica_state &r, const placement_request &request,
@@ -249,6 +254,7 @@
     std::minstd_rand m_random;
     mechanism_set m_mechanisms;
     int m_daemons = 1;
+    std::size_t m_maxPromptParts = std::numeric_limits<std::size_t>::max();
     bool m_isOutdated = false;
     std::unordered_map<upstream_id, replica_state> m_replicas;
     std::map<std::string, std::vector<upstream_id>, std::less<>> m_byService;
--- a/src/turns/row_retention_tracker.h
+++ b/src/turns/row_retention_tracker.h
@@ -3,6 +3,7 @@
 #include "store/store.h"
 #include "turns/turn.h"
 
+#include <limits>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -43,8 +44,13 @@
     /// \returns them.
     std::vector<tracked_program> takeDue(time_point now, std::size_t maxPrograms);
     std::size_t size() const { return m_programs.size(); }
+    /// \brief Sets the number of programs that are tracked at a time. Those beyond it are left to
+    /// the scan for abandoned programs.
+    void setMaxPrograms(std::size_t count) { m_maxPrograms = count; }
 
 private:
+    /// \returns whether \p program is tracked, or may be from now on.
+    bool hasRoomFor(const program_id &program) const;
     struct schedule
     {
         std::optional<store_version> version;
@@ -53,6 +59,7 @@
         duration retention = duration::zero();
         time_point dueAt;
     };
+    std::size_t m_maxPrograms = std::numeric_limits<std::size_t>::max();
     std::unordered_map<program_id, schedule> m_programs;
 };
 
--- a/src/turns/turn.h
+++ b/src/turns/turn.h
@@ -17,6 +17,13 @@
 /// \brief Id of a turn: the id of the client request that it answered.
 using turn_id = basic_id<struct turn_tag>;
 
+/// \brief Account of a turn's memory for the lifetime of the turn.
+class turn_memory
+{
+public:
+    virtual ~turn_memory() = default;
+};
+
 struct turn;
 using turn_ptr = std::shared_ptr<const turn>;
 
@@ -50,6 +57,8 @@
     /// not state it: such a row was written before turns had accounts, and any account may continue
     /// from it.
     std::optional<account_id> account = account_id();
+    /// Set when the turn is first cached, and null before.
+    mutable std::shared_ptr<const turn_memory> memory;
 
     turn() = default;
     ~turn();
--- a/src/turns/turn_cache.cpp
+++ b/src/turns/turn_cache.cpp
@@ -14,6 +14,24 @@
 
 } // namespace
 
+/// \brief Counts the memory of a turn for as long as it is alive.
+class turn_cache::live_turn : public turn_memory
+{
+public:
+    live_turn(std::shared_ptr<std::size_t> liveBytes, std::size_t bytes)
+        : m_liveBytes(std::move(liveBytes)), m_bytes(bytes)
+    {
+        *m_liveBytes += m_bytes;
+    }
+    ~live_turn() override { *m_liveBytes -= m_bytes; }
+    live_turn(const live_turn &) = delete;
+    live_turn &operator=(const live_turn &) = delete;
+
+private:
+    std::shared_ptr<std::size_t> m_liveBytes;
+    std::size_t m_bytes;
+};
+
 turn_ptr turn_cache::find(const turn_id &id)
 {
     const auto found = m_entries.find(id);
@@ -29,8 +47,9 @@
         erase(old);
     m_lruOrder.push_back(t->id);
     m_entries[t->id] = {t, until, std::prev(m_lruOrder.end())};
-    m_bytes += sizeOf(*t);
-    while (m_bytes > m_maxBytes && m_entries.size() > 1)
+    if (!t->memory)
+        t->memory = std::make_shared<live_turn>(m_liveBytes, sizeOf(*t));
+    while (bytes() > m_maxBytes && m_entries.size() > 1)
         erase(m_entries.find(m_lruOrder.front()));
 }
 
@@ -46,7 +65,6 @@
 
 void turn_cache::erase(std::unordered_map<turn_id, entry>::iterator it)
 {
-    m_bytes -= sizeOf(*it->second.value);
     m_lruOrder.erase(it->second.lruPosition);
     m_entries.erase(it);
 }
--- a/src/turns/turn_ledger.cpp
+++ b/src/turns/turn_ledger.cpp
@@ -4,6 +4,8 @@
 #include "turns/store_calls.h"
 #include "turns/turn_rows.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace {
@@ -18,6 +20,9 @@
 constexpr std::size_t maxTransactionBytes = 700U << 10U;
 /// Accounts that have not been used for this long are evicted and read from the store again.
 constexpr duration accountCacheRetention = seconds(90);
+/// Programs whose rows are tracked for each whose account is cached: a row is tracked for its
+/// retention time and takes less memory.
+constexpr std::size_t trackedPerCachedProgram = 4;
 /// Age of an account's row from which retainAccount() has it written again, at most a part of
 /// removalMargin.
 constexpr duration renewalAge = turn_ledger::removalMargin / 2;
@@ -109,7 +114,10 @@
 turn_ledger::turn_ledger(store &rows, const ledger_settings &settings)
     : m_store(rows), m_settings(settings), m_cache(settings.cacheBytes),
       m_abandonedScan(settings.seed)
-{ }
+{
+    if (settings.cachedPrograms < std::numeric_limits<std::size_t>::max())
+        setCacheLimits(settings.cacheBytes, settings.cachedPrograms);
+}
 
 std::vector<turn_id> turn_ledger::holdsOf(const program_id &program) const
 {
@@ -159,6 +167,33 @@
         return !item.second->isChanging && item.second.use_count() == 1
             && item.second->lastUsedAt + accountCacheRetention < now;
     });
+    evictAccounts();
+}
+
+void turn_ledger::setCacheLimits(std::size_t turnBytes, std::size_t programs)
+{
+    m_settings.cachedPrograms = programs;
+    m_cache.setMaxBytes(turnBytes);
+    m_rowRetention.setMaxPrograms(trackedPerCachedProgram * programs);
+}
+
+void turn_ledger::evictAccounts()
+{
+    if (m_accounts.size() <= m_settings.cachedPrograms)
+        return;
+    std::vector<std::pair<time_point, program_id>> unused;
+    for (const auto &[program, state] : m_accounts) {
+        if (!state->isChanging && state.use_count() == 1)
+            unused.emplace_back(state->lastUsedAt, program);
+    }
+    // Some more than necessary, so that the next ones can be added without a search each.
+    const std::size_t kept = m_settings.cachedPrograms - m_settings.cachedPrograms / 8;
+    const std::size_t surplus = std::min(unused.size(), m_accounts.size() - kept);
+    const auto end = unused.begin() + static_cast<std::ptrdiff_t>(surplus);
+    if (end != unused.end())
+        std::nth_element(unused.begin(), end, unused.end());
+    for (auto it = unused.begin(); it != end; ++it)
+        m_accounts.erase(it->second);
 }
 
 void turn_ledger::updateAccount(account_state &state, const std::vector<stored_row> &rows)
--- a/src/turns/turn_ledger.h
+++ b/src/turns/turn_ledger.h
@@ -9,6 +9,7 @@
 #include "turns/token_account.h"
 #include "turns/turn_cache.h"
 
+#include <limits>
 #include <memory>
 #include <optional>
 #include <set>
@@ -74,6 +75,8 @@
     std::size_t cacheBytes = 16U << 20U;
     /// Seed of this daemon's random choices.
     std::uint64_t seed = 1;
+    /// Number of programs whose accounts are cached.
+    std::size_t cachedPrograms = std::numeric_limits<std::size_t>::max();
 };
 
 /// \brief A turn's request for tokens of its program's budget.
@@ -168,6 +171,9 @@
     /// that was last written some time ago is written again by removeExpiredRows().
     void retainAccount(const turn_claim &claim);
 
+    /// \brief Sets the limits of the caches.
+    void setCacheLimits(std::size_t turnBytes, std::size_t programs);
+
     /// \brief Sets the retention times of the current routes by the routes' names.
     void setRetentions(std::map<std::string, duration> retentions)
     {
@@ -227,6 +233,9 @@
     struct account_change;
 
     account_ptr accountOf(const program_id &program);
+    /// \brief Evicts accounts beyond the limit, those unused for longest first. They are read from
+    /// the store again when they are needed.
+    void evictAccounts();
     /// \brief Tracks the retention of the rows that were written for \p claim.
     void trackRetention(const turn_claim &claim, store_version version);
     /// \brief Writes accounts again that would otherwise be removed too early, a few per call.
