Upstream sender: no copies of bodies that wait, a limit on all idle connections

A request that waited held four copies of its body: its own, one in open(), one in sendAndRepeat() and the one being sent; 400 requests of 60,000 bytes took 75 MB of 64. The body is passed as a view of the request, or of the prompt that its caller keeps, and is copied once, when it is written.

Idle connections to replicas were limited per replica only, 32 each: with some hundred replicas that is more than the descriptors of a small host. The one idle for longest is closed beyond a limit on all.

--- a/src/entry/dispatched_turn_handler.cpp
+++ b/src/entry/dispatched_turn_handler.cpp
@@ -148,9 +148,8 @@
     m_engineAdmission.countAdmitted(*call);
     placement_request placementRequest = placementRequestFor(*call);
     placementRequest.session = call->request.session;
-    std::string body = request.body;
     auto reply = co_await m_sender.openAt(call, placementRequest, slot.replica, slot.cachedTokens,
-                                          request, std::move(body));
+                                          request, request.body);
     if (reply) {
         co_await relayAnswer(call, slot, std::move(*reply), placementRequest, request, writer);
         co_return true;
@@ -183,9 +182,8 @@
         co_await m_relay.relayNonStream(call, std::move(reply), writer);
         co_return;
     }
-    std::string body = request.body;
-    const stream_result stream = co_await m_relay.relayWithResumes(
-        call, reply, placementRequest, request, std::move(body), writer);
+    const stream_result stream = co_await m_relay.relayWithResumes(call, reply, placementRequest,
+                                                                   request, request.body, writer);
     end.outcome = stream.firstEnd;
     end.usedTokens = usedTokens(*call, stream);
     end.msPerEvent = stream.msPerEvent;
--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -317,7 +317,7 @@
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::sendOnce(entry_call_ptr call, placement where, placement_binding binding,
                           const placement_request &placementRequest, const http_request &original,
-                          std::string body)
+                          std::string_view body)
 {
     const auto send = co_await passQuarantine(call, where.replica.incarnation);
     if (!send || !call->isWanted() || runtime_clock::now() >= call->deadline) {
@@ -368,7 +368,7 @@
     const forward_headers fields{where.replica.incarnation.id, call->deadline - now,
                                  call->rank.urgency,           !call->routes->accounts().empty(),
                                  call->accountName(),          call->lastEventId};
-    http_request out = encodeUpstreamRequest(original, fields, std::move(body));
+    http_request out = encodeUpstreamRequest(original, fields, std::string(body));
     logDecision(log_event::Sent,
                 {{"request", call->request.id},
                  {"program", call->request.program.value},
@@ -494,11 +494,10 @@
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::sendAndRepeat(entry_call_ptr call, placement where,
                                const placement_request &placementRequest,
-                               const http_request &original, std::string body)
+                               const http_request &original, std::string_view body)
 {
-    std::string copy = body;
-    auto reply = co_await sendOnce(call, where, placement_binding::Free, placementRequest, original,
-                                   std::move(copy));
+    auto reply
+        = co_await sendOnce(call, where, placement_binding::Free, placementRequest, original, body);
     // Another replica may not run the request while this one is alive, if the route allows one
     // attempt only.
     const bool mayRepeat = !reply && reply.error().end == send_outcome::Broken
@@ -507,7 +506,7 @@
     if (!mayRepeat)
         co_return reply;
     auto again = co_await sendOnce(call, where, placement_binding::Bound, placementRequest,
-                                   original, std::move(body));
+                                   original, body);
     // The first send may have run, whatever became of the second one.
     const bool isHidden = !again
         && (again.error().end == send_outcome::NotRun
@@ -526,7 +525,7 @@
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::openAt(entry_call_ptr call, placement_request &placementRequest,
                         replica_incarnation replica, std::int64_t cachedTokens,
-                        const http_request &original, std::string body)
+                        const http_request &original, std::string_view body)
 {
     if (!isStillAllowed(*call))
         co_return tl::unexpected(
@@ -536,7 +535,7 @@
         co_return tl::unexpected(
             send_failure{send_outcome::NotRun, "the replica does not accept requests"});
     placementRequest.tried.insert(replica);
-    auto reply = co_await sendAndRepeat(call, *where, placementRequest, original, std::move(body));
+    auto reply = co_await sendAndRepeat(call, *where, placementRequest, original, body);
     const bool wasAttempt = !reply && reply.error().end != send_outcome::NotRun
         && reply.error().end != send_outcome::Unreachable;
     if (wasAttempt)
@@ -546,7 +545,7 @@
 
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::open(entry_call_ptr call, placement_request &placementRequest,
-                      const http_request &original, std::string body)
+                      const http_request &original, std::string_view body)
 {
     send_failure last{send_outcome::Unreachable, "no replica may take requests"};
     int refusals = 0;
@@ -563,9 +562,7 @@
         if (!where)
             break;
         placementRequest.tried.insert(where->replica.incarnation);
-        std::string copy = body;
-        auto reply
-            = co_await sendAndRepeat(call, *where, placementRequest, original, std::move(copy));
+        auto reply = co_await sendAndRepeat(call, *where, placementRequest, original, body);
         if (reply)
             co_return reply;
         last = reply.error();
@@ -585,16 +582,15 @@
 
 awaitable<tl::expected<open_reply, send_failure>>
 upstream_sender::resume(entry_call_ptr call, placement_request &placementRequest, placement broken,
-                        const http_request &original, std::string body)
+                        const http_request &original, std::string_view body)
 {
     call->abortReason = abort_reason::None;
     ++call->sends;
     bool isUnlisted = !m_loadBalancer.isListed(broken.replica.incarnation);
     if (!isUnlisted && call->sends >= call->route->maxAttempts) {
         // No other replica may be asked while this one is alive.
-        std::string copy = body;
         auto again = co_await sendOnce(call, broken, placement_binding::Bound, placementRequest,
-                                       original, std::move(copy));
+                                       original, body);
         if (again)
             co_return again;
         isUnlisted = isEnded(broken.replica.incarnation, again.error());
@@ -603,7 +599,7 @@
     }
     if (isUnlisted)
         --call->sends;
-    co_return co_await open(call, placementRequest, original, std::move(body));
+    co_return co_await open(call, placementRequest, original, body);
 }
 
 } // namespace azurehill
--- a/src/entry/upstream_sender.h
+++ b/src/entry/upstream_sender.h
@@ -85,16 +85,16 @@
     /// \param placementRequest requirements on the replica; the replicas that were tried are added
     /// to it.
     /// \param original the client's request.
-    /// \param body body of the request to the replica.
+    /// \param body body of the request to the replica. The caller keeps it until the answer.
     awaitable<tl::expected<open_reply, send_failure>> open(entry_call_ptr call,
                                                            placement_request &placementRequest,
                                                            const http_request &original,
-                                                           std::string body);
+                                                           std::string_view body);
     /// \brief Sends \p call to \p replica, which a dispatcher has chosen.
     /// \param cachedTokens prompt tokens that the replica is expected to have cached.
     awaitable<tl::expected<open_reply, send_failure>>
     openAt(entry_call_ptr call, placement_request &placementRequest, replica_incarnation replica,
-           std::int64_t cachedTokens, const http_request &original, std::string body);
+           std::int64_t cachedTokens, const http_request &original, std::string_view body);
     /// \brief Resumes a stream that broke off after the call's last event.
     ///
     /// The replica whose stream broke off is asked again if the attempts of the route are used up;
@@ -102,7 +102,7 @@
     /// \param broken where the stream broke off.
     awaitable<tl::expected<open_reply, send_failure>>
     resume(entry_call_ptr call, placement_request &placementRequest, placement broken,
-           const http_request &original, std::string body);
+           const http_request &original, std::string_view body);
     /// \brief Records the outcome of the send of \p reply, and keeps its connection if it can be
     /// reused.
     void finish(entry_call &call, open_reply &reply, send_outcome end);
@@ -115,6 +115,9 @@
     /// refused a request are avoided for a while. Both help where many daemons share few replicas.
     void setSharedReplicas(bool areShared) { m_hasSharedReplicas = areShared; }
 
+    /// \brief Sets the number of idle connections to replicas.
+    void setMaxIdleConnections(std::size_t count) { m_pool.setMaxIdle(count); }
+
     /// \brief Closes the idle connections to a replica whose process has ended. A process that
     /// crashed may not have closed them, and a non-idempotent request would be lost on them.
     void dropConnections(const replica_entry &replaced);
@@ -132,7 +135,7 @@
     awaitable<tl::expected<open_reply, send_failure>>
     sendOnce(entry_call_ptr call, placement where, placement_binding binding,
              const placement_request &placementRequest, const http_request &original,
-             std::string body);
+             std::string_view body);
     /// \returns why \p call may not be sent to the replica of \p where, which was chosen earlier,
     /// or nothing if it may. To be asked right before the request is written: what the choice was
     /// made from may have changed while the call waited.
@@ -144,7 +147,7 @@
     /// the replica closed the connection before it answered.
     awaitable<tl::expected<open_reply, send_failure>>
     sendAndRepeat(entry_call_ptr call, placement where, const placement_request &placementRequest,
-                  const http_request &original, std::string body);
+                  const http_request &original, std::string_view body);
     /// \brief Finishes a send that the replica of \p reply rejected without proof that the request
     /// did not run. \returns the failure of the send.
     awaitable<send_failure> finishUnprovenRejection(entry_call_ptr call, open_reply &reply);
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -1,5 +1,7 @@
 #include "http/connection_pool.h"
 
+#include <algorithm>
+
 namespace azurehill {
 
 namespace {
@@ -52,8 +54,24 @@
     if (const auto peerTimeout = connection.keepAliveTimeout())
         keep = std::min(keep, *peerTimeout - keepAliveMargin);
     auto &list = m_idle[peer];
-    if (keep > duration::zero() && list.size() < m_maxPerPeer)
-        list.push_back({std::move(connection), now, now + keep});
+    if (keep <= duration::zero() || list.size() >= m_maxPerPeer)
+        return;
+    list.push_back({std::move(connection), now, now + keep});
+    if (idle() > m_maxTotal)
+        closeLongestIdle();
+}
+
+void connection_pool::closeLongestIdle()
+{
+    // Each list is in the order of its connections' return.
+    const auto longest
+        = std::min_element(m_idle.begin(), m_idle.end(), [](const auto &a, const auto &b) {
+              if (a.second.empty() || b.second.empty())
+                  return !a.second.empty();
+              return a.second.front().since < b.second.front().since;
+          });
+    if (longest != m_idle.end() && !longest->second.empty())
+        longest->second.erase(longest->second.begin());
 }
 
 void connection_pool::expire(time_point now)
--- a/src/http/connection_pool.h
+++ b/src/http/connection_pool.h
@@ -2,6 +2,7 @@
 
 #include "http/http_client.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -32,6 +33,9 @@
     void expire(time_point now);
     /// \brief Closes the idle connections to \p peer.
     void drop(const endpoint &peer);
+    /// \brief Sets the number of idle connections to all peers together; the one idle for longest
+    /// is closed beyond it.
+    void setMaxIdle(std::size_t count) { m_maxTotal = count; }
     /// \returns the number of idle connections.
     std::size_t idle() const;
 
@@ -43,9 +47,12 @@
         time_point until;
     };
 
+    void closeLongestIdle();
+
     asio::any_io_executor m_executor;
     duration m_maxIdle;
     std::size_t m_maxPerPeer;
+    std::size_t m_maxTotal = std::numeric_limits<std::size_t>::max();
     std::map<endpoint, std::vector<idle_connection>> m_idle;
 };
 
