Names that are no UTF-8 text are refused; long ones are kept as digests

A program id of the bytes FF FE went to the store as it came, as the part of a row inside JSON. A strict parser refuses such a call, with the rows of others in it.

'names that are no text are refused' and 'long names are kept as digests' in platform_codec_test.

--- a/test/io/platform_codec_test.cpp
+++ b/test/io/platform_codec_test.cpp
@@ -254,6 +254,39 @@
         }
     }
 
+    // Guards against a name that no row, message or log line can carry: a strict parser refused the
+    // call with it, and the rows of others in the same call.
+    TEST_CASE("names that are no text are refused")
+    {
+        for (const char *name : {"X-Azurehill-Request-Id", "X-Azurehill-Program-Id",
+                                 "X-Azurehill-Previous-Turn", "X-Azurehill-Session-Id"}) {
+            CAPTURE(name);
+            for (const char *value : {"\xff\xfe", "a\xc3", "\xed\xa0\x80", "\xc0\xaf", "a\tb"})
+                CHECK_FALSE(decodeClientRequest(clientRequest({{name, value}})));
+            for (const char *value : {"a b", "gr\xc3\xbc\xc3\x9f", "\xf0\x9f\x98\x80"})
+                CHECK(decodeClientRequest(clientRequest({{name, value}})));
+        }
+    }
+
+    // Guards against names that take memory by their length.
+    TEST_CASE("long names are kept as digests")
+    {
+        const std::string longName(5000, 'x');
+        const auto r = decodeClientRequest(
+            clientRequest({{"X-Azurehill-Session-Id", longName},
+                           {"X-Azurehill-Prompt-Prefix", longName + ":5,short:7"},
+                           {"Cookie", "X-Azurehill-Affinity-Key=" + longName}}));
+        REQUIRE(r);
+        CHECK(r->session.size() <= 64);
+        CHECK(r->affinityKey == r->session);
+        REQUIRE(r->promptParts.size() == 2);
+        CHECK(r->promptParts[0].id == r->session);
+        CHECK(r->promptParts[1].id == "short");
+        CHECK(r->session
+              != decodeClientRequest(clientRequest({{"X-Azurehill-Session-Id", longName + "x"}}))
+                     ->session);
+    }
+
     TEST_CASE("a reply's head is judged")
     {
         using field = header_list::field;
