Answers and prompts are held as far as the memory for connections allows

400 clients that ask for answers of 250 KB and don't read them took 107 MB of 64: each answer up to 256 KiB is read whole before its first byte goes out, and was not counted.

Handlers account for what they hold beside a request (response_writer::tryHold). An answer that finds no room is streamed from where it is; a prompt built from a stored history that finds none is refused before it is sent (503, did not run). The prompt is built a second time only for streams that may be resumed.

--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -505,16 +505,15 @@
 {
     placement_request placementRequest = placementRequestFor(*call);
     while (true) {
-        std::string body = request.body;
-        auto reply = co_await m_sender.open(call, placementRequest, request, std::move(body));
+        auto reply = co_await m_sender.open(call, placementRequest, request, request.body);
         if (!reply) {
             send_failure failure = std::move(reply.error());
             co_await m_localReplies.replyWithFailure(call, std::move(failure), writer);
             co_return;
         }
         std::string answer;
-        const bool isComplete = co_await m_relay.readBody(call, *reply, answer);
-        if (!isComplete) {
+        const body_read result = co_await m_relay.readBody(call, *reply, answer, writer);
+        if (result == body_read::Broken) {
             m_sender.finish(*call, *reply,
                             call->isWanted() ? send_outcome::Broken : send_outcome::Cancelled);
             ++call->sends;
@@ -526,7 +525,7 @@
             co_await m_localReplies.replyWithFailure(call, broken, writer);
             co_return;
         }
-        if (answer.size() > response_relay::maxBufferedBytes) {
+        if (result == body_read::Partial) {
             co_await m_relay.relayRemainder(call, *reply, std::move(answer), writer);
             co_return;
         }
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -71,20 +71,22 @@
       m_localReplies(localReplies), m_metrics(metrics)
 { }
 
-awaitable<bool> response_relay::readBody(entry_call_ptr call, open_reply &reply, std::string &body)
+awaitable<body_read> response_relay::readBody(entry_call_ptr call, open_reply &reply,
+                                              std::string &body, response_writer &writer)
 {
-    while (body.size() <= maxBufferedBytes) {
+    // The next part may double the capacity of the buffer.
+    while (body.size() <= maxBufferedBytes && writer.tryHold(2 * body.size())) {
         const auto chunk = co_await reply.connection->readSome(call->deadline);
         if (!chunk) {
             reply.setFailure(chunk.error());
-            co_return false;
+            co_return body_read::Broken;
         }
         if (chunk->empty())
-            co_return true;
+            co_return body_read::Complete;
         call->lastByteAt = runtime_clock::now();
         body += *chunk;
     }
-    co_return true;
+    co_return body_read::Partial;
 }
 
 awaitable<void> response_relay::relayRemainder(entry_call_ptr call, open_reply &reply,
@@ -118,11 +120,12 @@
                                                response_writer &writer)
 {
     std::string body;
-    const bool isComplete = co_await readBody(call, reply, body);
-    if (isComplete && body.size() > maxBufferedBytes) {
+    const body_read result = co_await readBody(call, reply, body, writer);
+    if (result == body_read::Partial) {
         co_await relayRemainder(call, reply, std::move(body), writer);
         co_return;
     }
+    const bool isComplete = result == body_read::Complete;
     m_sender.finish(*call, reply, isComplete ? send_outcome::Answered : send_outcome::Broken);
     if (!isComplete) {
         const send_failure broken{send_outcome::Broken, "the answer broke off"};
@@ -184,13 +187,12 @@
 awaitable<stream_result> response_relay::relayWithResumes(entry_call_ptr call, open_reply &reply,
                                                           placement_request &placementRequest,
                                                           const http_request &original,
-                                                          std::string body, response_writer &writer)
+                                                          std::string_view body,
+                                                          response_writer &writer)
 {
     stream_result stream = co_await relayStream(call, reply, writer);
     for (int i = 0; i < maxResumes && mayResume(*call, stream); ++i) {
-        std::string copy = body;
-        auto next = co_await m_sender.resume(call, placementRequest, reply.where, original,
-                                             std::move(copy));
+        auto next = co_await m_sender.resume(call, placementRequest, reply.where, original, body);
         if (!next)
             break;
         reply = std::move(*next);
--- a/src/entry/response_relay.h
+++ b/src/entry/response_relay.h
@@ -26,6 +26,15 @@
     double msPerEvent = 0;
 };
 
+/// \brief How much of an answer was read.
+enum class body_read {
+    Complete,
+    /// There is more, which is to be streamed.
+    Partial,
+    /// The answer broke off.
+    Broken
+};
+
 /// \brief Relays replicas' answers to clients. Used on the traffic thread.
 class response_relay
 {
@@ -42,9 +51,10 @@
                    engine_admission &admission, local_reply_writer &localReplies,
                    entry_metrics &metrics);
 
-    /// \brief Reads the answer of \p reply into \p body, up to slightly more than maxBufferedBytes.
-    /// \returns false if the answer broke off.
-    awaitable<bool> readBody(entry_call_ptr call, open_reply &reply, std::string &body);
+    /// \brief Reads the answer of \p reply into \p body, up to slightly more than maxBufferedBytes,
+    /// or as much as the process may hold for the connection of \p writer.
+    awaitable<body_read> readBody(entry_call_ptr call, open_reply &reply, std::string &body,
+                                  response_writer &writer);
 
     /// \brief Relays an answer of which \p prefix was already read, and finishes \p reply.
     awaitable<void> relayRemainder(entry_call_ptr call, open_reply &reply, std::string prefix,
@@ -60,7 +70,7 @@
     /// \param body body of the request to a replica.
     awaitable<stream_result> relayWithResumes(entry_call_ptr call, open_reply &reply,
                                               placement_request &placementRequest,
-                                              const http_request &original, std::string body,
+                                              const http_request &original, std::string_view body,
                                               response_writer &writer);
     /// \brief Continues a stream whose beginning was already relayed, with the answer of another
     /// send that resumes after the call's last event.
--- a/src/entry/turn_handler.cpp
+++ b/src/entry/turn_handler.cpp
@@ -22,6 +22,9 @@
 /// after a few attempts: with two seconds between them it survives an outage of six seconds.
 constexpr duration storeRetryAfter = seconds(2);
 
+/// Cause of a refusal for want of memory.
+constexpr std::string_view memoryShortDetail = "the daemon holds too much for its connections";
+
 /// Maximum time that a turn waits for the store before its first send. After a longer wait it would
 /// miss its objective by more than its program can make up.
 constexpr duration storeWaitLimit = milliseconds(1500);
@@ -120,9 +123,12 @@
     auto reply = co_await send(context, request, writer);
     if (!reply)
         co_return;
-    std::string prompt = buildPrompt(previousIn(context->history), request.body);
+    std::string prompt;
+    if (previousIn(context->history) && call->route->isResumable)
+        prompt = buildPrompt(previousIn(context->history), request.body);
     stream_result stream = co_await m_relay.relayWithResumes(
-        call, *reply, context->placementRequest, request, std::move(prompt), writer);
+        call, *reply, context->placementRequest, request,
+        prompt.empty() ? std::string_view(request.body) : prompt, writer);
     m_engineAdmission.release(*call);
     if (stream.isComplete)
         co_await finish(context, request, reply->where, std::move(stream), writer);
@@ -267,9 +273,19 @@
         placementRequest.lastReplica = previous->replica;
         placementRequest.lastTokens = previous->tokens;
     }
-    std::string prompt = buildPrompt(previous, request.body);
-    auto reply
-        = co_await m_sender.open(context->call, placementRequest, request, std::move(prompt));
+    std::string prompt;
+    if (previous)
+        prompt = buildPrompt(previous, request.body);
+    const std::string_view body = previous ? std::string_view(prompt) : request.body;
+    // The prompt is copied when it is sent.
+    if (!writer.tryHold(2 * prompt.size())) {
+        settle(*context, 0);
+        std::string detail(memoryShortDetail);
+        co_await m_localReplies.write(context->call, local_reply::Refused, std::move(detail),
+                                      writer);
+        co_return std::nullopt;
+    }
+    auto reply = co_await m_sender.open(context->call, placementRequest, request, body);
     if (reply && reply->head.status == 200)
         co_return std::move(*reply);
     // No event reached the client, so no tokens were spent.
