azurehill-entry: one account and one statement of limits for all ports

Bodies of 4 MiB without their last byte on the ports for look-ups, readiness, daemons and metrics took 128 to 218 MB of 64; 1,200 connections on one of them took all 1,000 descriptors, and no client was served; 1,000 unfinished bodies of 65,000 bytes on the clients' port took 97 MB, 500 unfinished heads of many fields 171 MB, the same heads complete 271 MB; bytes sent ahead on 1,200 connections 192 MB.

Cause: each port had default limits of its own (4,096 connections, 128 MiB), the clients' port a quarter of the memory for large bodies and half of the descriptors.

Limits follow the settings when these change at run time. A shortage is logged once a second at most, and so are operator's limits of which one request doesn't fit.

--- a/src/core/log_event.h
+++ b/src/core/log_event.h
@@ -14,6 +14,8 @@
     Stopping,
     Stopped,
     Reloaded,
+    LimitsExceedMemory,
+    MemoryShort,
     BadSettings,
     ListenFailed,
     ConfigurationAdopted,
@@ -72,10 +74,12 @@
 template <>
 struct enum_names<log_event>
 {
-    static constexpr std::array<std::string_view, 57> names = {"started",
+    static constexpr std::array<std::string_view, 59> names = {"started",
                                                                "stopping",
                                                                "stopped",
                                                                "reloaded",
+                                                               "limits_exceed_memory",
+                                                               "memory_short",
                                                                "bad_settings",
                                                                "cant_listen",
                                                                "configuration_adopted",
@@ -141,6 +145,8 @@
     case log_event::RowUnreadable:
     case log_event::ReplicasOutdated:
         return log_level::Error;
+    case log_event::LimitsExceedMemory:
+    case log_event::MemoryShort:
     case log_event::ReplicaRowUnreadable:
     case log_event::ReplicaEjected:
     case log_event::MemberGone:
--- a/src/entry/entry_control.cpp
+++ b/src/entry/entry_control.cpp
@@ -1,6 +1,8 @@
 #include "entry/entry_control.h"
 
 #include "core/log_event.h"
+#include "entry/port_limits.h"
+#include "limits/limits.h"
 #include "platform/config_codec.h"
 #include "platform/ingress.h"
 #include "platform/replica_codec.h"
@@ -69,20 +71,23 @@
 } // namespace
 
 entry_control::entry_control(asio::io_context &context, const host_settings &settings,
-                             control_events events)
+                             control_events events, std::shared_ptr<memory_account> memory)
     : m_context(context), m_settings(settings), m_events(std::move(events)),
       m_transport(std::make_shared<peer_transport>(context.get_executor(), settings.storeAddress,
                                                    settings.mechanisms)),
-      m_store(m_transport), m_readinessServer(context.get_executor(), {},
-                                              [this](const http_request &r, response_writer &w) {
-                                                  return handleRequest(r, w);
-                                              }),
+      m_store(m_transport), m_memory(memory ? std::move(memory) : makeMemoryAccount(settings)),
+      m_readinessServer(
+          context.get_executor(), limitsOf(daemon_port::Readiness, settings),
+          [this](const http_request &r, response_writer &w) { return handleRequest(r, w); },
+          m_memory),
       m_lookupServer(
-          context.get_executor(), {},
-          [this](const http_request &r, response_writer &w) { return handleRequest(r, w); }),
+          context.get_executor(), limitsOf(daemon_port::Lookups, settings),
+          [this](const http_request &r, response_writer &w) { return handleRequest(r, w); },
+          m_memory),
       m_peerServer(
-          context.get_executor(), {},
-          [this](const http_request &r, response_writer &w) { return handlePeerRequest(r, w); }),
+          context.get_executor(), limitsOf(daemon_port::Peers, settings),
+          [this](const http_request &r, response_writer &w) { return handlePeerRequest(r, w); },
+          m_memory),
       m_membership(makeSelf(settings), stableHash(settings.name.value)),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
       m_gossip(context.get_executor(),
@@ -119,6 +124,12 @@
     m_settings.grace = settings.grace;
     m_settings.lookupTtl = settings.lookupTtl;
     m_settings.seeds = settings.seeds;
+    m_settings.memoryBytes = settings.memoryBytes;
+    m_settings.fileDescriptors = settings.fileDescriptors;
+    m_memory->setLimit(limitsFor(settings.memoryBytes, settings.fileDescriptors).connectionBytes);
+    m_readinessServer.setLimits(limitsOf(daemon_port::Readiness, m_settings));
+    m_lookupServer.setLimits(limitsOf(daemon_port::Lookups, m_settings));
+    m_peerServer.setLimits(limitsOf(daemon_port::Peers, m_settings));
 }
 
 void entry_control::setAdmissionReport(concurrency_reports report)
--- a/src/entry/entry_control.h
+++ b/src/entry/entry_control.h
@@ -49,7 +49,10 @@
 class entry_control
 {
 public:
-    entry_control(asio::io_context &context, const host_settings &settings, control_events events);
+    /// \param memory account of what the connections of the process hold; if it is null, the
+    /// control plane has one of its own.
+    entry_control(asio::io_context &context, const host_settings &settings, control_events events,
+                  std::shared_ptr<memory_account> memory = nullptr);
 
     /// \brief Starts to listen and to follow the store.
     /// \returns the ports, or nothing if an address can't be bound.
@@ -66,7 +69,7 @@
     /// \brief The traffic thread has read the evidence against requests, without which it serves
     /// none. The daemon is not ready before.
     void setQuarantineRestored() { m_isQuarantineRestored = true; }
-    /// \brief Applies the bounds and times of new settings. Addresses stay as they are.
+    /// \brief Applies the bounds, limits and times of new settings. Addresses stay as they are.
     void setSettings(const host_settings &settings);
     /// \returns the current state of the daemon for the metrics.
     entry_gauges gauges() const;
@@ -110,6 +113,7 @@
     control_events m_events;
     std::shared_ptr<peer_transport> m_transport;
     platform_store m_store;
+    std::shared_ptr<memory_account> m_memory;
     http_server m_readinessServer;
     http_server m_lookupServer;
     http_server m_peerServer;
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -1,6 +1,8 @@
 #include "entry/entry_service.h"
 
 #include "core/log_event.h"
+#include "entry/port_limits.h"
+#include "limits/limits.h"
 #include "platform/ingress.h"
 
 #include <boost/json.hpp>
@@ -18,12 +20,9 @@
 constexpr duration removalInterval = seconds(1);
 /// Interval between counts of the quarantined requests, which takes a look at each.
 constexpr duration quarantineMeasureInterval = seconds(1);
+constexpr duration shortageLogInterval = seconds(1);
 /// Interval between reports to the other daemons: one round of their gossip.
 constexpr duration reportPublishInterval = milliseconds(200);
-/// Divisor of a process's memory that gives the size of its turn cache. The rest is for connections
-/// and answers.
-constexpr int cacheMemoryDivisor = 8;
-
 /// Fraction of its remaining time for which a request may wait for a credit.
 constexpr double creditWaitShare = 0.25;
 /// Retry-After while no daemon lends: a new lender takes about as long to start.
@@ -32,20 +31,6 @@
 constexpr std::string_view quotaExhaustedDetail = "the account's quota is used up";
 constexpr std::string_view lenderUnavailableDetail = "no daemon lends the account's credits";
 
-http_limits limitsOf(const host_settings &settings, const client_limits &c)
-{
-    // At 1 Mbit/s, a body of the largest default size takes half a minute.
-    constexpr duration bodyTime = seconds(30);
-    http_limits limits;
-    limits.maxHeaderBytes = c.headerBytes;
-    limits.maxBodyBytes = c.bodyBytes;
-    limits.maxTotalBodyBytes = settings.memoryBytes / 4;
-    limits.maxConnections = settings.fileDescriptors / 2;
-    limits.requestTimeout = c.headerTime + bodyTime;
-    limits.idleTimeout = c.idleTimeout;
-    return limits;
-}
-
 /// \returns the id under which the daemons store the program that clients of \p account call \p
 /// clientProgram. Programs of the same name of other accounts are other programs.
 program_id accountScopedProgram(const account_id &account, const program_id &clientProgram)
@@ -116,14 +101,15 @@
 
 ledger_settings ledgerSettings(const host_settings &s)
 {
-    return {s.rowBytes, s.storeSpansParts,
-            static_cast<std::size_t>(s.memoryBytes / cacheMemoryDivisor), stableHash(s.name.value)};
+    const process_limits limits = limitsFor(s.memoryBytes, s.fileDescriptors);
+    return {s.rowBytes, s.storeSpansParts, static_cast<std::size_t>(limits.cachedTurnBytes),
+            stableHash(s.name.value), limits.cachedPrograms};
 }
 
 } // namespace
 
 entry_service::entry_service(asio::io_context &context, const host_settings &settings,
-                             entry_metrics &metrics)
+                             entry_metrics &metrics, std::shared_ptr<memory_account> memory)
     : m_settings(settings), m_metrics(metrics), m_executor(context.get_executor()),
       m_random(static_cast<std::uint_fast32_t>(stableHash(settings.name.value))),
       m_transport(
@@ -140,8 +126,10 @@
       m_relay(m_sender, m_loadBalancer, m_engineAdmission, m_localReplies, metrics),
       m_turns(m_executor, m_ledger, m_engineAdmission, m_sender, m_relay, m_localReplies, m_slots,
               metrics),
-      m_server(m_executor, limitsOf(settings, {}),
-               [this](const http_request &r, response_writer &w) { return serve(r, w); })
+      m_memory(memory ? std::move(memory) : makeMemoryAccount(settings)),
+      m_server(
+          m_executor, limitsOf(daemon_port::Clients, settings),
+          [this](const http_request &r, response_writer &w) { return serve(r, w); }, m_memory)
 {
     m_quarantine.setDirectory(
         [this](std::vector<std::uint64_t> replicas) {
@@ -156,6 +144,7 @@
 
 std::uint16_t entry_service::start()
 {
+    applyProcessLimits();
     m_pacedStore.setRates(m_settings.storeWritesPerSecond, m_daemons);
     m_pacedStore.setMerging(m_settings.storeSpansParts
                             && m_settings.mechanisms.has(mechanism::BatchedWrites));
@@ -198,7 +187,7 @@
     m_prober.setRoutes(m_routes);
     m_ledger.setRetentions(retentionsOf(*m_routes));
     m_credits.setRoutes(m_routes);
-    m_server.setLimits(limitsOf(m_settings, m_routes->limits()));
+    updateClientLimits();
     for (const service_rule &service : m_routes->services()) {
         if (!service.engine)
             continue;
@@ -211,6 +200,35 @@
     updateDispatchedReplicas();
 }
 
+void entry_service::setSettings(const host_settings &settings)
+{
+    m_settings.memoryBytes = settings.memoryBytes;
+    m_settings.fileDescriptors = settings.fileDescriptors;
+    applyProcessLimits();
+    updateClientLimits();
+}
+
+void entry_service::applyProcessLimits()
+{
+    const process_limits limits = limitsFor(m_settings.memoryBytes, m_settings.fileDescriptors);
+    m_ledger.setCacheLimits(static_cast<std::size_t>(limits.cachedTurnBytes),
+                            limits.cachedPrograms);
+    m_loadBalancer.setMaxPromptParts(limits.promptParts);
+    m_sender.setMaxIdleConnections(static_cast<std::size_t>(limits.idleReplicaConnections));
+}
+
+void entry_service::updateClientLimits()
+{
+    const client_limits clients = m_routes ? m_routes->limits() : client_limits();
+    m_server.setLimits(limitsOf(daemon_port::Clients, m_settings, clients));
+    if (!canHoldLargestRequest(m_settings, clients)) {
+        logDecision(log_event::LimitsExceedMemory,
+                    {{"memory", m_settings.memoryBytes},
+                     {"header", static_cast<std::int64_t>(clients.headerBytes)},
+                     {"body", static_cast<std::int64_t>(clients.bodyBytes)}});
+    }
+}
+
 awaitable<void> entry_service::release(time_point deadline)
 {
     spawn(m_executor, "releaseHolds", m_budgets.release(deadline));
@@ -289,6 +307,19 @@
     }
 }
 
+void entry_service::logMemoryShortage(time_point now)
+{
+    const std::int64_t shortages = m_memory->shortages();
+    if (shortages == m_loggedShortages || now < m_shortageLoggedAt + shortageLogInterval)
+        return;
+    logDecision(log_event::MemoryShort,
+                {{"times", shortages - m_loggedShortages},
+                 {"used", m_memory->usedBytes()},
+                 {"limit", m_memory->limit()}});
+    m_loggedShortages = shortages;
+    m_shortageLoggedAt = now;
+}
+
 awaitable<void> entry_service::sweep()
 {
     while (true) {
@@ -297,6 +328,7 @@
         m_ledger.expire(now);
         m_engineAdmission.update(m_loadBalancer, now);
         publishReports(now);
+        logMemoryShortage(now);
         m_metrics.setEjectedReplicas(m_loadBalancer.ejectedReplicas());
         if (now >= m_quarantineMeasuredAt + quarantineMeasureInterval) {
             m_quarantineMeasuredAt = now;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -23,7 +23,10 @@
 class entry_service
 {
 public:
-    entry_service(asio::io_context &context, const host_settings &settings, entry_metrics &metrics);
+    /// \param memory account of what the connections of the process hold; if it is null, the
+    /// service has one of its own.
+    entry_service(asio::io_context &context, const host_settings &settings, entry_metrics &metrics,
+                  std::shared_ptr<memory_account> memory = nullptr);
 
     /// \brief Starts to listen for clients.
     /// \returns the port, or 0 if the address can't be bound.
@@ -39,6 +42,8 @@
     /// \returns the number of requests being answered. May be called from any thread.
     int requestsInProgress() const { return m_server.requestsInProgress(); }
 
+    /// \brief Applies the limits of new settings.
+    void setSettings(const host_settings &settings);
     void setRoutes(routing_config_ptr routes);
     void setReplicas(const std::vector<replica_entry> &listed);
     /// \brief Sets whether the entries are too old to send requests by them.
@@ -84,6 +89,11 @@
     awaitable<void> returnHolds(time_point deadline);
 
 private:
+    /// \brief Applies the shares of the process's memory and descriptors.
+    void applyProcessLimits();
+    void updateClientLimits();
+    /// \brief Logs if the account of the connections was short since the last call.
+    void logMemoryShortage(time_point now);
     awaitable<void> serve(const http_request &request, response_writer &writer);
     /// \brief Serves \p call, which has its route, its service and its deadline.
     awaitable<void> serveAllowed(entry_call_ptr call, const http_request &request,
@@ -136,6 +146,9 @@
     local_reply_writer m_localReplies;
     response_relay m_relay;
     turn_handler m_turns;
+    std::shared_ptr<memory_account> m_memory;
+    std::int64_t m_loggedShortages = 0;
+    time_point m_shortageLoggedAt;
     http_server m_server;
     routing_config_ptr m_routes;
     std::set<entry_call_ptr> m_calls;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -5,6 +5,7 @@
 #include "entry/entry_options.h"
 #include "entry/entry_service.h"
 #include "entry/entry_shutdown.h"
+#include "entry/port_limits.h"
 #include "platform/settings_file.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -14,6 +15,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <functional>
 #include <thread>
 #include <unistd.h>
 
@@ -31,8 +33,9 @@
 class settings_watch
 {
 public:
-    settings_watch(std::string text, entry_control &control)
-        : m_text(std::move(text)), m_control(control)
+    /// \param onSettings called with settings that have changed, or were announced by a signal.
+    settings_watch(std::string text, std::function<void(const host_settings &)> onSettings)
+        : m_text(std::move(text)), m_onSettings(std::move(onSettings))
     { }
 
     void check(bool signalled)
@@ -51,12 +54,12 @@
         }
         logDecision(log_event::Reloaded, {{"changed", *text != m_text}, {"signal", signalled}});
         m_text = *text;
-        m_control.setSettings(*settings);
+        m_onSettings(*settings);
     }
 
 private:
     std::string m_text;
-    entry_control &m_control;
+    std::function<void(const host_settings &)> m_onSettings;
 };
 
 awaitable<void> watchSettings(settings_watch &watch)
@@ -178,7 +181,8 @@
     asio::io_context controlContext(1);
     asio::io_context trafficContext(1);
     entry_metrics metrics;
-    entry_service service(trafficContext, s, metrics);
+    const std::shared_ptr<memory_account> memory = makeMemoryAccount(s);
+    entry_service service(trafficContext, s, metrics, memory);
     control_events events;
     events.onRoutes = [&](const routing_config_ptr &routes) {
         asio::post(trafficContext, [&service, routes] { service.setRoutes(routes); });
@@ -207,7 +211,7 @@
         asio::post(trafficContext,
                    [&service, o = std::move(reports)] { service.mergeReplicaReports(o); });
     };
-    entry_control control(controlContext, s, std::move(events));
+    entry_control control(controlContext, s, std::move(events), memory);
     service.onAdmissionReports([&](concurrency_reports report) {
         asio::post(controlContext,
                    [&control, w = std::move(report)] { control.setAdmissionReport(w); });
@@ -219,10 +223,12 @@
     service.onQuarantineRestored(
         [&] { asio::post(controlContext, [&control] { control.setQuarantineRestored(); }); });
     const operator_view view{metrics, control, service, trafficContext.get_executor()};
-    http_server metricsServer(controlContext.get_executor(), {},
-                              [&view](const http_request &request, response_writer &writer) {
-                                  return answerOperator(view, request, writer);
-                              });
+    http_server metricsServer(
+        controlContext.get_executor(), limitsOf(daemon_port::Metrics, s),
+        [&view](const http_request &request, response_writer &writer) {
+            return answerOperator(view, request, writer);
+        },
+        memory);
     if (options.metricsPort != 0 && metricsServer.listen({s.ip, options.metricsPort}) == 0)
         logDecision(log_event::ListenFailed,
                     {{"ip", s.ip}, {"port", std::int64_t(options.metricsPort)}});
@@ -239,7 +245,11 @@
                   shutDown(control, service, controlContext, trafficContext));
         }
     });
-    settings_watch watch(settingsText, control);
+    settings_watch watch(settingsText, [&](const host_settings &settings) {
+        control.setSettings(settings);
+        metricsServer.setLimits(limitsOf(daemon_port::Metrics, settings));
+        asio::post(trafficContext, [&service, settings] { service.setSettings(settings); });
+    });
     asio::signal_set hangups(controlContext, SIGHUP);
     spawn(controlContext.get_executor(), "awaitHangups", awaitHangups(hangups, watch));
     spawn(controlContext.get_executor(), "watchSettings", watchSettings(watch));
