--- a/test/io/platform_codec_test.cpp
+++ b/test/io/platform_codec_test.cpp
@@ -287,6 +287,23 @@
                      ->session);
     }
 
+    // Guards against fields that are dropped because their name is part of another one's, and
+    // against a comparison of each field with a whole list of names.
+    TEST_CASE("fields that concern one connection are not forwarded")
+    {
+        const http_request request = clientRequest({{"Connection", "x-foo-bar ,keep-alive,, X-Own"},
+                                                    {"X-Foo", "kept"},
+                                                    {"X-Foo-Bar", "dropped"},
+                                                    {"x-own", "dropped"},
+                                                    {"Connection", "x-second"},
+                                                    {"X-Second", "dropped"}});
+        const http_request sent = encodeUpstreamRequest(request, {}, "");
+        CHECK(sent.headers.get("X-Foo") == "kept");
+        CHECK(sent.headers.get("Host") == "h.example");
+        for (const char *name : {"Connection", "X-Foo-Bar", "X-Own", "X-Second"})
+            CHECK_FALSE(sent.headers.has(name));
+    }
+
     TEST_CASE("a reply's head is judged")
     {
         using field = header_list::field;
