Test: limits follow the settings of a process that runs

A crowd of unfinished heads against a daemon whose memory_mb was lowered from 256 to 64 by new settings and a SIGHUP.

--- a/test/process/misbehaving_clients_test.cpp
+++ b/test/process/misbehaving_clients_test.cpp
@@ -89,11 +89,12 @@
     }
 
     /// \brief Checks that the process lives and has stayed within its settings.
-    void checkLimits()
+    void checkLimits() { checkLimits(m_settings); }
+    void checkLimits(const entry_settings &settings)
     {
         CHECK_FALSE(entry.exitStatus());
-        CHECK(m_watch->peakMemory() <= std::int64_t(m_settings.memoryMegabytes) << 20U);
-        CHECK(m_watch->peakDescriptors() <= m_settings.fileDescriptors - reservedDescriptors);
+        CHECK(m_watch->peakMemory() <= std::int64_t(settings.memoryMegabytes) << 20U);
+        CHECK(m_watch->peakDescriptors() <= settings.fileDescriptors - reservedDescriptors);
     }
 
     platform_fixture fixture;
@@ -324,6 +325,23 @@
         }
     }
 
+    // Guards against limits that are those of the start for good.
+    TEST_CASE("the limits follow the settings of a process that runs")
+    {
+        limited_daemon daemon({8, 256, 4100});
+        daemon.fixture.writeSettings(smallHost());
+        daemon.entry.signal(SIGHUP);
+        REQUIRE(holdsWithin(testTimeout, [&] {
+            return daemon.entry.log().find(R"("event":"reloaded")") != std::string::npos;
+        }));
+        client_script script;
+        script.start = "GET /a/x HTTP/1.1\r\nHost: h.example\r\n" + repeated("a:\r\n", 15'600);
+        const client_crowd crowd(daemon.clientPort(), 500, std::move(script));
+        crowd.waitUntilSettled();
+        CHECK(daemon.isServing());
+        daemon.checkLimits(smallHost());
+    }
+
     // Guards against a program that costs memory for its retention time, whoever makes it up.
     TEST_CASE("programs that are made up one after another share the memory for state")
     {
