Tests of crowds: descriptors are sampled each 5 ms, apart from the memory

A look at the memory reads the list of all sockets, which takes longer than some crowds last: the most descriptors read 0 or 30 where 130 to 1,000 were open. The bounds stay; the check sees more.

--- a/test/process/resource_watch.cpp
+++ b/test/process/resource_watch.cpp
@@ -13,7 +13,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds samplePeriod(50);
+constexpr std::chrono::milliseconds memoryPeriod(50);
+constexpr std::chrono::milliseconds descriptorPeriod(5);
 constexpr std::int64_t kibibyte = 1024;
 
 /// \returns the field \p name of the status of \p pid in bytes, or 0.
@@ -27,25 +28,18 @@
     return 0;
 }
 
-struct open_files
+/// \returns the inodes of the sockets of \p pid.
+std::set<std::string> socketsOf(pid_t pid)
 {
-    int count = 0;
-    /// Inodes of the sockets.
-    std::set<std::string> sockets;
-};
-
-open_files openFilesOf(pid_t pid)
-{
-    open_files result;
+    std::set<std::string> result;
     std::error_code code;
     std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", pid), code);
     for (; !code && files != std::filesystem::directory_iterator(); files.increment(code)) {
-        ++result.count;
         std::error_code gone;
         const std::string target = std::filesystem::read_symlink(files->path(), gone).string();
         constexpr std::string_view prefix = "socket:[";
         if (target.starts_with(prefix))
-            result.sockets.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
+            result.insert(target.substr(prefix.size(), target.size() - prefix.size() - 1));
     }
     return result;
 }
@@ -82,10 +76,17 @@
 
 resource_watch::resource_watch(pid_t pid) : m_pid(pid)
 {
-    m_thread = std::thread([this] {
+    sampleDescriptors();
+    m_memoryThread = std::thread([this] {
+        while (!m_stops) {
+            sampleMemory();
+            std::this_thread::sleep_for(memoryPeriod);
+        }
+    });
+    m_descriptorThread = std::thread([this] {
         while (!m_stops) {
-            sample();
-            std::this_thread::sleep_for(samplePeriod);
+            sampleDescriptors();
+            std::this_thread::sleep_for(descriptorPeriod);
         }
     });
 }
@@ -93,15 +94,23 @@
 resource_watch::~resource_watch()
 {
     m_stops = true;
-    m_thread.join();
+    m_memoryThread.join();
+    m_descriptorThread.join();
 }
 
-void resource_watch::sample()
+void resource_watch::sampleMemory()
 {
-    const open_files files = openFilesOf(m_pid);
-    const std::int64_t memory = statusBytes(m_pid, "VmRSS") + unreadBytes(m_pid, files.sockets);
+    const std::int64_t memory = statusBytes(m_pid, "VmRSS") + unreadBytes(m_pid, socketsOf(m_pid));
     m_memory = std::max<std::int64_t>(m_memory, memory);
-    m_descriptors = std::max<int>(m_descriptors, files.count);
+}
+
+void resource_watch::sampleDescriptors()
+{
+    std::error_code code;
+    const std::filesystem::directory_iterator files(fmt::format("/proc/{}/fd", m_pid), code);
+    if (!code)
+        m_descriptors = std::max<int>(m_descriptors,
+                                      static_cast<int>(std::distance(begin(files), end(files))));
 }
 
 std::int64_t resource_watch::peakMemory() const
--- a/test/process/resource_watch.h
+++ b/test/process/resource_watch.h
@@ -7,7 +7,7 @@
 
 namespace azurehill::process_test {
 
-/// \brief Samples what a process holds, on a thread of its own, until the object is destroyed.
+/// \brief Samples what a process holds, on threads of its own, until the object is destroyed.
 class resource_watch
 {
 public:
@@ -23,13 +23,16 @@
     int peakDescriptors() const { return m_descriptors; }
 
 private:
-    void sample();
+    void sampleMemory();
+    void sampleDescriptors();
 
     pid_t m_pid;
     std::atomic<bool> m_stops{false};
     std::atomic<std::int64_t> m_memory{0};
     std::atomic<int> m_descriptors{0};
-    std::thread m_thread;
+    std::thread m_memoryThread;
+    /// Descriptors come and go faster than the list of all sockets is read.
+    std::thread m_descriptorThread;
 };
 
 } // namespace azurehill::process_test
