--- a/test/logic/limits_test.cpp
+++ b/test/logic/limits_test.cpp
@@ -102,10 +102,12 @@
     {
         CHECK(rc::check("any sizes, any order", [] {
             memory_account account(10'000'000);
+            constexpr int count = 8;
             std::vector<std::unique_ptr<recorded_holder>> holders;
+            holders.reserve(count);
             const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
-                rc::gen::pair(rc::gen::inRange(0, 8), rc::gen::inRange(0, 4'000'000)));
-            for (int i = 0; i < 8; ++i)
+                rc::gen::pair(rc::gen::inRange(0, count), rc::gen::inRange(0, 4'000'000)));
+            for (int i = 0; i < count; ++i)
                 holders.push_back(std::make_unique<recorded_holder>(account));
             for (const auto &[index, bytes] : steps) {
                 auto &one = holders[static_cast<std::size_t>(index)];
