HTTP server: a connection that makes way begins no request

A connection is chosen to make way on the thread that accepts, and closed later on its own strand. A request that arrived in between was passed on, and its connection was then closed without an answer. Found by reading, before it was seen: the window is one turn of the event loop, and opens only while places are short.

endWait() says whether the connection still has its place; if not, the request is not begun. Both happen under the table's mutex.

--- a/src/http/connection_table.cpp
+++ b/src/http/connection_table.cpp
@@ -36,12 +36,14 @@
         setWaiting(id, found->second, true, now);
 }
 
-void connection_table::endWait(connection_id id)
+bool connection_table::endWait(connection_id id)
 {
     const std::lock_guard lock(m_mutex);
     const auto found = m_connections.find(id);
-    if (found != m_connections.end())
-        setWaiting(id, found->second, false, {});
+    if (found == m_connections.end())
+        return false;
+    setWaiting(id, found->second, false, {});
+    return true;
 }
 
 bool connection_table::closeLongestWaiting(time_point now)
--- a/src/http/connection_table.h
+++ b/src/http/connection_table.h
@@ -33,7 +33,8 @@
     /// \brief The connection waits for a request, or for the rest of one, from \p now on.
     void beginWait(connection_id id, time_point now);
     /// \brief The connection has a whole request, which is to be answered.
-    void endWait(connection_id id);
+    /// \returns false if the connection has made way for another and is about to be closed.
+    bool endWait(connection_id id);
     /// \brief Closes the connection that has waited longest, if any has waited for minWait.
     /// \returns whether there was one.
     bool closeLongestWaiting(time_point now);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -220,10 +220,12 @@
     if (result == read_result::PeerClosed)
         co_return false;
     const bool isComplete = result == read_result::Complete && !self->holder.isRevoked();
-    if (isComplete && server.tryBegin()) {
-        server.table.endWait(self->id);
+    // A request that arrives while its connection makes way must not be begun: its answer would be
+    // cut off.
+    if (isComplete && !server.table.endWait(self->id))
+        co_return false;
+    if (isComplete && server.tryBegin())
         co_return co_await answer(self, *reader);
-    }
     problem refusal = problemOf(result, reader->error());
     if (result == read_result::Complete)
         refusal = server.isClosed() ? serverClosed() : busy("The daemon has too many requests");
