Descriptors of refusals are part of the sum

Up to 64 connections of each port, beyond its limit, may be told so at one time: with five ports 316 descriptors at most, where a process of 4,100 had 122 left over. Refusals are a sixteenth of a port's connections now, are counted in process_limits::totalDescriptors, and so in its property; clients have 13/32 of the sockets for it instead of 7/16.

--- a/src/entry/port_limits.cpp
+++ b/src/entry/port_limits.cpp
@@ -49,7 +49,7 @@
         limits.maxConnections = process.peerConnections;
         break;
     }
-    limits.maxConcurrentRefusals = std::min(limits.maxConcurrentRefusals, limits.maxConnections);
+    limits.maxConcurrentRefusals = concurrentRefusals(limits.maxConnections);
     return limits;
 }
 
--- a/src/limits/process_limits.cpp
+++ b/src/limits/process_limits.cpp
@@ -25,8 +25,18 @@
 
 int process_limits::totalDescriptors() const
 {
-    return clientConnections + clientRequests + lookupConnections + readinessConnections
-        + metricsConnections + peerConnections + idleReplicaConnections;
+    int total = clientRequests + idleReplicaConnections;
+    for (const int connections : {clientConnections, lookupConnections, readinessConnections,
+                                  metricsConnections, peerConnections})
+        total += connections + concurrentRefusals(connections);
+    return total;
+}
+
+int concurrentRefusals(int connections)
+{
+    constexpr int connectionsPerRefusal = 16;
+    constexpr int maxRefusals = 64;
+    return std::clamp(connections / connectionsPerRefusal, 1, maxRefusals);
 }
 
 process_limits limitsFor(std::int64_t memoryBytes, int fileDescriptors)
@@ -38,7 +48,7 @@
     limits.promptParts = static_cast<std::size_t>(memoryBytes / 16 / bytesPerPromptPart);
 
     const int sockets = std::max(0, fileDescriptors - fileDescriptorReserve);
-    limits.clientConnections = shareOf(sockets * 7, 16);
+    limits.clientConnections = shareOf(sockets * 13, 32);
     limits.clientRequests = shareOf(sockets, 4);
     limits.lookupConnections = shareOf(sockets, 16);
     limits.readinessConnections = shareOf(sockets, 64);
--- a/src/limits/process_limits.h
+++ b/src/limits/process_limits.h
@@ -35,7 +35,7 @@
 
     /// \returns the memory of all shares together.
     std::int64_t totalBytes() const;
-    /// \returns the descriptors of all shares together.
+    /// \returns the descriptors of all shares together, with those of connections that are refused.
     int totalDescriptors() const;
 };
 
@@ -46,6 +46,10 @@
 /// Descriptors that a process needs for files.
 constexpr int fileDescriptorReserve = 200;
 
+/// \returns the number of connections beyond \p connections, the limit of a port, that may be told
+/// so at one time.
+int concurrentRefusals(int connections);
+
 /// \returns the limits of a process that may use \p memoryBytes and \p fileDescriptors.
 process_limits limitsFor(std::int64_t memoryBytes, int fileDescriptors);
 
