HTTP client: a status outside 100 to 599 is no answer

The reader of a check took a 000 for a sign of life, and azurehilld journalled a tool's 000 and repeated it to every retry.

Cause: Beast takes any three digits for a status, and http_connection passed on whatever the parser could read. What a parsed head says was judged in two places, each for one thing: the loop over interim responses, and the transfer coding after it.

Now judgeHead decides what a head is, right behind the parser, for all readers of responses: replicas, checks of replicas, store, peers, azurehilld's upstreams. Whatever it does not call final or interim is the error Malformed with an unknown outcome, as bytes are that can't be parsed: an idempotent request goes to another replica, any other gets a 502, a turn is not kept, the connection is closed.

--- /dev/null
+++ b/src/http/head_verdict.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/enum_names.h"
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+
+namespace azurehill {
+
+/// \brief What the head of a response is to the request that it follows.
+enum class head_verdict {
+    /// The head of the response.
+    Final,
+    /// The head of an interim response, which another head follows.
+    Interim,
+    /// The status is none of those from 100 to 599 (RFC 9110, section 15).
+    InvalidStatus,
+    /// The body is in a transfer coding that is not understood.
+    UnknownTransferCoding
+};
+
+template <>
+struct enum_names<head_verdict>
+{
+    static constexpr std::array<std::string_view, 4> names
+        = {"final", "interim", "invalid_status", "unknown_transfer_coding"};
+};
+
+/// \brief Decides what the head of a response is. All heads that the daemon reads are judged here.
+///
+/// The parser rejects what it can't read. What it can read may still be none that a response can
+/// have, and then nothing else that it says can be trusted.
+/// \param head the parsed head.
+head_verdict judgeHead(const boost::beast::http::response_header<> &head);
+
+} // namespace azurehill
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,6 +1,6 @@
 #include "http/http_client.h"
 
-#include "http/transfer_coding.h"
+#include "http/head_verdict.h"
 #include "runtime/deadline_guard.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -43,9 +43,9 @@
     return {http_error_kind::Incomplete, outcome::Unknown, std::string(toName(end))};
 }
 
-http_error unknownTransferCoding()
+http_error invalidHead(head_verdict verdict)
 {
-    return {http_error_kind::Malformed, outcome::Unknown, "unknown transfer coding"};
+    return {http_error_kind::Malformed, outcome::Unknown, std::string(toName(verdict))};
 }
 
 http_error responseTooLarge()
@@ -63,6 +63,8 @@
     deadline_guard guard;
     beast::flat_buffer buffer{maxUnparsedBytes};
     std::optional<response_parser> parser;
+    /// What the head that was read last is.
+    head_verdict verdict = head_verdict::Final;
     body_completeness body{body_framing::None, body_syntax::Opaque};
     std::string host;
     /// The request being written.
@@ -134,31 +136,31 @@
     });
 }
 
-bool isInterim(const response_parser &parser)
+/// \brief Reads the next head, of an interim or the final response.
+awaitable<beast::error_code> readHead(std::shared_ptr<http_connection::state> s)
 {
     namespace http = beast::http;
-    return http::to_status_class(parser.get().result_int()) == http::status_class::informational
-        && parser.get().result() != http::status::switching_protocols;
+    auto &parser = s->parser.emplace();
+    // Streamed bodies are unbounded, since finished books are large. exchange() has its own limit.
+    parser.body_limit(boost::none);
+    parser.skip(s->out.method() == http::verb::head);
+    parser.header_limit(maxResponseHeader);
+    beast::error_code code;
+    co_await http::async_read_header(s->socket, s->buffer, parser,
+                                     asio::redirect_error(use_awaitable, code));
+    s->verdict = judgeHead(parser.get());
+    co_return code;
 }
 
-/// \brief Reads the head of the final response. Interim responses before it are dropped.
+/// \brief Reads heads up to the first that is not of an interim response. Those before are dropped.
 awaitable<beast::error_code> readFinalHead(std::shared_ptr<http_connection::state> s)
 {
-    namespace http = beast::http;
     for (int interim = 0; interim <= maxInterimHeads; ++interim) {
-        auto &parser = s->parser.emplace();
-        // Streamed bodies are unbounded, since finished books are large. exchange() has its own
-        // limit.
-        parser.body_limit(boost::none);
-        parser.skip(s->out.method() == http::verb::head);
-        parser.header_limit(maxResponseHeader);
-        beast::error_code code;
-        co_await http::async_read_header(s->socket, s->buffer, parser,
-                                         asio::redirect_error(use_awaitable, code));
-        if (code || !isInterim(parser))
+        const beast::error_code code = co_await readHead(s);
+        if (code || s->verdict != head_verdict::Interim)
             co_return code;
     }
-    co_return http::error::header_limit;
+    co_return beast::http::error::header_limit;
 }
 
 } // namespace
@@ -240,8 +242,8 @@
         co_return tl::unexpected(makeError(code, s->expired(), ran));
     }
     const response_parser &parser = *s->parser;
-    if (!hasKnownTransferCoding(parser.get()))
-        co_return tl::unexpected(unknownTransferCoding());
+    if (s->verdict != head_verdict::Final)
+        co_return tl::unexpected(invalidHead(s->verdict));
     response_head result;
     result.status = parser.get().result_int();
     result.framing = framingOf(parser);
--- a/test/io/broken_upstream_answer_test.cpp
+++ b/test/io/broken_upstream_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "io/door_world.h"
+#include "io/invalid_heads.h"
 #include "io/scripted_replica.h"
 
 #include <doctest/doctest.h>
@@ -147,6 +148,25 @@
             CHECK(w.upstream.arrived.size() == 1);
         }
     }
+
+    // Guards against a head that a parser can read and that no final response may have.
+    TEST_CASE("an answer with an invalid head is neither journalled nor relayed")
+    {
+        for (const invalid_head &head : parsedHeads()) {
+            CAPTURE(head.name);
+            scripted_world tool("proof", plainResponse(head));
+            const http_request call = door_world::toolCall(tool.world.createProgram(), 1, "k");
+            const http_response broken = tool.world.exchange(call);
+            CHECK(broken.status == 502);
+            CHECK(broken.body.find(R"("outcome":"unknown")") != std::string::npos);
+            CHECK(tool.world.exchange(call).status == 502);
+            CHECK(tool.upstream.arrived.size() == 1);
+
+            scripted_world plain("library", plainResponse(head));
+            const http_request book = door_world::request("GET", "/v1/services/library/book/1");
+            CHECK(plain.world.exchange(book).body != "whole");
+        }
+    }
 }
 
 } // namespace azurehill::test
--- a/test/io/replica_prober_test.cpp
+++ b/test/io/replica_prober_test.cpp
@@ -95,6 +95,12 @@
             replica.script = {"no answer\r\n\r\n<close>"};
             CHECK(inquire() == sights{process_sight::Unknown});
         }
+        SUBCASE("not a head that no answer may have")
+        {
+            replica.script = {"HTTP/1.1 000 X\r\nX-Azurehill-Instance-Id: i-1\r\n"
+                              "Content-Length: 0\r\n\r\n"};
+            CHECK(inquire() == sights{process_sight::Unknown});
+        }
         SUBCASE("not a refused connection")
         {
             replica.closeAcceptor();
