HTTP client: a switch of protocols that nobody asked for is no answer

Cause: 101 is the one informational status that is final, so the loop over interim responses let it through, and the parser ends its body with its head. No request that the daemons send has an Upgrade field (it is hop-by-hop and removed), so that none of them can be answered so (RFC 9110, section 15.2.2).

judgeHead has a verdict of its own for it, which is an error as the others are.

--- a/src/http/head_verdict.cpp
+++ b/src/http/head_verdict.cpp
@@ -10,8 +10,9 @@
     const http::status_class kind = http::to_status_class(head.result_int());
     if (kind == http::status_class::unknown)
         return head_verdict::InvalidStatus;
-    if (kind == http::status_class::informational
-        && head.result() != http::status::switching_protocols)
+    if (head.result() == http::status::switching_protocols)
+        return head_verdict::UnrequestedUpgrade;
+    if (kind == http::status_class::informational)
         return head_verdict::Interim;
     return hasKnownTransferCoding(head) ? head_verdict::Final : head_verdict::UnknownTransferCoding;
 }
--- a/src/http/head_verdict.h
+++ b/src/http/head_verdict.h
@@ -15,6 +15,8 @@
     Interim,
     /// The status is none of those from 100 to 599 (RFC 9110, section 15).
     InvalidStatus,
+    /// The peer switches to another protocol, although no request asks for that.
+    UnrequestedUpgrade,
     /// The body is in a transfer coding that is not understood.
     UnknownTransferCoding
 };
@@ -22,8 +24,8 @@
 template <>
 struct enum_names<head_verdict>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"final", "interim", "invalid_status", "unknown_transfer_coding"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"final", "interim", "invalid_status", "unrequested_upgrade", "unknown_transfer_coding"};
 };
 
 /// \brief Decides what the head of a response is. All heads that the daemon reads are judged here.
--- a/test/io/invalid_head_test.cpp
+++ b/test/io/invalid_head_test.cpp
@@ -81,15 +81,14 @@
         constexpr int firstInvalid = 600;
         constexpr int upgrade = 101;
         for (int status = 0; status < 1000; ++status) {
-            if (status == upgrade)
-                continue;
             CAPTURE(status);
             const bool isInterim = status >= firstInterim && status < firstFinal;
             const std::string head = fmt::format("HTTP/1.1 {:03} X\r\n", status);
             const exchange_result result
                 = exchangeWith(isInterim ? head + "\r\n" + scripted_replica::good("")
                                          : head + "Content-Length: 0\r\n\r\n");
-            const bool isValid = status >= firstInterim && status < firstInvalid;
+            const bool isValid
+                = status >= firstInterim && status < firstInvalid && status != upgrade;
             REQUIRE(result.has_value() == isValid);
             if (isValid)
                 CHECK(result->status == (isInterim ? firstFinal : status));
--- a/test/io/invalid_heads.h
+++ b/test/io/invalid_heads.h
@@ -38,6 +38,8 @@
         withStatus("2000"),
         withStatus("-20"),
         withStatus("2x0"),
+        {"an upgrade that nobody asked for", "HTTP/1.1 101 Switching Protocols",
+         "Connection: upgrade\r\nUpgrade: websocket"},
         {"a major version below", "HTTP/0.9 200 OK"},
         {"a major version above", "HTTP/2.0 200 OK"},
         {"another protocol", "ICY 200 OK"},
@@ -89,8 +91,8 @@
 {
     std::vector<invalid_head> heads;
     for (const invalid_head &head : invalidHeads()) {
-        for (const char *name :
-             {"status 000", "status 999", "a major version above", "a blank in a name"}) {
+        for (const char *name : {"status 000", "status 999", "an upgrade that nobody asked for",
+                                 "a major version above", "a blank in a name"}) {
             if (head.name == name)
                 heads.push_back(head);
         }
