HTTP client: a head with a line that starts with white space is no answer

Callers saw: a replica in trouble put a blank before the name of a field, " X-More: more" or " Content-Length: 1". The client got the answer, with that line as a part of the field above it, and with a body up to the end of the connection where the line had named the length.

Cause: such a line is the obsolete continuation of the line before, which the parser joins with it without a trace, so that a damaged name can't be told from a long value. RFC 9112, section 5.2, has a gateway discard such a response with a 502 or replace the line end; joined, it is not what the replica said.

head_buffer sees the bytes that the parser consumes of a head and finds such lines, in state of two bits, however the head is split into parts; judgeHead gives them a verdict. Bodies and trailers are not looked at: no trailer is passed on.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "http/head_buffer.h"
 #include "http/head_verdict.h"
 #include "runtime/deadline_guard.h"
 
@@ -61,7 +62,7 @@
 
     tcp::socket socket;
     deadline_guard guard;
-    beast::flat_buffer buffer{maxUnparsedBytes};
+    head_buffer buffer{maxUnparsedBytes};
     std::optional<response_parser> parser;
     /// What the head that was read last is.
     head_verdict verdict = head_verdict::Final;
@@ -146,9 +147,10 @@
     parser.skip(s->out.method() == http::verb::head);
     parser.header_limit(maxResponseHeader);
     beast::error_code code;
+    s->buffer.beginHead();
     co_await http::async_read_header(s->socket, s->buffer, parser,
                                      asio::redirect_error(use_awaitable, code));
-    s->verdict = judgeHead(parser.get());
+    s->verdict = judgeHead(parser.get(), s->buffer.endHead());
     co_return code;
 }
 
