HTTP client: an unframed body is not complete before its request is written

Callers saw: a replica answered a long upload at once with a 200 that has neither a length nor chunks, sent a part of the body and reset the connection while the upload was being written. The client got that part as a complete answer: plain, as a stream with its last chunk, and a turn was kept and handed to the turns after it. The same with a crash, whose kernel sends the reset.

Cause: the kernel reports a reset to one operation. A trace of both, in all 18 combinations of end, moment and syntax of the test:

read: 16 bytes, Success; the write is in progress write ended: Connection reset by peer, 2807808 bytes read: 0 bytes, Success, end of the body

The write runs beside the read and is asked for its error by nobody, so that the read's orderly end, which ends a body without a framing, was taken for the end of the answer.

body_completeness, which decides for all readers, now knows a third fact beside framing and syntax: whether the request was written. http_connection::readSome waits for the end of the write before it asks, because the error may come after the end (Broken pipe, when the peer had ended its side before); the deadline of the read bounds the wait. So a peer that ends its side and reads on is answered whole, one that resets is not, in any order of the two operations, and where nobody reads the answer is not whole. Bodies with a length or chunks, and all answers to requests that were written, end as before.

--- a/src/http/body_completeness.cpp
+++ b/src/http/body_completeness.cpp
@@ -11,15 +11,18 @@
         m_events.scan(bytes);
 }
 
-body_end body_completeness::endOfBody(bool isFramingAtEnd) const
+body_end body_completeness::endOfBody(bool isFramingAtEnd, bool isRequestWritten) const
 {
     if (!isFramingAtEnd)
         return body_end::CutShort;
     if (m_events.isInsideEvent())
         return body_end::InsideEvent;
-    const bool isUnframedStream
-        = m_syntax == body_syntax::EventStream && m_framing == body_framing::Connection;
-    return isUnframedStream && m_events.events() == 0 ? body_end::WithoutEvent : body_end::Complete;
+    if (m_framing != body_framing::Connection)
+        return body_end::Complete;
+    if (!isRequestWritten)
+        return body_end::BeforeRequest;
+    const bool isStream = m_syntax == body_syntax::EventStream;
+    return isStream && m_events.events() == 0 ? body_end::WithoutEvent : body_end::Complete;
 }
 
 body_syntax syntaxOf(std::string_view contentType, body_syntax fallback)
--- a/src/http/body_completeness.h
+++ b/src/http/body_completeness.h
@@ -15,6 +15,10 @@
     CutShort,
     /// An event stream ended inside an event.
     InsideEvent,
+    /// The body ended with its connection before the whole request was written. A reset of the
+    /// connection is reported to one operation only: if the write gets it, the read sees an orderly
+    /// end.
+    BeforeRequest,
     /// An event stream ended with its connection before its first event.
     WithoutEvent
 };
@@ -22,8 +26,8 @@
 template <>
 struct enum_names<body_end>
 {
-    static constexpr std::array<std::string_view, 4> names
-        = {"complete", "cut_short", "inside_event", "without_event"};
+    static constexpr std::array<std::string_view, 5> names
+        = {"complete", "cut_short", "inside_event", "before_request", "without_event"};
 };
 
 /// \brief What the bytes of a body show about its end.
@@ -50,8 +54,9 @@
     void onBytes(std::string_view bytes);
     /// \param isFramingAtEnd whether the length, the last chunk or an orderly end of the connection
     /// was reached, whichever delimits the body.
+    /// \param isRequestWritten whether the whole request was written by then.
     /// \returns how the body ended, after its last bytes.
-    body_end endOfBody(bool isFramingAtEnd) const;
+    body_end endOfBody(bool isFramingAtEnd, bool isRequestWritten) const;
 
 private:
     body_framing m_framing;
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -3,6 +3,7 @@
 #include "http/head_buffer.h"
 #include "http/head_verdict.h"
 #include "runtime/deadline_guard.h"
+#include "runtime/notifier.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/beast/core.hpp>
@@ -73,6 +74,8 @@
     beast::error_code writeError;
     std::size_t sent = 0;
     bool writing = false;
+    /// Notified when the write has ended.
+    notifier writeEnded;
     std::optional<duration> keepAlive;
     /// Buffer for the next part of a body. It is a member so that it isn't zeroed for each read: a
     /// streamed body takes a read per token.
@@ -88,6 +91,7 @@
         });
     }
     bool expired() const { return guard.expired(); }
+    bool isRequestWritten() const { return !writing && !writeError; }
 };
 
 namespace {
@@ -128,15 +132,25 @@
     s->out.body() = std::move(request.body);
     s->out.prepare_payload();
     s->writing = true;
+    s->writeError = {};
     s->sent = 0;
     http::async_write(s->socket, s->out, [s](beast::error_code code, std::size_t sent) {
         s->writing = false;
         s->sent = sent;
         s->writeError = code;
         s->out.body() = {};
+        s->writeEnded.notifyAll();
     });
 }
 
+/// \brief Waits until the write of the request has ended. Closing the socket ends it.
+awaitable<void> awaitWriteEnd(std::shared_ptr<http_connection::state> s)
+{
+    const std::uint64_t seen = s->writeEnded.version();
+    if (s->writing)
+        co_await s->writeEnded.waitForChangeSince(seen);
+}
+
 /// \brief Reads the next head, of an interim or the final response.
 awaitable<beast::error_code> readHead(std::shared_ptr<http_connection::state> s)
 {
@@ -176,7 +190,7 @@
 
 bool http_connection::isReusable() const
 {
-    if (!m_state->reusable || m_state->writing || !m_state->socket.is_open())
+    if (!m_state->reusable || !m_state->isRequestWritten() || !m_state->socket.is_open())
         return false;
     // Unread bytes, such as a second response to the last request, would be parsed as the response
     // to the next one.
@@ -281,17 +295,21 @@
         if (code || m_state->expired())
             break;
     }
-    m_state->guard.finish();
     body_completeness &body = m_state->body;
+    // Whether this end is an orderly one shows only when the write has ended.
+    if (!code && parser.is_done() && body.framing() == body_framing::Connection)
+        co_await awaitWriteEnd(m_state);
+    m_state->guard.finish();
+    const bool isRequestWritten = m_state->isRequestWritten();
     if (code == http::error::partial_message && !m_state->expired())
-        co_return tl::unexpected(incompleteBody(body.endOfBody(false)));
+        co_return tl::unexpected(incompleteBody(body.endOfBody(false, isRequestWritten)));
     if (code || m_state->expired())
         co_return tl::unexpected(makeError(code, m_state->expired(), outcome::Unknown));
     std::string bytes(m_state->readBuffer.data(), length);
     body.onBytes(bytes);
     if (!parser.is_done())
         co_return bytes;
-    const body_end end = body.endOfBody(true);
+    const body_end end = body.endOfBody(true, isRequestWritten);
     // The bytes before the end are delivered first.
     if (end != body_end::Complete && bytes.empty())
         co_return tl::unexpected(incompleteBody(end));
--- a/test/io/body_completeness_test.cpp
+++ b/test/io/body_completeness_test.cpp
@@ -8,11 +8,12 @@
 
 namespace {
 
-body_end endOf(body_framing framing, std::string_view contentType, std::string_view body)
+body_end endOf(body_framing framing, std::string_view contentType, std::string_view body,
+               bool isRequestWritten = true)
 {
     body_completeness judged(framing, syntaxOf(contentType, body_syntax::Opaque));
     judged.onBytes(body);
-    return judged.endOfBody(true);
+    return judged.endOfBody(true, isRequestWritten);
 }
 
 /// \returns a stream of lines that have either line end, cut after any byte.
@@ -52,10 +53,24 @@
     {
         CHECK(endOf(body_framing::Length, "text/plain", "data: x") == body_end::Complete);
         CHECK(endOf(body_framing::Connection, "", "data: x") == body_end::Complete);
-        CHECK(body_completeness(body_framing::Length, body_syntax::Opaque).endOfBody(false)
+        CHECK(body_completeness(body_framing::Length, body_syntax::Opaque).endOfBody(false, true)
               == body_end::CutShort);
     }
 
+    // Guards against a reset, reported to the write alone, that is taken for an orderly end.
+    TEST_CASE("a body without a framing is complete only if the request was written")
+    {
+        const auto beforeRequest = [](body_framing framing, std::string_view type) {
+            return endOf(framing, type, "data: x\n\n", false);
+        };
+        for (const std::string_view type : {"text/plain", "text/event-stream"}) {
+            CHECK(beforeRequest(body_framing::Connection, type) == body_end::BeforeRequest);
+            CHECK(beforeRequest(body_framing::Length, type) == body_end::Complete);
+            CHECK(beforeRequest(body_framing::Chunked, type) == body_end::Complete);
+            CHECK(beforeRequest(body_framing::None, type) == body_end::Complete);
+        }
+    }
+
     TEST_CASE("an event stream is told by its content type")
     {
         CHECK(syntaxOf("text/event-stream", body_syntax::Opaque) == body_syntax::EventStream);
@@ -78,7 +93,7 @@
             reader.feed(stream);
             while (reader.nextEvent()) { }
             const bool isWhole = holdsOnlyComments(reader.unfinished());
-            RC_ASSERT((judged.endOfBody(true) == body_end::Complete) == isWhole);
+            RC_ASSERT((judged.endOfBody(true, true) == body_end::Complete) == isWhole);
         }));
     }
 }
--- a/test/io/broken_upstream_answer_test.cpp
+++ b/test/io/broken_upstream_answer_test.cpp
@@ -1,4 +1,5 @@
 #include "io/door_world.h"
+#include "io/early_replica.h"
 #include "io/invalid_heads.h"
 #include "io/scripted_replica.h"
 
@@ -47,6 +48,25 @@
     scripted_replica upstream;
 };
 
+/// \brief A daemon with one upstream of a service that answers before it has read the request.
+struct early_world
+{
+    explicit early_world(const std::string &service) : upstream(world.context, "upstream", service)
+    {
+        upstream.answer = "HTTP/1.1 200 OK\r\n\r\npart";
+        upstream.turnsBeforeEnd = 50;
+        world.addHost("upstream", service, upstream.entry.address.port);
+        world.deadUpstreams = 1;
+        world.start();
+    }
+
+    /// Size of a body that fills the buffers between the daemon and its upstream.
+    static constexpr std::size_t bodyBytes = 3'900'000;
+
+    door_world world;
+    early_replica upstream;
+};
+
 } // namespace
 
 TEST_SUITE("answers of upstreams that break off")
@@ -167,6 +187,36 @@
             CHECK(plain.world.exchange(book).body != "whole");
         }
     }
+
+    // Guards against a reset that the write of the request takes, after which the read sees an
+    // orderly end.
+    TEST_CASE("an upstream answers without a framing and resets while the request is written")
+    {
+        SUBCASE("a tool's answer is not journalled")
+        {
+            early_world w("proof");
+            http_request call = door_world::toolCall(w.world.createProgram(), 1, "k");
+            call.body.assign(early_world::bodyBytes, ' ');
+            CHECK(w.world.exchange(call).status == 502);
+            CHECK(w.world.exchange(call).status == 502);
+        }
+        SUBCASE("a plain service's answer is relayed without its last chunk")
+        {
+            early_world w("library");
+            http_request book = door_world::request("POST", "/v1/services/library/book/1");
+            book.headers.add("Azurehill-Idempotent", "true");
+            book.headers.add("Connection", "close");
+            book.body.assign(early_world::bodyBytes, ' ');
+            std::string answer;
+            auto body = [&]() -> awaitable<void> {
+                answer = co_await exchangeRaw(w.world.context, w.world.daemons.front().port,
+                                              door_world::wire(book));
+            };
+            w.world.run(body());
+            CHECK(answer.find("part") != std::string::npos);
+            CHECK_FALSE(answer.ends_with("0\r\n\r\n"));
+        }
+    }
 }
 
 } // namespace azurehill::test
