Heads of answers share the memory of their connections

Cause: a head is limited to 64 KiB, and a field of four bytes becomes a node of the parser, one of the list that the daemon passes on and one of the response to the client. Nothing of it was counted, and the fields of an unfinished head are parsed as they come. Idle connections to replicas kept the head of their last answer and the buffer that had grown for it.

head_buffer accounts for both while the head is read: at each read for the bytes that are not parsed (also of chunk lines and trailers) and, as request heads are counted, for the fields so far. Where the account refuses, the read fails as for a head that is too long: Malformed, with an outcome that is unknown. A connection that is kept for later requests first frees what its last response took. Connections without an account (store, daemons, azurehilld) have the fixed limits as before.

--- a/src/entry/upstream_sender.cpp
+++ b/src/entry/upstream_sender.cpp
@@ -388,6 +388,8 @@
                  {"left_ms", toMilliseconds(fields.timeLeft)}});
     reply.isSent = true;
     call->wasSent = true;
+    connection->setMemoryAccount(
+        [call](std::size_t bytes) { return call->memory.tryHold(held_part::Head, bytes); });
     auto head = co_await connection->sendAndReadHead(std::move(out), call->deadline);
     if (!head) {
         reply.setFailure(head.error());
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -56,6 +56,7 @@
     auto &list = m_idle[peer];
     if (keep <= duration::zero() || list.size() >= m_maxPerPeer)
         return;
+    connection.releaseMemory();
     list.push_back({std::move(connection), now, now + keep});
     if (idle() > m_maxTotal)
         closeLongestIdle();
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -50,6 +50,11 @@
     return {http_error_kind::Malformed, outcome::Unknown, std::string(toName(verdict))};
 }
 
+http_error memoryShort()
+{
+    return {http_error_kind::Malformed, outcome::Unknown, "no memory is left for the answer"};
+}
+
 http_error responseTooLarge()
 {
     return {http_error_kind::Malformed, outcome::Ran, "the response is too long"};
@@ -208,6 +213,18 @@
     return m_state->keepAlive;
 }
 
+void http_connection::setMemoryAccount(std::function<bool(std::size_t)> tryHold)
+{
+    m_state->buffer.setAccount(std::move(tryHold));
+}
+
+void http_connection::releaseMemory()
+{
+    m_state->buffer.setAccount(nullptr);
+    m_state->buffer.shrink_to_fit();
+    m_state->parser.reset();
+}
+
 void http_connection::close()
 {
     beast::error_code ignored;
@@ -257,6 +274,8 @@
         const outcome ran = nothingSent ? outcome::DidNotRun : outcome::Unknown;
         co_return tl::unexpected(makeError(code, s->expired(), ran));
     }
+    if (s->buffer.isRefused())
+        co_return tl::unexpected(memoryShort());
     const response_parser &parser = *s->parser;
     if (s->verdict != head_verdict::Final)
         co_return tl::unexpected(invalidHead(s->verdict));
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -8,6 +8,7 @@
 
 #include <tl/expected.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -32,6 +33,14 @@
 
     /// \brief Connects to \p peer.
     awaitable<tl::expected<void, http_error>> connect(endpoint peer, time_point deadline);
+    /// \brief Sets the account of the memory for the next response beside its body: a function that
+    /// takes the bytes and returns whether they may be held. A response for which it refuses them
+    /// is an error.
+    void setMemoryAccount(std::function<bool(std::size_t bytes)> tryHold);
+    /// \brief Frees what the last response takes, which must have been read. Call it before the
+    /// connection is kept for later requests.
+    void releaseMemory();
+
     /// \brief Sends \p request and reads the whole response.
     awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
                                                                 time_point deadline);
--- a/test/io/call_memory_test.cpp
+++ b/test/io/call_memory_test.cpp
@@ -52,6 +52,26 @@
         }
     }
 
+    // Guards against a limit that refuses answers of replicas in order.
+    TEST_CASE("large heads come whole in calm")
+    {
+        constexpr int fields = 100;
+        entry_fixture w;
+        w.settings.memoryBytes = 64LL << 20U;
+        w.restart();
+        std::string answer = scripted_replica::good("whole");
+        for (int i = 0; i < fields; ++i)
+            answer.insert(answer.find("\r\n") + 2,
+                          fmt::format("X-{}: {}\r\n", i, std::string(500, 'x')));
+        w.a.script = w.b.script = {answer, answer};
+        for (int i = 0; i < 2; ++i) {
+            const std::string seen = w.ask("POST /unsafe/1 HTTP/1.1\r\nX-Azurehill-Request-Id: r");
+            CHECK(seen.starts_with("HTTP/1.1 200"));
+            CHECK(seen.find("X-99: x") != std::string::npos);
+            CHECK(seen.ends_with("\r\n\r\nwhole"));
+        }
+    }
+
     // Guards against a limit that cuts answers of replicas in order.
     TEST_CASE("large events come whole in calm")
     {
--- a/test/io/head_buffer_test.cpp
+++ b/test/io/head_buffer_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <stdexcept>
+#include <string>
 #include <string_view>
 
 namespace azurehill::test {
@@ -59,4 +61,54 @@
     CHECK_FALSE(buffer.endHead());
 }
 
+// Guards against a head whose fields take many times the memory of its bytes.
+TEST_CASE("a head is accounted for while it is read")
+{
+    constexpr std::string_view field = "a:\r\n";
+    std::size_t held = 0;
+    std::size_t limit = 1U << 20U;
+    head_buffer buffer;
+    buffer.setAccount([&](std::size_t bytes) {
+        held = bytes;
+        return bytes <= limit;
+    });
+    const auto readField = [&] {
+        buffer.commit(asio::buffer_copy(buffer.prepare(field.size()), asio::buffer(field)));
+        buffer.consume(field.size());
+    };
+    buffer.beginHead();
+    for (int i = 0; i < 100; ++i)
+        readField();
+    buffer.endHead();
+    CHECK(held > 100 * sizeof(std::string));
+    CHECK_FALSE(buffer.isRefused());
+
+    SUBCASE("a head that is refused stays so")
+    {
+        limit = held;
+        buffer.beginHead();
+        CHECK_THROWS_AS(
+            [&] {
+                while (true)
+                    readField();
+            }(),
+            std::length_error);
+        limit = 1U << 20U;
+        CHECK(buffer.isRefused());
+    }
+    SUBCASE("the next one starts anew")
+    {
+        buffer.beginHead();
+        readField();
+        CHECK(held < 100 * sizeof(std::string));
+    }
+    SUBCASE("without an account everything is granted")
+    {
+        limit = 0;
+        buffer.setAccount(nullptr);
+        readField();
+        CHECK_FALSE(buffer.isRefused());
+    }
+}
+
 } // namespace azurehill::test
--- a/test/process/faulty_replicas_test.cpp
+++ b/test/process/faulty_replicas_test.cpp
@@ -98,6 +98,41 @@
         }
     }
 
+    // Guards against heads and lines between chunks that add up, each of them within its limit.
+    TEST_CASE("heads and lines of the framing share the memory of their connections")
+    {
+        const std::string path = "/f/plain/";
+
+        SUBCASE("heads of many fields, without their end")
+        {
+            checkAnswers(path, {answerHead, repeated("a:\r\n", 15 * kibibyte), 4});
+        }
+        SUBCASE("heads of many fields")
+        {
+            checkAnswers(path, {chunkedHead + repeated("a:\r\n", 60 * kibibyte) + "\r\n"});
+        }
+        SUBCASE("heads of many fields, of streams")
+        {
+            checkAnswers("/f/stream/", {chunkedHead + repeated("a:\r\n", 60 * kibibyte) + "\r\n"});
+        }
+        SUBCASE("heads of one long field, without its end")
+        {
+            checkAnswers(path, {answerHead + "a: ", repeated("x", 15 * kibibyte), 4});
+        }
+        SUBCASE("heads of one long field")
+        {
+            checkAnswers(path, {chunkedHead + "a: " + repeated("x", 60 * kibibyte) + "\r\n\r\n"});
+        }
+        SUBCASE("chunk extensions")
+        {
+            checkAnswers(path, {chunkedHead + "\r\n5;a=", repeated("x", 15 * kibibyte), 8});
+        }
+        SUBCASE("trailers")
+        {
+            checkAnswers(path, {chunkedHead + "\r\n0\r\n", repeated("a:\r\n", 15 * kibibyte), 8});
+        }
+    }
+
     // Guards against bodies that add up while their ends are awaited.
     TEST_CASE("plain bodies without end share the memory of their connections")
     {
