Test: requests that come at any moment of a planned stop

Reported by operators of systems like ours: in a planned stop in calm, requests that came late in the grace time were passed on and cut at its end without an answer, among them ones that may not be repeated. The suite showed single moments only.

The test sends a request to each kind of route, with and without a deadline of its own, all along the grace time of a stop that lasts to its end: each is answered whole, or refused at once with 503 and reaches no replica. It passes, so that nothing else is changed.

--- a/test/io/shutdown_test.cpp
+++ b/test/io/shutdown_test.cpp
@@ -8,6 +8,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace azurehill::test {
 
@@ -284,6 +286,56 @@
         }
     }
 
+    // Guards against requests that are taken late in the grace time and cut without an answer.
+    TEST_CASE("a request that comes at any moment of the stop is answered whole or refused at once")
+    {
+        stopping_daemon w;
+        // No request waits for another.
+        w.tool.entry.slots = w.model.entry.slots = 1000;
+        w.setReplicas();
+        const client_ptr busy = w.begin("/unsafe/7000");
+        // Replicas answer well before, and shortly before, the time that the request allows.
+        std::vector<std::pair<std::string, std::string>> requests
+            = {{"/safe/20", ""}, {"/safe/20", deadlineHeader(1000)}};
+        for (const char *path : {"/unsafe/", "/turn/", "/chat/"}) {
+            requests.emplace_back(std::string(path) + "900", "");
+            requests.emplace_back(std::string(path) + "900", deadlineHeader(1000));
+            requests.emplace_back(std::string(path) + "1900", deadlineHeader(2000));
+        }
+        constexpr std::size_t maxRequests = 400;
+        std::vector<client_ptr> kept;
+        for (std::size_t i = 0; i < maxRequests; ++i)
+            kept.push_back(w.connect());
+        w.stop();
+        std::vector<client_ptr> asked;
+        int refused = 0;
+        int taken = 0;
+        while (!w.hasEnded()) {
+            for (const auto &[path, deadline] : requests) {
+                REQUIRE_FALSE(kept.empty());
+                asked.push_back(kept.back());
+                kept.pop_back();
+                const int before = w.tool.arrived + w.model.arrived;
+                w.send(asked.back(), path, deadline);
+                w.advance(step);
+                const bool isTaken = w.tool.arrived + w.model.arrived > before;
+                const bool isRefused = asked.back()->isClosed && asked.back()->status() == 503;
+                CHECK(isTaken != isRefused);
+                taken += isTaken ? 1 : 0;
+                refused += isRefused ? 1 : 0;
+            }
+            w.advance(milliseconds(100));
+        }
+        CHECK(busy->answer.ends_with("whole"));
+        CHECK(taken > 0);
+        CHECK(refused > 0);
+        for (const client_ptr &c : asked) {
+            const bool isWhole = c->status() == 200
+                && (c->answer.ends_with("whole") || c->answer.ends_with("0\r\n\r\n"));
+            CHECK((isWhole || c->status() == 503));
+        }
+    }
+
     // Guards against requests that wait at a stopping daemon while another one could serve them.
     TEST_CASE("requests that wait for a slot when the stop begins are refused at once")
     {
