Store client: an answer of the store has a limit

The same class as events without end: an answer of the store, or of the peer that hands it on, was read up to 64 MiB, which is the whole memory of the smallest process, so that one endless answer could end it with the requests of its clients.

exchange() takes the limit as a parameter; the calls to the store, direct and through a peer, have 16 MiB. Beyond it the connection is closed and the outcome unknown, as before beyond 64.

Evidence: "an answer of the store without end is an unknown outcome" took 71 MB from the peer in both ways before, where 33 MB are allowed; it passes.

--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -21,7 +21,6 @@
 
 using response_parser = beast::http::response_parser<beast::http::buffer_body>;
 
-constexpr std::size_t maxResponseBody = 64U << 20U;
 constexpr std::size_t maxResponseHeader = 64U << 10U;
 constexpr std::size_t readBufferSize = 16U << 10U;
 /// Bound on bytes that are received and not yet parsed: a head, the extension of a chunk, or
@@ -337,8 +336,8 @@
     co_return bytes;
 }
 
-awaitable<tl::expected<http_response, http_error>> http_connection::exchange(http_request request,
-                                                                             time_point deadline)
+awaitable<tl::expected<http_response, http_error>>
+http_connection::exchange(http_request request, time_point deadline, std::size_t maxBody)
 {
     auto head = co_await sendAndReadHead(std::move(request), deadline);
     if (!head)
@@ -351,7 +350,7 @@
         if (piece->empty())
             co_return response;
         response.body += *piece;
-        if (response.body.size() > maxResponseBody) {
+        if (response.body.size() > maxBody) {
             close();
             co_return tl::unexpected(responseTooLarge());
         }
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -41,9 +41,13 @@
     /// connection is kept for later requests.
     void releaseMemory();
 
-    /// \brief Sends \p request and reads the whole response.
-    awaitable<tl::expected<http_response, http_error>> exchange(http_request request,
-                                                                time_point deadline);
+    /// Size of a response's body up to which exchange() reads it, in bytes.
+    static constexpr std::size_t defaultMaxBody = 64U << 20U;
+
+    /// \brief Sends \p request and reads the whole response, whose body has at most \p maxBody
+    /// bytes.
+    awaitable<tl::expected<http_response, http_error>>
+    exchange(http_request request, time_point deadline, std::size_t maxBody = defaultMaxBody);
     /// \brief Sends \p request and reads the head of the response. readSome() reads its body.
     awaitable<tl::expected<response_head, http_error>> sendAndReadHead(http_request request,
                                                                        time_point deadline);
--- a/src/members/peer_transport.cpp
+++ b/src/members/peer_transport.cpp
@@ -166,7 +166,7 @@
             co_return tl::unexpected(connected.error());
     }
     http_request wrapped = wrap(std::move(request), deadline - runtime_clock::now());
-    auto response = co_await connection.exchange(std::move(wrapped), deadline);
+    auto response = co_await connection.exchange(std::move(wrapped), deadline, maxStoreAnswerBytes);
     if (response)
         m_pool.give(peer, std::move(connection), runtime_clock::now());
     if (response && !isRejection(response->status))
--- a/src/store/store_transport.cpp
+++ b/src/store/store_transport.cpp
@@ -28,7 +28,7 @@
         if (!connected)
             co_return tl::unexpected(connected.error());
     }
-    auto response = co_await connection.exchange(std::move(request), deadline);
+    auto response = co_await connection.exchange(std::move(request), deadline, maxStoreAnswerBytes);
     if (response)
         m_pool.give(m_store, std::move(connection), runtime_clock::now());
     else
--- a/src/store/store_transport.h
+++ b/src/store/store_transport.h
@@ -4,6 +4,10 @@
 
 namespace azurehill {
 
+/// Largest answer of the store, in bytes. A page has at most 1 MB of rows; a feed has no limit of
+/// its own, and all changes of a large fleet take a few megabytes.
+constexpr std::size_t maxStoreAnswerBytes = 16U << 20U;
+
 /// \brief Transport for HTTP requests to the platform's store.
 class store_transport
 {
--- a/test/io/endless_answer_test.cpp
+++ b/test/io/endless_answer_test.cpp
@@ -1,4 +1,6 @@
 #include "entry_fixture.h"
+#include "members/peer_transport.h"
+#include "platform/platform_store.h"
 
 #include <doctest/doctest.h>
 
@@ -282,6 +284,39 @@
         CHECK(seen.memoryGrowth < maxMemoryGrowth);
     }
 
+    // Guards against a daemon that runs out of memory on an answer of the store, or of a peer.
+    TEST_CASE("an answer of the store without end is an unknown outcome")
+    {
+        asio::io_context context;
+        endless_replica endless(context, toolReplica(), "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[",
+                                repeated("{},", 64U << 10U));
+        scripted_replica store(context, "store", "store");
+        const auto through
+            = std::make_shared<peer_transport>(context.get_executor(), store.entry.address);
+        through->setPeers({endless.entry.address});
+        const std::string away = "HTTP/1.1 503 X\r\nContent-Length: 2\r\n\r\n{}";
+        store.script = {away, away};
+        const std::vector<std::shared_ptr<store_transport>> transports
+            = {std::make_shared<direct_transport>(context.get_executor(), endless.entry.address),
+               through};
+        for (const auto &transport : transports) {
+            platform_store client(transport);
+            const std::size_t bytesBefore = endless.bytes;
+            auto call = [&]() -> awaitable<void> {
+                row_range range{"t", "p", "", ""};
+                const auto page
+                    = co_await client.read(std::move(range), runtime_clock::now() + seconds(5));
+                CHECK_FALSE(page.has_value());
+            };
+            const time_point began = runtime_clock::now();
+            runIn(context, call());
+            CHECK(runtime_clock::now() - began < promptly);
+            // Those that were kept, and those in the buffers of the connection.
+            CHECK(endless.bytes - bytesBefore < maxMemoryGrowth);
+        }
+        CHECK(endless.requests == 2);
+    }
+
     // Guards against a long answer of which the first part is passed on as the whole.
     TEST_CASE("a long answer that is no stream is passed on whole")
     {
