--- a/src/entry/relayed_events.cpp
+++ b/src/entry/relayed_events.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <optional>
+#include <utility>
 
 namespace azurehill {
 
@@ -34,7 +35,7 @@
     return chunk;
 }
 
-std::string parsed_events::parse(std::string chunk)
+std::string parsed_events::parse(const std::string &chunk)
 {
     const bool isResumable = m_call.route->isResumable;
     std::string wholeEvents;
@@ -74,4 +75,24 @@
     return counted_events(stream);
 }
 
+std::string parse(relayed_events &events, std::string chunk)
+{
+    return std::visit([&chunk](auto &e) { return e.parse(std::move(chunk)); }, events);
+}
+
+std::size_t heldBytes(const relayed_events &events)
+{
+    return std::visit([](const auto &e) { return e.heldBytes(); }, events);
+}
+
+bool isEventTooLong(const relayed_events &events)
+{
+    return std::visit([](const auto &e) { return e.isTooLong(); }, events);
+}
+
+std::string_view unfinished(const relayed_events &events)
+{
+    return std::visit([](const auto &e) { return e.unfinished(); }, events);
+}
+
 } // namespace azurehill
--- a/src/entry/relayed_events.h
+++ b/src/entry/relayed_events.h
@@ -11,19 +11,15 @@
 
 namespace azurehill {
 
-/// \brief Events of a stream that are passed on as they come, and counted.
+/// \brief Events of a stream that are passed on as they come, and counted. Nothing of them is held.
 class counted_events
 {
 public:
     explicit counted_events(stream_result &stream) : m_stream(stream) { }
 
-    /// \returns the bytes to send to the client after \p chunk was received.
     std::string parse(std::string chunk);
-    /// \returns the memory that is held for the stream.
     std::size_t heldBytes() const { return 0; }
-    /// \returns whether the unfinished event is too large to be one.
     bool isTooLong() const { return false; }
-    /// \returns the bytes that were received and not passed on.
     std::string_view unfinished() const { return {}; }
 
 private:
@@ -31,8 +27,7 @@
     event_stream_scanner m_scanner;
 };
 
-/// \brief Events of a stream that may be resumed, or of a turn that is kept; for the meaning of the
-/// functions see counted_events.
+/// \brief Events of a stream that may be resumed, or of a turn that is kept.
 ///
 /// A stream that may be resumed is passed on in whole events, so that its continuation starts at an
 /// event. The data of a kept turn are its output.
@@ -41,7 +36,7 @@
 public:
     parsed_events(entry_call &call, stream_result &stream) : m_call(call), m_stream(stream) { }
 
-    std::string parse(std::string chunk);
+    std::string parse(const std::string &chunk);
     std::size_t heldBytes() const;
     bool isTooLong() const { return m_reader.isTooLong(); }
     std::string_view unfinished() const;
@@ -58,4 +53,14 @@
 /// \returns the parser for the events of an answer to \p call. It keeps references to both.
 relayed_events makeRelayedEvents(entry_call &call, stream_result &stream);
 
+/// \brief Adds the events that end in \p chunk to the result of the stream.
+/// \returns the bytes to send to the client now.
+std::string parse(relayed_events &events, std::string chunk);
+/// \returns the memory that is held for the stream, in bytes.
+std::size_t heldBytes(const relayed_events &events);
+/// \returns whether the unfinished event is too large to be one.
+bool isEventTooLong(const relayed_events &events);
+/// \returns the bytes that were received and not passed on.
+std::string_view unfinished(const relayed_events &events);
+
 } // namespace azurehill
--- a/src/entry/response_relay.cpp
+++ b/src/entry/response_relay.cpp
@@ -183,11 +183,8 @@
 {
     std::optional<time_point> firstAt;
     relayed_events events = makeRelayedEvents(*call, stream);
-    const auto isEventTooLong = [](const auto &e) { return e.isTooLong(); };
-    const auto heldBytes = [](const auto &e) { return e.heldBytes(); };
-    const auto unfinished = [](const auto &e) { return e.unfinished(); };
     const std::int64_t eventsBefore = stream.events;
-    while (stream.isClientConnected && !std::visit(isEventTooLong, events) && !isTooLong(stream)) {
+    while (stream.isClientConnected && !isEventTooLong(events) && !isTooLong(stream)) {
         auto chunk = co_await reply.connection->readSome(call->deadline);
         if (!chunk) {
             reply.setFailure(chunk.error());
@@ -204,10 +201,8 @@
             m_metrics.onPhase(call->route->name, request_phase::FirstByte, *firstAt - call->sentAt);
         }
         m_loadBalancer.onBytesReceived(reply.where.replica.incarnation, call->lastByteAt);
-        const auto parse = [&chunk](auto &e) { return e.parse(std::move(*chunk)); };
-        const std::string bytes = std::visit(parse, events);
-        const std::size_t held = std::visit(heldBytes, events) + bytes.capacity();
-        if (!call->memory.tryHold(held_part::Body, held)) {
+        const std::string bytes = parse(events, std::move(*chunk));
+        if (!call->memory.tryHold(held_part::Body, heldBytes(events) + bytes.capacity())) {
             reply.readError = memoryShort;
             break;
         }
@@ -215,7 +210,7 @@
             stream.isClientConnected = co_await writer.writeChunk(bytes);
     }
     // After a complete stream these are comment lines only.
-    const std::string_view rest = std::visit(unfinished, events);
+    const std::string_view rest = unfinished(events);
     if (stream.isComplete && !rest.empty())
         stream.isClientConnected = co_await writer.writeChunk(rest);
     if (firstAt)
--- a/src/http/http_client.cpp
+++ b/src/http/http_client.cpp
@@ -69,7 +69,7 @@
     deadline_guard guard;
     head_buffer buffer{maxUnparsedBytes};
     std::optional<response_parser> parser;
-    /// What the head that was read last is.
+    /// Verdict on the head that was read last.
     head_verdict verdict = head_verdict::Final;
     body_completeness body{body_framing::None, body_syntax::Opaque};
     std::string host;
--- a/src/store/store_transport.h
+++ b/src/store/store_transport.h
@@ -4,8 +4,8 @@
 
 namespace azurehill {
 
-/// Largest answer of the store, in bytes. A page has at most 1 MB of rows; a feed has no limit of
-/// its own, and all changes of a large fleet take a few megabytes.
+/// Largest answer of the store that is read, in bytes. A page has at most 1 MB of rows; no limit is
+/// stated for a feed.
 constexpr std::size_t maxStoreAnswerBytes = 16U << 20U;
 
 /// \brief Transport for HTTP requests to the platform's store.
--- a/test/io/early_answer_test.cpp
+++ b/test/io/early_answer_test.cpp
@@ -36,8 +36,6 @@
                        body.size(), body, lastChunk);
 }
 
-using exchange_result = tl::expected<http_response, http_error>;
-
 /// \brief When a replica ends the connection, as seen by the reader of its answer.
 enum class end_moment { BeforeFirstRead, BetweenReads, DuringRead };
 
--- a/test/io/http_test.cpp
+++ b/test/io/http_test.cpp
@@ -3,33 +3,9 @@
 
 #include <doctest/doctest.h>
 
-#include <optional>
-
 using namespace azurehill;
 using namespace azurehill::test;
 
-namespace {
-
-using exchange_result = tl::expected<http_response, http_error>;
-
-/// \returns the result of an exchange whose response is \p bytes.
-exchange_result exchangeWith(std::string bytes)
-{
-    asio::io_context context;
-    scripted_replica peer(context, "peer", "peer");
-    peer.script = {std::move(bytes)};
-    std::optional<exchange_result> result;
-    auto go = [&]() -> awaitable<void> {
-        http_request request;
-        result = co_await exchangeOnce(peer.entry.address, std::move(request),
-                                       runtime_clock::now() + seconds(5));
-    };
-    runIn(context, go());
-    return std::move(*result);
-}
-
-} // namespace
-
 TEST_CASE("An endpoint is written as host:port")
 {
     CHECK(parseEndpoint("127.0.0.1:80") == endpoint{"127.0.0.1", 80});
--- a/test/io/invalid_head_test.cpp
+++ b/test/io/invalid_head_test.cpp
@@ -6,30 +6,10 @@
 #include "members/peer_transport.h"
 #include "platform/platform_store.h"
 
-#include <optional>
-
 namespace azurehill::test {
 
 namespace {
 
-using exchange_result = tl::expected<http_response, http_error>;
-
-/// \returns the result of an exchange whose response is \p bytes.
-exchange_result exchangeWith(std::string bytes)
-{
-    asio::io_context context;
-    scripted_replica peer(context, "peer", "peer");
-    peer.script = {std::move(bytes)};
-    std::optional<exchange_result> result;
-    auto go = [&]() -> awaitable<void> {
-        http_request request;
-        result = co_await exchangeOnce(peer.entry.address, std::move(request),
-                                       runtime_clock::now() + seconds(5));
-    };
-    runIn(context, go());
-    return std::move(*result);
-}
-
 bool contains(const std::string &text, std::string_view part)
 {
     return text.find(part) != std::string::npos;
--- a/test/io/scripted_replica.h
+++ b/test/io/scripted_replica.h
@@ -170,4 +170,22 @@
     asio::ip::tcp::acceptor m_acceptor;
 };
 
+using exchange_result = tl::expected<http_response, http_error>;
+
+/// \returns the result of an exchange whose response is \p bytes, as a script has them.
+inline exchange_result exchangeWith(std::string bytes)
+{
+    asio::io_context context;
+    scripted_replica peer(context, "peer", "peer");
+    peer.script = {std::move(bytes)};
+    exchange_result result;
+    auto go = [&]() -> awaitable<void> {
+        http_request request;
+        result = co_await exchangeOnce(peer.entry.address, std::move(request),
+                                       runtime_clock::now() + seconds(5));
+    };
+    runIn(context, go());
+    return result;
+}
+
 } // namespace azurehill::test
--- a/test/process/child.cpp
+++ b/test/process/child.cpp
@@ -61,6 +61,19 @@
     return true;
 }
 
+bool settlesWithin(std::chrono::milliseconds limit, const std::function<std::int64_t()> &count)
+{
+    constexpr int quietLooks = 40;
+    std::int64_t before = -1;
+    int quiet = 0;
+    return holdsWithin(limit, [&] {
+        const std::int64_t now = count();
+        quiet = now == before ? quiet + 1 : 0;
+        before = now;
+        return quiet >= quietLooks;
+    });
+}
+
 child::child(std::string name, const std::string &program, std::vector<std::string> arguments,
              const std::string &folder)
     : m_name(std::move(name)), m_folder(folder)
--- a/test/process/child.h
+++ b/test/process/child.h
@@ -16,6 +16,10 @@
 /// \returns whether it held within \p limit.
 bool holdsWithin(std::chrono::milliseconds limit, const std::function<bool()> &condition);
 
+/// \brief Looks at \p count until it has stayed the same for several looks.
+/// \returns whether it did within \p limit.
+bool settlesWithin(std::chrono::milliseconds limit, const std::function<std::int64_t()> &count);
+
 /// \brief One process of a test, killed when it goes out of scope.
 class child
 {
--- a/test/process/faulty_replica.cpp
+++ b/test/process/faulty_replica.cpp
@@ -16,8 +16,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds settleTimeout(60'000);
-/// Looks at the bytes sent after which a replica that sends no more counts as settled.
-constexpr int quietLooks = 40;
 
 /// \returns the id of the request that begins with \p head.
 std::string idOf(std::string_view head)
@@ -48,14 +46,7 @@
 
 void faulty_replica::waitUntilSettled() const
 {
-    int quiet = 0;
-    std::int64_t before = -1;
-    CHECK(holdsWithin(settleTimeout, [&] {
-        const std::int64_t sent = m_sent;
-        quiet = sent == before ? quiet + 1 : 0;
-        before = sent;
-        return quiet >= quietLooks;
-    }));
+    CHECK(settlesWithin(settleTimeout, [this] { return m_sent.load(); }));
 }
 
 awaitable<void> faulty_replica::acceptAll()
--- a/test/process/limited_daemon.h
+++ b/test/process/limited_daemon.h
@@ -52,15 +52,7 @@
     /// \brief Waits until the replica has had no request for a while.
     void waitUntilReplicaIsIdle()
     {
-        constexpr int quietLooks = 40;
-        int before = -1;
-        int quiet = 0;
-        CHECK(holdsWithin(testTimeout, [&] {
-            const int arrived = fixture.arrived;
-            quiet = arrived == before ? quiet + 1 : 0;
-            before = arrived;
-            return quiet >= quietLooks;
-        }));
+        CHECK(settlesWithin(testTimeout, [this] { return fixture.arrived.load(); }));
     }
 
     /// \brief Checks that the process lives and has stayed within its settings.
