Account of connections: a reserve in place of a guarantee

Now the last 1/16 of the account is a reserve for that growth, so that the sum holds; requests and large holders have the rest, as the shares of the process stay as they are. A plain answer that gets nothing is streamed, a stream is broken off.

--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -56,7 +56,7 @@
     virtual bool finished() const = 0;
     /// \brief Accounts for \p bytes that are held for this request beside the request itself, in
     /// place of those that were accounted for before.
-    /// \returns whether the process may hold them. Up to connection_cost::guaranteedBytes it may.
+    /// \returns whether the process may hold them.
     virtual bool tryHold(std::size_t bytes)
     {
         static_cast<void>(bytes);
--- a/src/http/server_writer.cpp
+++ b/src/http/server_writer.cpp
@@ -30,10 +30,8 @@
     if (!m_holder)
         return true;
     const std::int64_t total = m_requestBytes + static_cast<std::int64_t>(bytes);
-    if (bytes > connection_cost::guaranteedBytes)
-        return m_holder->tryResize(total);
-    m_holder->resize(total);
-    return true;
+    return bytes <= connection_cost::ordinaryAnswerBytes ? m_holder->tryResizeInProgress(total)
+                                                         : m_holder->tryResize(total);
 }
 
 void server_writer::updateKeepAlive()
--- a/src/limits/connection_cost.h
+++ b/src/limits/connection_cost.h
@@ -20,9 +20,8 @@
 
     /// Part of requestBytes for an answer while it is relayed.
     static constexpr std::size_t coveredAnswerBytes = 8U << 10U;
-    /// Size up to which what is held for a request in progress is never refused: a request that is
-    /// passed on can't be refused any more, and an ordinary answer holds less.
-    static constexpr std::size_t guaranteedBytes = 32U << 10U;
+    /// Size up to which an answer may use the reserve of its account. Ordinary ones hold less.
+    static constexpr std::size_t ordinaryAnswerBytes = 32U << 10U;
 
     /// Capacity of the buffer for bytes that have not been parsed.
     std::size_t bufferBytes = 0;
--- a/src/limits/memory_account.cpp
+++ b/src/limits/memory_account.cpp
@@ -7,6 +7,8 @@
 /// Part of the limit that holders above maxSmallBytes may use.
 constexpr std::int64_t largeNumerator = 3;
 constexpr std::int64_t largeDenominator = 4;
+/// Part of the limit for small growth of requests in progress.
+constexpr std::int64_t reserveDenominator = 16;
 /// How many times as large a holder has to be to make way for another.
 constexpr std::int64_t displacementFactor = 2;
 
@@ -42,9 +44,15 @@
     return bytes <= limitFor(bytes);
 }
 
+std::int64_t memory_account::reserve() const
+{
+    return m_limit / reserveDenominator;
+}
+
 std::int64_t memory_account::limitFor(std::int64_t bytes) const
 {
-    return bytes <= maxSmallBytes ? m_limit : m_limit / largeDenominator * largeNumerator;
+    return bytes <= maxSmallBytes ? m_limit - reserve()
+                                  : m_limit / largeDenominator * largeNumerator;
 }
 
 bool memory_account::makeRoom(std::int64_t bytes, std::int64_t weight, std::int64_t growth)
@@ -88,21 +96,8 @@
     m_isRevocable = isRevocable;
 }
 
-void memory_account::holder::resize(std::int64_t bytes)
-{
-    const std::lock_guard lock(m_account.m_mutex);
-    if (m_isRevoked)
-        return;
-    const bool wasRevocable = m_isRevocable;
-    unlist();
-    m_account.m_used += bytes - m_bytes;
-    m_bytes = bytes;
-    list(wasRevocable);
-}
-
-bool memory_account::holder::tryResize(std::int64_t bytes, std::int64_t weight)
+bool memory_account::holder::resize(std::int64_t bytes, std::int64_t weight)
 {
-    const std::lock_guard lock(m_account.m_mutex);
     if (m_isRevoked)
         return false;
     // A holder does not make way for its own growth.
@@ -118,6 +113,25 @@
     return isGranted;
 }
 
+bool memory_account::holder::tryResize(std::int64_t bytes, std::int64_t weight)
+{
+    const std::lock_guard lock(m_account.m_mutex);
+    return resize(bytes, weight);
+}
+
+bool memory_account::holder::tryResizeInProgress(std::int64_t bytes)
+{
+    const std::lock_guard lock(m_account.m_mutex);
+    if (resize(bytes, bytes))
+        return true;
+    const std::int64_t growth = bytes - m_bytes;
+    if (m_isRevoked || m_account.m_used + growth > m_account.m_limit)
+        return false;
+    m_account.m_used += growth;
+    m_bytes = bytes;
+    return true;
+}
+
 void memory_account::holder::setRevocable(bool isRevocable)
 {
     const std::lock_guard lock(m_account.m_mutex);
--- a/src/limits/memory_account.h
+++ b/src/limits/memory_account.h
@@ -13,7 +13,8 @@
 /// Each connection is a holder. Where memory is short, a holder that waits for its peer makes way
 /// for one that is much smaller, the largest first, so that small requests are served beside any
 /// number of unfinished large ones, while requests of about one size don't displace each other.
-/// Large holders may use a part of the limit only; the rest is kept for small ones.
+/// Large holders may use a part of the limit only; the rest is kept for small ones. The last part
+/// is a reserve for small growth of requests in progress.
 class memory_account
 {
 public:
@@ -37,6 +38,8 @@
 private:
     using revocable_set = std::set<std::pair<std::int64_t, holder *>>;
 
+    /// \returns the part of the limit for small growth of requests in progress.
+    std::int64_t reserve() const;
     /// \returns what all holders may have together for one of them to have \p bytes.
     std::int64_t limitFor(std::int64_t bytes) const;
     /// \brief Revokes holders that are much larger than \p weight until \p growth more fits.
@@ -70,9 +73,9 @@
     /// \returns whether it was granted. A holder that was revoked is granted nothing.
     bool tryResize(std::int64_t bytes, std::int64_t weight);
     bool tryResize(std::int64_t bytes) { return tryResize(bytes, bytes); }
-    /// \brief Changes the size to \p bytes although that may exceed the limit. Others are granted
-    /// nothing then until enough was given back.
-    void resize(std::int64_t bytes);
+    /// \brief Like tryResize(), for a request that is passed on already, so that it can't be
+    /// refused any more. It may use the reserve of the account as well.
+    bool tryResizeInProgress(std::int64_t bytes);
     /// \brief Sets whether this holder waits for its peer and may be revoked meanwhile.
     void setRevocable(bool isRevocable);
     bool isRevoked() const;
@@ -83,6 +86,8 @@
 
     void unlist();
     void list(bool isRevocable);
+    /// \brief Changes the size to \p bytes if the account allows it, whose mutex is locked.
+    bool resize(std::int64_t bytes, std::int64_t weight);
 
     memory_account &m_account;
     std::function<void()> m_onRevoked;
--- a/test/logic/limits_test.cpp
+++ b/test/logic/limits_test.cpp
@@ -68,16 +68,24 @@
             CHECK_FALSE(second.holder.tryResize(memory_account::maxSmallBytes + 1));
             CHECK(second.holder.tryResize(memory_account::maxSmallBytes));
         }
-        SUBCASE("what is not refused counts all the same")
+        SUBCASE("the last part is kept for requests in progress")
         {
-            REQUIRE(first.holder.tryResize(limit / 4 * 3));
-            second.holder.resize(limit / 2);
-            CHECK(account.usedBytes() == limit / 4 * 5);
-            CHECK_FALSE(first.holder.tryResize(limit));
-            SUBCASE("until enough is given back")
+            constexpr std::int64_t small = memory_account::maxSmallBytes;
+            std::vector<std::unique_ptr<recorded_holder>> others;
+            do
+                others.push_back(std::make_unique<recorded_holder>(account));
+            while (others.back()->holder.tryResize(small));
+            REQUIRE(account.usedBytes() <= limit / 16 * 15);
+            const std::int64_t left = limit - account.usedBytes();
+            CHECK_FALSE(first.holder.tryResize(left));
+            CHECK_FALSE(first.holder.tryResizeInProgress(left + 1));
+            CHECK(first.holder.tryResizeInProgress(left));
+            CHECK(account.usedBytes() == limit);
+            SUBCASE("until something is given back")
             {
-                REQUIRE(first.holder.tryResize(0));
-                CHECK(first.holder.tryResize(limit / 4));
+                CHECK_FALSE(second.holder.tryResizeInProgress(1));
+                REQUIRE(first.holder.tryResizeInProgress(0));
+                CHECK(second.holder.tryResizeInProgress(1));
             }
         }
         SUBCASE("one that waits makes way for a much smaller one")
