--- a/test/io/early_answer_test.cpp
+++ b/test/io/early_answer_test.cpp
@@ -183,7 +183,7 @@
         }
     }
 
-    // Guards against an answer that counts as whole while nobody can know whether it is.
+    // Guards against an answer that counts as whole while a reset may still follow.
     TEST_CASE("an answer without a framing is not complete before its request is written")
     {
         early_exchange e(unframed("text/plain", "part"));
